--- /dev/null
+++ b/admin/admin.go
@@ -0,0 +1,178 @@
+// Package admin serves the administration API, health and metrics of a node.
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/control"
+	"github.com/persimmonline/persimmonline/platform"
+	"github.com/persimmonline/persimmonline/refusal"
+	"github.com/persimmonline/persimmonline/telemetry"
+)
+
+// peerSilentAfter is the age of a heartbeat after which a node is shown as silent.
+const peerSilentAfter = 5 * time.Second
+
+// Options are what the administration API needs.
+type Options struct {
+	// Control state of the node.
+	Control *control.Loop
+	// Log of the platform.
+	Log platform.Log
+	// Metrics of the node.
+	Metrics *telemetry.Metrics
+	// Own is the node's own heartbeat.
+	Own func() api.Heartbeat
+	// Refusals that the node made.
+	Refusals func() []api.RefusalCount
+	// Ready says whether the balancer may send callers here.
+	Ready func() bool
+}
+
+// API serves operators.
+type API struct{ Options }
+
+// New returns the administration API.
+func New(options Options) *API { return &API{options} }
+
+// Routes returns the routes of the operators' listener.
+func (a *API) Routes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodGet, Path: "/livez", Handler: a.live},
+		{Method: http.MethodGet, Path: "/readyz", Handler: a.ready},
+		{Method: http.MethodGet, Path: "/metrics", Handler: a.Metrics.Handler().ServeHTTP},
+		{Method: http.MethodGet, Path: "/admin/v1/status", Handler: a.authenticated(a.status)},
+		{Method: http.MethodGet, Path: "/admin/v1/config", Handler: a.authenticated(a.configuration)},
+		{Method: http.MethodPost, Path: "/admin/v1/patches", Handler: a.authenticated(a.publish)},
+		{Method: http.MethodGet, Path: "/admin/v1/patches", Handler: a.authenticated(a.listPatches)},
+		{Method: http.MethodGet, Path: "/admin/v1/patches/{id}", Handler: a.authenticated(a.getPatch)},
+	}
+}
+
+func (a *API) live(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
+
+func (a *API) ready(w http.ResponseWriter, _ *http.Request) {
+	if !a.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// authenticated finds the operator by key. While there is no configuration there
+// are no operators, and the first patch goes straight to the log.
+func (a *API) authenticated(next func(http.ResponseWriter, *http.Request, string)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		index := a.Control.Snapshot().Index
+		if index == nil {
+			refusal.New(http.StatusServiceUnavailable, refusal.CodeNoConfiguration,
+				"this node has no configuration yet").Write(w, "")
+			return
+		}
+		key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		operator, ok := index.OperatorOf(key)
+		if !ok {
+			refusal.New(http.StatusUnauthorized, refusal.CodeInvalidKey,
+				"the operator key is missing or unknown").Write(w, "")
+			return
+		}
+		next(w, r, operator)
+	}
+}
+
+func (a *API) status(w http.ResponseWriter, _ *http.Request, _ string) {
+	snapshot := a.Control.Snapshot()
+	own := nodeStatus(a.Own())
+	report := api.StatusReport{
+		Node:      own,
+		Nodes:     []api.NodeStatus{own},
+		Upstreams: upstreams(snapshot),
+		Refusals:  a.Refusals(),
+	}
+	for _, known := range snapshot.Peers {
+		status := nodeStatus(known.Heartbeat)
+		if time.Since(known.HeardAt) > peerSilentAfter {
+			status.State = "silent"
+		}
+		report.Nodes = append(report.Nodes, status)
+	}
+	slices.SortFunc(report.Nodes, func(x, y api.NodeStatus) int { return strings.Compare(x.NodeID, y.NodeID) })
+	writeJSON(w, http.StatusOK, report)
+}
+
+func nodeStatus(heartbeat api.Heartbeat) api.NodeStatus {
+	return api.NodeStatus{
+		NodeID:        heartbeat.NodeID,
+		Incarnation:   heartbeat.Incarnation,
+		DataCentre:    heartbeat.DataCentre,
+		State:         string(heartbeat.State),
+		ConfigVersion: heartbeat.ConfigVersion,
+		ConfigAgeMS:   heartbeat.ConfigAgeMS,
+		InFlight:      heartbeat.InFlight,
+	}
+}
+
+func upstreams(snapshot *control.Snapshot) []api.UpstreamStatus {
+	inFlight := map[string]int{}
+	services := map[string][]string{}
+	for service, list := range snapshot.Fleet.ByService {
+		for _, upstream := range list {
+			inFlight[upstream.ID] = int(upstream.Tracker.InFlight.Load())
+			services[upstream.ID] = append(services[upstream.ID], service)
+		}
+	}
+	list := make([]api.UpstreamStatus, 0, len(snapshot.Members.Upstreams))
+	for _, member := range snapshot.Members.Upstreams {
+		slices.Sort(services[member.ID])
+		list = append(list, api.UpstreamStatus{
+			HostID:       member.ID,
+			Role:         string(member.Role),
+			Service:      strings.Join(services[member.ID], ","),
+			Address:      member.Address,
+			DataCentre:   member.DataCentre,
+			MachineClass: member.MachineClass,
+			State:        string(member.Health),
+			InFlight:     inFlight[member.ID],
+		})
+	}
+	return list
+}
+
+func (a *API) configuration(w http.ResponseWriter, _ *http.Request, _ string) {
+	snapshot := a.Control.Snapshot()
+	stored, err := snapshot.Config.Snapshot()
+	if err != nil {
+		refusal.From(err).Write(w, "")
+		return
+	}
+	writeJSON(w, http.StatusOK, stored)
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// waitFor returns when done says so or ctx ends.
+func (a *API) waitFor(ctx context.Context, done func(*control.Snapshot) bool) bool {
+	for {
+		changed := a.Control.Changed()
+		if done(a.Control.Snapshot()) {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/admin/patches.go
@@ -0,0 +1,152 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/config"
+	"github.com/persimmonline/persimmonline/control"
+	"github.com/persimmonline/persimmonline/platform"
+	"github.com/persimmonline/persimmonline/refusal"
+)
+
+const (
+	// verdictWait bounds the wait for the log to show a published patch.
+	verdictWait = 5 * time.Second
+	// maxWait bounds the wait until a patch is in force everywhere.
+	maxWait = 30 * time.Second
+	// maxPatchBytes bounds the body of a published patch.
+	maxPatchBytes = 4 << 20
+	// verdictUnknown is what is said while the log has not shown a patch.
+	verdictUnknown = "unknown"
+)
+
+// publish appends a patch to the log and answers with its verdict. The query
+// wait=1 waits until it is in force everywhere.
+func (a *API) publish(w http.ResponseWriter, r *http.Request, operator string) {
+	var request api.PatchRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxPatchBytes)).Decode(&request); err != nil {
+		refusal.New(http.StatusBadRequest, refusal.CodeInvalidJSON, "the body can't be read: %v", err).Write(w, "")
+		return
+	}
+	if refused := checkPatch(request); refused != nil {
+		refused.Write(w, "")
+		return
+	}
+	if err := a.append(r.Context(), request, operator); err != nil {
+		refused := refusal.New(http.StatusServiceUnavailable, refusal.CodeLogUnavailable,
+			"the patch is not in the log; publish it again with the same id").At("append patch", "log", err)
+		var failed *platform.Error
+		if errors.As(err, &failed) && failed.Effect == platform.EffectNone {
+			refused.Write(w, "")
+			return
+		}
+	}
+	a.answer(w, r, request.ID)
+}
+
+func checkPatch(request api.PatchRequest) *refusal.Refusal {
+	switch {
+	case request.ID == "":
+		return refusal.Field("id", "id is missing")
+	case request.Format != string(api.ConfigPatchFormatMerge) && request.Format != string(api.ConfigPatchFormatJSON):
+		return refusal.Field("format", "format %q is not merge or json", request.Format)
+	case len(request.Patch) == 0:
+		return refusal.Field("patch", "patch is missing")
+	case request.BaseVersion < 0:
+		return refusal.Field("base_version", "base_version must not be negative")
+	}
+	return nil
+}
+
+func (a *API) append(ctx context.Context, request api.PatchRequest, operator string) error {
+	record, err := json.Marshal(api.Record{Patch: &api.ConfigPatch{
+		ID:            request.ID,
+		BaseVersion:   request.BaseVersion,
+		RuleSet:       config.CurrentRuleSet,
+		Format:        api.ConfigPatchFormat(request.Format),
+		Patch:         request.Patch,
+		Author:        operator,
+		PublishedAtMS: time.Now().UnixMilli(),
+	}})
+	if err != nil {
+		return err
+	}
+	_, err = a.Log.Append(ctx, control.ConfigStream, []json.RawMessage{record})
+	return err
+}
+
+// answer waits for the verdict and sends it; without one the answer is unknown.
+func (a *API) answer(w http.ResponseWriter, r *http.Request, id string) {
+	ctx, cancel := context.WithTimeout(r.Context(), verdictWait)
+	defer cancel()
+	known := a.waitFor(ctx, func(s *control.Snapshot) bool {
+		_, ok := s.Config.Verdict(id)
+		return ok
+	})
+	if !known {
+		writeJSON(w, http.StatusAccepted, a.result(id))
+		return
+	}
+	if r.URL.Query().Get("wait") == "1" {
+		waitCtx, cancelWait := context.WithTimeout(r.Context(), maxWait)
+		defer cancelWait()
+		a.waitFor(waitCtx, func(*control.Snapshot) bool { return a.result(id).InForce })
+	}
+	result := a.result(id)
+	writeJSON(w, statusOf(result.Verdict), result)
+}
+
+func statusOf(verdict string) int {
+	switch verdict {
+	case string(api.PatchVerdictVerdictStale):
+		return http.StatusConflict
+	case string(api.PatchVerdictVerdictInvalid):
+		return http.StatusUnprocessableEntity
+	case verdictUnknown:
+		return http.StatusAccepted
+	default:
+		return http.StatusOK
+	}
+}
+
+// result is what this node knows of a patch.
+func (a *API) result(id string) api.PatchResult {
+	snapshot := a.Control.Snapshot()
+	verdict, ok := snapshot.Config.Verdict(id)
+	if !ok {
+		return api.PatchResult{ID: id, Verdict: verdictUnknown, Offset: -1, Version: snapshot.Config.Version}
+	}
+	result := api.PatchResult{
+		ID:      id,
+		Verdict: string(verdict.Verdict),
+		Offset:  verdict.Offset,
+		Version: verdict.Version,
+		Reason:  verdict.Reason,
+	}
+	for _, known := range snapshot.Peers {
+		silent := time.Since(known.HeardAt) > peerSilentAfter
+		if !silent && known.ConfigOffset <= verdict.Offset {
+			result.WaitingFor = append(result.WaitingFor, known.NodeID)
+		}
+	}
+	result.InForce = verdict.Verdict == api.PatchVerdictVerdictAccepted && len(result.WaitingFor) == 0
+	return result
+}
+
+func (a *API) getPatch(w http.ResponseWriter, r *http.Request, _ string) {
+	writeJSON(w, http.StatusOK, a.result(r.PathValue("id")))
+}
+
+func (a *API) listPatches(w http.ResponseWriter, _ *http.Request, _ string) {
+	state := a.Control.Snapshot().Config
+	list := api.PatchList{Version: state.Version, Verdicts: []api.PatchResult{}}
+	for _, verdict := range state.Verdicts {
+		list.Verdicts = append(list.Verdicts, a.result(verdict.ID))
+	}
+	writeJSON(w, http.StatusOK, list)
+}
--- /dev/null
+++ b/config/snapshot.go
@@ -0,0 +1,83 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/persimmonline/persimmonline/api"
+)
+
+// ErrSnapshotHash says that a snapshot is damaged.
+var ErrSnapshotHash = errors.New("snapshot hash does not match its content")
+
+// Snapshot returns the state as a record that a new node can start from.
+func (s *State) Snapshot() (api.ConfigSnapshot, error) {
+	snapshot := api.ConfigSnapshot{
+		Offset:   s.Offset,
+		Version:  s.Version,
+		State:    s.Raw,
+		Verdicts: s.Verdicts,
+	}
+	if snapshot.Verdicts == nil {
+		snapshot.Verdicts = []api.PatchVerdict{}
+	}
+	hash, err := snapshotHash(snapshot)
+	if err != nil {
+		return api.ConfigSnapshot{}, err
+	}
+	snapshot.Hash = hash
+	return snapshot, nil
+}
+
+// FromSnapshot returns the state that a snapshot holds, after its hash and its
+// configuration are checked.
+func FromSnapshot(snapshot api.ConfigSnapshot) (*State, error) {
+	hash, err := snapshotHash(snapshot)
+	if err != nil {
+		return nil, err
+	}
+	if hash != snapshot.Hash {
+		return nil, fmt.Errorf("snapshot of version %d: %w", snapshot.Version, ErrSnapshotHash)
+	}
+	state := &State{
+		Offset:   snapshot.Offset,
+		Version:  snapshot.Version,
+		Raw:      snapshot.State,
+		Verdicts: snapshot.Verdicts,
+	}
+	if state.Version == 0 {
+		return state, nil
+	}
+	state.Config, err = Parse(state.Raw)
+	if err != nil {
+		return nil, fmt.Errorf("snapshot of version %d: %w", snapshot.Version, err)
+	}
+	return state, nil
+}
+
+// Newer returns whichever state has folded more of the stream. A late snapshot by
+// a paused writer is older and changes nothing.
+func Newer(a, b *State) *State {
+	if b.Offset > a.Offset {
+		return b
+	}
+	return a
+}
+
+func snapshotHash(snapshot api.ConfigSnapshot) (string, error) {
+	snapshot.Hash = ""
+	state, err := canonicalJSON(snapshot.State)
+	if err != nil {
+		return "", fmt.Errorf("read state of snapshot: %w", err)
+	}
+	snapshot.State = state
+	encoded, err := json.Marshal(snapshot)
+	if err != nil {
+		return "", fmt.Errorf("encode snapshot: %w", err)
+	}
+	sum := sha256.Sum256(encoded)
+	return hex.EncodeToString(sum[:]), nil
+}
--- /dev/null
+++ b/config/validate.go
@@ -0,0 +1,145 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"regexp"
+	"slices"
+
+	"github.com/persimmonline/persimmonline/api"
+)
+
+// maxPriority is the last priority; 0 is the first.
+const maxPriority = 9
+
+var (
+	namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+// FieldError is one fault of a configuration.
+type FieldError struct {
+	// Field is the path of the field, with dots.
+	Field string
+	// Message says what is wrong with it.
+	Message string
+}
+
+// Error implements error.
+func (f *FieldError) Error() string { return f.Field + ": " + f.Message }
+
+// Validate checks a configuration by RuleSet1 and returns all faults, joined, in
+// a fixed order.
+func Validate(c *api.Configuration) error {
+	v := &validator{}
+	v.check(namePattern.MatchString(c.Deployment), "deployment", "must be a name of lower-case letters, digits, dots and dashes")
+	v.workspaces(c)
+	v.services(c)
+	v.routes(c)
+	v.machineClasses(c)
+	v.operators(c)
+	v.check(c.Policy.LatencyWeight >= 0, "policy.latency_weight", "must not be negative")
+	v.check(c.Policy.CostWeight >= 0, "policy.cost_weight", "must not be negative")
+	v.check(c.Policy.RetryRatio >= 0 && c.Policy.RetryRatio <= 1, "policy.retry_ratio", "must be between 0 and 1")
+	return errors.Join(v.faults...)
+}
+
+type validator struct {
+	faults []error
+}
+
+func (v *validator) check(ok bool, field, message string) {
+	if !ok {
+		v.faults = append(v.faults, &FieldError{Field: field, Message: message})
+	}
+}
+
+func (v *validator) name(field, name string) {
+	v.check(namePattern.MatchString(name), field, "must be a name of lower-case letters, digits, dots and dashes")
+}
+
+func (v *validator) hashes(field string, hashes []string) {
+	for i, hash := range hashes {
+		v.check(hashPattern.MatchString(hash), fmt.Sprintf("%s.%d", field, i), "must be a SHA-256 hash in lower-case hex")
+	}
+}
+
+func (v *validator) workspaces(c *api.Configuration) {
+	owner := map[string]string{}
+	for _, name := range slices.Sorted(maps.Keys(c.Workspaces)) {
+		workspace := c.Workspaces[name]
+		field := "workspaces." + name
+		v.name(field, name)
+		v.hashes(field+".key_hashes", workspace.KeyHashes)
+		v.check(workspace.Weight > 0, field+".weight", "must be above 0")
+		v.check(workspace.RequestsPerSecond >= 0, field+".requests_per_second", "must not be negative")
+		v.check(workspace.Burst >= 0, field+".burst", "must not be negative")
+		v.check(workspace.Concurrency >= 0, field+".concurrency", "must not be negative")
+		v.check(workspace.TokensPerSecond >= 0, field+".tokens_per_second", "must not be negative")
+		for _, hash := range workspace.KeyHashes {
+			v.check(owner[hash] == "", field+".key_hashes", "has a key that workspace "+owner[hash]+" has too")
+			owner[hash] = name
+		}
+	}
+}
+
+func (v *validator) services(c *api.Configuration) {
+	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
+		service := c.Services[name]
+		field := "services." + name
+		v.name(field, name)
+		known := service.Kind == api.ServiceKindModel || service.Kind == api.ServiceKindPlain
+		v.check(known, field+".kind", "must be model or plain")
+		v.check(service.FirstTokenTargetMS >= 0, field+".first_token_target_ms", "must not be negative")
+		v.check(service.BetweenTokensTargetMS >= 0, field+".between_tokens_target_ms", "must not be negative")
+		for i, operation := range service.Operations {
+			at := fmt.Sprintf("%s.operations.%d", field, i)
+			v.check(operation.Method != "", at+".method", "must not be empty")
+			v.check(operation.Path != "", at+".path", "must not be empty")
+			v.check(operation.TimeoutMS >= 0, at+".timeout_ms", "must not be negative")
+			v.check(!operation.Hedge || operation.Repeatable, at+".hedge", "needs a repeatable operation")
+			v.priority(at+".priority", operation.Priority)
+		}
+	}
+}
+
+func (v *validator) priority(field string, priority int) {
+	v.check(priority >= 0 && priority <= maxPriority, field, "must be between 0 and 9")
+}
+
+func (v *validator) routes(c *api.Configuration) {
+	pair := map[[2]string]string{}
+	for _, name := range slices.Sorted(maps.Keys(c.Routes)) {
+		route := c.Routes[name]
+		field := "routes." + name
+		v.name(field, name)
+		_, hasWorkspace := c.Workspaces[route.Workspace]
+		v.check(hasWorkspace, field+".workspace", fmt.Sprintf("workspace %q does not exist", route.Workspace))
+		_, hasService := c.Services[route.Service]
+		v.check(hasService, field+".service", fmt.Sprintf("service %q does not exist", route.Service))
+		v.priority(field+".priority", route.Priority)
+		key := [2]string{route.Workspace, route.Service}
+		v.check(pair[key] == "", field, "joins the same workspace and service as route "+pair[key])
+		pair[key] = name
+	}
+}
+
+func (v *validator) machineClasses(c *api.Configuration) {
+	for _, name := range slices.Sorted(maps.Keys(c.MachineClasses)) {
+		class := c.MachineClasses[name]
+		field := "machine_classes." + name
+		v.name(field, name)
+		v.check(class.PricePerHour >= 0, field+".price_per_hour", "must not be negative")
+		v.check(class.ReclaimsPerHour >= 0, field+".reclaims_per_hour", "must not be negative")
+	}
+}
+
+func (v *validator) operators(c *api.Configuration) {
+	v.check(len(c.Operators) > 0, "operators", "must not be empty: nobody could publish the next patch")
+	for _, name := range slices.Sorted(maps.Keys(c.Operators)) {
+		field := "operators." + name
+		v.name(field, name)
+		v.hashes(field+".key_hashes", c.Operators[name].KeyHashes)
+	}
+}
--- /dev/null
+++ b/control/feeds.go
@@ -0,0 +1,151 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/platform"
+	"github.com/persimmonline/persimmonline/upstream"
+)
+
+const (
+	// ConfigStream is the log stream of the configuration.
+	ConfigStream = "config"
+	// readLimit is the number of records that one read asks for.
+	readLimit = 1000
+	// feedBackoff is the wait after a failed read.
+	feedBackoff = 500 * time.Millisecond
+	// loadTimeout bounds one load report.
+	loadTimeout = 2 * time.Second
+	// suspectFor is how long an upstream that failed is avoided.
+	suspectFor = 3 * time.Second
+)
+
+// Feeds read the platform and the upstreams and post what they learn.
+type Feeds struct {
+	// Loop that gets the events.
+	Loop *Loop
+	// Log of the platform.
+	Log platform.Log
+	// Hosts of the platform.
+	Hosts platform.Hosts
+	// Cloud of the platform.
+	Cloud platform.Cloud
+	// Pool of connections to upstreams.
+	Pool *upstream.Pool
+	// ConfigPoll is the longest wait of one read of the config stream.
+	ConfigPoll time.Duration
+	// HostsPoll is the time between two reads of the host list, cloud and loads.
+	HostsPoll time.Duration
+}
+
+// Run reads until ctx ends.
+func (f *Feeds) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { f.followConfig(ctx) })
+	group.Go(func() { f.poll(ctx, f.listHosts) })
+	group.Go(func() { f.poll(ctx, f.listReclaims) })
+	group.Go(func() { f.poll(ctx, f.readLoads) })
+	group.Wait()
+}
+
+// followConfig reads the config stream from the folded offset on.
+func (f *Feeds) followConfig(ctx context.Context) {
+	from := f.Loop.Snapshot().Config.Offset
+	for ctx.Err() == nil {
+		page, err := f.Log.Read(ctx, ConfigStream, from, readLimit, f.ConfigPoll)
+		if err != nil {
+			f.Loop.state.logger.Warn().Err(err).Msg("config stream not read; version kept")
+			sleep(ctx, feedBackoff)
+			continue
+		}
+		f.Loop.Post(ctx, ConfigRead{Records: page.Records, At: time.Now()})
+		if n := len(page.Records); n > 0 {
+			from = page.Records[n-1].Offset + 1
+		}
+	}
+}
+
+// poll calls read at every HostsPoll.
+func (f *Feeds) poll(ctx context.Context, read func(context.Context)) {
+	ticker := time.NewTicker(f.HostsPoll)
+	defer ticker.Stop()
+	for {
+		read(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (f *Feeds) listHosts(ctx context.Context) {
+	list, err := f.Hosts.List(ctx)
+	if err != nil {
+		f.Loop.state.logger.Warn().Err(err).Msg("host list not read")
+		return
+	}
+	f.Loop.Post(ctx, HostsListed{List: list})
+}
+
+func (f *Feeds) listReclaims(ctx context.Context) {
+	hosts, err := f.Cloud.Hosts(ctx)
+	if err != nil {
+		f.Loop.state.logger.Warn().Err(err).Msg("cloud hosts not read")
+		return
+	}
+	var leaving []api.LeavingHost
+	for _, host := range hosts.Hosts {
+		if host.State == api.CloudHostStateReclaiming {
+			leaving = append(leaving, api.LeavingHost{HostID: host.ID, ReclaimAtMS: host.ReclaimAtMS})
+		}
+	}
+	if len(leaving) > 0 {
+		f.Loop.Post(ctx, HostsLeaving{Hosts: leaving, Source: "cloud"})
+	}
+}
+
+// readLoads asks every engine for its load.
+func (f *Feeds) readLoads(ctx context.Context) {
+	var group sync.WaitGroup
+	for _, member := range f.Loop.Snapshot().Members.Upstreams {
+		if member.Role != api.HostRoleEngine {
+			continue
+		}
+		group.Go(func() { f.readLoad(ctx, member.ID, member.Address) })
+	}
+	group.Wait()
+}
+
+func (f *Feeds) readLoad(ctx context.Context, id, address string) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	load, err := f.Pool.Get(address).Load(ctx)
+	if err != nil {
+		f.Loop.Offer(ContactFailed{HostID: id, Until: time.Now().Add(suspectFor)})
+		return
+	}
+	f.Loop.Post(ctx, LoadRead{HostID: id, Load: load})
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// Close closes idle connections to the platform.
+func (f *Feeds) Close() {
+	for _, service := range []any{f.Log, f.Hosts, f.Cloud} {
+		if closer, ok := service.(interface{ Close() }); ok {
+			closer.Close()
+		}
+	}
+}
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,239 @@
+// Package demo starts a whole deployment in one process: stand-ins for the platform
+// and the upstreams, and real nodes over real TCP on loopback.
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/config"
+	"github.com/persimmonline/persimmonline/control"
+	"github.com/persimmonline/persimmonline/node"
+	"github.com/persimmonline/persimmonline/platform"
+	"github.com/persimmonline/persimmonline/standin"
+)
+
+const (
+	// adminPortOffset is the distance of the administration ports from the callers' ports.
+	adminPortOffset = 10
+	// loopbackIP is where everything listens.
+	loopbackIP = "127.0.0.1"
+	// readyTimeout bounds the wait for all nodes to be ready.
+	readyTimeout = 15 * time.Second
+	// readyPoll is the time between two looks at the nodes.
+	readyPoll = 20 * time.Millisecond
+)
+
+// Options of a demo.
+type Options struct {
+	// Deployment to start.
+	Deployment api.Deployment
+	// Port of the first node's caller address; 0 takes free ports.
+	Port int
+	// Adjust changes the settings of each node before it starts; nil changes nothing.
+	Adjust func(*api.Settings)
+	// Logger of the nodes.
+	Logger zerolog.Logger
+}
+
+// Cluster is a running demo.
+type Cluster struct {
+	// Standins of the platform and the upstreams.
+	Standins *standin.Deployment
+	// Nodes in the order of the deployment.
+	Nodes []*node.Node
+
+	options Options
+}
+
+// Start starts a deployment and waits until all nodes are ready.
+func Start(ctx context.Context, options Options) (*Cluster, error) {
+	standins, err := standin.StartDeployment(options.Deployment)
+	if err != nil {
+		return nil, err
+	}
+	c := &Cluster{Standins: standins, options: options}
+	if err := Bootstrap(ctx, standins.LogURL(), options.Deployment.Configuration); err != nil {
+		c.Kill()
+		return nil, err
+	}
+	for i := range options.Deployment.Nodes {
+		if err := c.StartNode(ctx, i); err != nil {
+			c.Kill()
+			return nil, err
+		}
+	}
+	if err := c.waitReady(ctx); err != nil {
+		c.Kill()
+		return nil, err
+	}
+	return c, nil
+}
+
+// Bootstrap publishes the first configuration of a deployment.
+func Bootstrap(ctx context.Context, logURL string, configuration json.RawMessage) error {
+	record, err := json.Marshal(api.Record{Patch: &api.ConfigPatch{
+		ID:            uuid.NewString(),
+		BaseVersion:   0,
+		RuleSet:       config.CurrentRuleSet,
+		Format:        api.ConfigPatchFormatMerge,
+		Patch:         configuration,
+		Author:        "bootstrap",
+		PublishedAtMS: time.Now().UnixMilli(),
+	}})
+	if err != nil {
+		return fmt.Errorf("encode first patch: %w", err)
+	}
+	client := platform.NewLogClient(logURL)
+	defer client.Close()
+	if _, err := client.Append(ctx, control.ConfigStream, []json.RawMessage{record}); err != nil {
+		return fmt.Errorf("publish first patch: %w", err)
+	}
+	return nil
+}
+
+// StartNode starts the node at an index of the deployment, in place of one that
+// ended, if any.
+func (c *Cluster) StartNode(ctx context.Context, index int) error {
+	described := c.options.Deployment.Nodes[index]
+	settings := c.settings(index, described)
+	started, err := node.New(settings, c.options.Logger)
+	if err != nil {
+		return err
+	}
+	if err := started.Start(ctx); err != nil {
+		return err
+	}
+	if index < len(c.Nodes) {
+		c.Nodes[index] = started
+	} else {
+		c.Nodes = append(c.Nodes, started)
+	}
+	c.Standins.AddNode(described.ID, described.DataCentre, started.PeerAddress(), started.AdminAddress(), started.Incarnation(), func() {})
+	return nil
+}
+
+func (c *Cluster) settings(index int, described api.DeploymentNode) api.Settings {
+	settings := api.Settings{
+		NodeID:         described.ID,
+		DataCentre:     described.DataCentre,
+		Region:         c.options.Deployment.Region,
+		CallerAddress:  c.address(0, index),
+		AdminAddress:   c.address(adminPortOffset, index),
+		PeerAddress:    net.JoinHostPort(loopbackIP, "0"),
+		LogURL:         c.Standins.LogURL(),
+		HostsURL:       c.Standins.CloudURL(),
+		CloudURL:       c.Standins.CloudURL(),
+		PeerKey:        c.options.Deployment.PeerKey,
+		ReadinessGrace: 500 * time.Millisecond,
+		DrainTimeout:   20 * time.Second,
+		MaxBodyBytes:   4 << 20,
+		MaxStreams:     4096,
+		ConfigPoll:     2 * time.Second,
+		HostsPoll:      500 * time.Millisecond,
+		Heartbeat:      500 * time.Millisecond,
+		TraceExporter:  "none",
+		LogLevel:       "info",
+	}
+	if c.options.Adjust != nil {
+		c.options.Adjust(&settings)
+	}
+	return settings
+}
+
+func (c *Cluster) address(offset, index int) string {
+	port := 0
+	if c.options.Port != 0 {
+		port = c.options.Port + offset + index
+	}
+	return net.JoinHostPort(loopbackIP, strconv.Itoa(port))
+}
+
+// waitReady waits until every node has the configuration, an upstream for each
+// service, and news of all other nodes.
+func (c *Cluster) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for !c.ready() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fmt.Errorf("wait for nodes to be ready: %w", ctx.Err())
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) ready() bool {
+	for _, n := range c.Nodes {
+		if !n.Ready() || !n.Complete(len(c.Nodes)-1) {
+			return false
+		}
+	}
+	return true
+}
+
+// Announcement is the line that the demo prints once it is ready.
+type Announcement struct {
+	// Callers are the base URLs for callers.
+	Callers []string `json:"callers"`
+	// Admin are the base URLs of the administration API.
+	Admin []string `json:"admin"`
+	// APIKeys by workspace.
+	APIKeys map[string]string `json:"api_keys"`
+	// AdminKey of the operator.
+	AdminKey string `json:"admin_key"`
+	// Models that callers may ask for.
+	Models []string `json:"models"`
+	// Services that callers may call.
+	Services []string `json:"services"`
+}
+
+// Announce describes the running demo.
+func (c *Cluster) Announce() Announcement {
+	a := Announcement{APIKeys: c.options.Deployment.APIKeys, AdminKey: c.options.Deployment.AdminKey}
+	for _, n := range c.Nodes {
+		a.Callers = append(a.Callers, "http://"+n.CallerAddress())
+		a.Admin = append(a.Admin, "http://"+n.AdminAddress())
+	}
+	parsed, err := config.Parse(c.options.Deployment.Configuration)
+	if err != nil {
+		return a
+	}
+	a.Models, a.Services = servicesByKind(parsed)
+	return a
+}
+
+// Stop is the planned stop of all nodes, then the end of the stand-ins.
+func (c *Cluster) Stop(ctx context.Context) error {
+	failures := make(chan error, len(c.Nodes))
+	for _, n := range c.Nodes {
+		go func() { failures <- n.Stop(ctx) }()
+	}
+	var first error
+	for range c.Nodes {
+		if err := <-failures; err != nil && first == nil {
+			first = err
+		}
+	}
+	c.Standins.Close()
+	return first
+}
+
+// Kill ends everything at once.
+func (c *Cluster) Kill() {
+	for _, n := range c.Nodes {
+		n.Kill()
+	}
+	c.Standins.Close()
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,143 @@
+// Package gateway is the caller's path through a node: authenticate, decode, find
+// the owner, admit, route, stream, answer.
+package gateway
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/control"
+	"github.com/persimmonline/persimmonline/exchange"
+	"github.com/persimmonline/persimmonline/peer"
+	"github.com/persimmonline/persimmonline/quarantine"
+	"github.com/persimmonline/persimmonline/refusal"
+	"github.com/persimmonline/persimmonline/retry"
+	"github.com/persimmonline/persimmonline/telemetry"
+	"github.com/persimmonline/persimmonline/upstream"
+)
+
+const (
+	// journalRetention is how long a finished exchange can be read again.
+	journalRetention = 30 * time.Second
+	// detachGrace is how long an exchange that nobody reads goes on.
+	detachGrace = 20 * time.Second
+	// retryReserve is the number of retries that may come at once.
+	retryReserve = 20
+	// queueFactor is the number of waiting requests for each running one.
+	queueFactor = 2
+)
+
+// Options are what a gateway needs.
+type Options struct {
+	// Settings of the node.
+	Settings api.Settings
+	// Incarnation of the process.
+	Incarnation string
+	// Control state of the node.
+	Control *control.Loop
+	// Pool of connections to upstreams.
+	Pool *upstream.Pool
+	// Peers is the client to other nodes.
+	Peers *peer.Client
+	// Logger of the node.
+	Logger zerolog.Logger
+	// Metrics of the node.
+	Metrics *telemetry.Metrics
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	Options
+
+	store     *exchange.Store
+	admission *admission
+
+	mu         sync.Mutex
+	budget     *retry.Budget
+	quarantine *quarantine.Table
+	refusals   map[refusalKey]int64
+}
+
+type refusalKey struct {
+	code, ran string
+}
+
+// New returns a gateway.
+func New(options Options) *Gateway {
+	slots := options.Settings.MaxStreams
+	return &Gateway{
+		Options:    options,
+		store:      exchange.NewStore(journalRetention),
+		admission:  newAdmission(slots, slots*queueFactor),
+		budget:     retry.NewBudget(defaultRetryRatio, retryReserve),
+		quarantine: quarantine.NewTable(),
+		refusals:   map[refusalKey]int64{},
+	}
+}
+
+// Routes returns the routes of the caller's listener.
+func (g *Gateway) Routes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodPost, Path: "/v1/chat/completions", Handler: g.authenticated(g.chat)},
+		{Method: http.MethodGet, Path: "/v1/models", Handler: g.authenticated(g.models)},
+		{Path: "/services/{service}/{path...}", Handler: g.authenticated(g.service)},
+	}
+}
+
+// PeerRoutes returns the routes of the peer listener.
+func (g *Gateway) PeerRoutes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodPost, Path: peer.PathChat, Handler: peer.Authenticate(g.Settings.PeerKey, g.peerChat)},
+	}
+}
+
+// Store returns the exchanges of the node.
+func (g *Gateway) Store() *exchange.Store { return g.store }
+
+// Refusals returns how many requests were refused, by cause.
+func (g *Gateway) Refusals() []api.RefusalCount {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	counts := make([]api.RefusalCount, 0, len(g.refusals))
+	for key, count := range g.refusals {
+		counts = append(counts, api.RefusalCount{Code: key.code, Ran: key.ran, Count: count})
+	}
+	return counts
+}
+
+// newRequestID returns an id that names this node as the holder.
+func (g *Gateway) newRequestID(holder, incarnation string) string {
+	return holder + "." + incarnation + "." + uuid.NewString()
+}
+
+// refuse answers with a refusal and counts it.
+func (g *Gateway) refuse(w http.ResponseWriter, requestID string, r *refusal.Refusal) {
+	g.count(r)
+	r.Write(w, requestID)
+}
+
+func (g *Gateway) count(r *refusal.Refusal) {
+	g.Metrics.Refusals.WithLabelValues(string(r.Code), string(r.Ran)).Inc()
+	g.mu.Lock()
+	g.refusals[refusalKey{string(r.Code), string(r.Ran)}]++
+	g.mu.Unlock()
+	event := g.Logger.Info()
+	if r.Status >= http.StatusInternalServerError {
+		event = g.Logger.Warn()
+	}
+	event.Str("code", string(r.Code)).Str("ran", string(r.Ran)).Str("step", r.Step).
+		Str("peer", r.Peer).AnErr("cause", r.Err).Msg("request refused")
+}
+
+// jittered spreads a time to ask again over [d/2, 3d/2), so that callers that were
+// refused together do not come back together.
+func jittered(d time.Duration) time.Duration {
+	return d/2 + rand.N(d) //nolint:gosec // Spreading load needs no secret randomness.
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,226 @@
+// Package node assembles one node from its settings and runs it: control loop,
+// feeds, and the listeners for callers, operators and peers.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"github.com/persimmonline/persimmonline/admin"
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/control"
+	"github.com/persimmonline/persimmonline/gateway"
+	"github.com/persimmonline/persimmonline/httpserver"
+	"github.com/persimmonline/persimmonline/peer"
+	"github.com/persimmonline/persimmonline/platform"
+	"github.com/persimmonline/persimmonline/telemetry"
+	"github.com/persimmonline/persimmonline/upstream"
+)
+
+// stopMargin is the time that the last answers have after the drain.
+const stopMargin = 2 * time.Second
+
+// Node is one running node.
+type Node struct {
+	settings    api.Settings
+	incarnation string
+	logger      zerolog.Logger
+	metrics     *telemetry.Metrics
+
+	control *control.Loop
+	feeds   *control.Feeds
+	pool    *upstream.Pool
+	peers   *peer.Client
+	gateway *gateway.Gateway
+
+	callerServer *httpserver.Server
+	adminServer  *httpserver.Server
+	peerServer   *httpserver.Server
+
+	draining   atomic.Bool
+	background sync.WaitGroup
+	cancel     context.CancelFunc
+}
+
+// New provisions a node; nothing runs before Start.
+func New(settings api.Settings, logger zerolog.Logger) (*Node, error) {
+	if err := Validate(settings); err != nil {
+		return nil, err
+	}
+	if settings.HostID == "" {
+		settings.HostID = settings.NodeID
+	}
+	n := &Node{
+		settings:    settings,
+		incarnation: uuid.NewString()[:8],
+		metrics:     telemetry.NewMetrics(),
+		pool:        upstream.NewPool(settings.NodeID),
+	}
+	n.logger = logger.With().Str("node", settings.NodeID).Str("incarnation", n.incarnation).Logger()
+	n.control = control.NewLoop(time.Now, n.logger, n.metrics)
+	n.peers = peer.NewClient(settings.PeerKey, n.pool)
+	n.feeds = &control.Feeds{
+		Loop:       n.control,
+		Log:        platform.NewLogClient(settings.LogURL),
+		Hosts:      platform.NewHostsClient(settings.HostsURL),
+		Cloud:      platform.NewCloudClient(settings.CloudURL),
+		Pool:       n.pool,
+		ConfigPoll: settings.ConfigPoll,
+		HostsPoll:  settings.HostsPoll,
+	}
+	n.gateway = gateway.New(gateway.Options{
+		Settings:    settings,
+		Incarnation: n.incarnation,
+		Control:     n.control,
+		Pool:        n.pool,
+		Peers:       n.peers,
+		Logger:      n.logger,
+		Metrics:     n.metrics,
+	})
+	return n, n.buildServers()
+}
+
+func (n *Node) buildServers() error {
+	var err error
+	n.callerServer, err = httpserver.New(n.settings.NodeID+"-callers", n.settings.CallerAddress, n.logger, n.gateway.Routes())
+	if err != nil {
+		return err
+	}
+	operators := admin.New(admin.Options{
+		Control:  n.control,
+		Log:      n.feeds.Log,
+		Metrics:  n.metrics,
+		Own:      n.Heartbeat,
+		Refusals: n.gateway.Refusals,
+		Ready:    n.Ready,
+	})
+	n.adminServer, err = httpserver.New(n.settings.NodeID+"-operators", n.settings.AdminAddress, n.logger, operators.Routes())
+	if err != nil {
+		return err
+	}
+	routes := append(n.gateway.PeerRoutes(), n.heartbeatRoute())
+	n.peerServer, err = httpserver.New(n.settings.NodeID+"-peers", n.settings.PeerAddress, n.logger, routes)
+	return err
+}
+
+// Start opens the listeners and starts the control loop and the feeds.
+func (n *Node) Start(ctx context.Context) error {
+	for _, server := range n.servers() {
+		if err := server.Start(); err != nil {
+			n.closeServers()
+			return fmt.Errorf("start node %s: %w", n.settings.NodeID, err)
+		}
+	}
+	ctx, n.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	n.background.Go(func() { n.control.Run(ctx) })
+	n.background.Go(func() { n.feeds.Run(ctx) })
+	n.background.Go(func() { n.sendHeartbeats(ctx) })
+	n.logger.Info().Str("callers", n.callerServer.Address()).Str("admin", n.adminServer.Address()).
+		Str("peers", n.peerServer.Address()).Msg("node started")
+	return nil
+}
+
+// Stop is the planned stop: readiness off, a grace for the balancer, the requests
+// in flight, then the listeners. It returns an error if a request was cut off.
+func (n *Node) Stop(ctx context.Context) error {
+	n.draining.Store(true)
+	n.logger.Info().Msg("draining")
+	wait(ctx, n.settings.ReadinessGrace)
+	drainCtx, cancel := context.WithTimeout(ctx, n.settings.DrainTimeout)
+	defer cancel()
+	drained := n.gateway.Store().Wait(drainCtx)
+	n.gateway.Store().Cancel()
+	stopCtx, cancelStop := context.WithTimeout(ctx, n.settings.DrainTimeout+stopMargin)
+	defer cancelStop()
+	var failures []error
+	if drained != nil {
+		failures = append(failures, fmt.Errorf("drain node %s: %w", n.settings.NodeID, drained))
+	}
+	for _, server := range n.servers() {
+		failures = append(failures, server.Shutdown(stopCtx))
+	}
+	n.close()
+	n.logger.Info().Msg("node stopped")
+	return errors.Join(failures...)
+}
+
+// Kill ends the node at once, as a crash would.
+func (n *Node) Kill() {
+	n.gateway.Store().Cancel()
+	n.closeServers()
+	n.close()
+}
+
+func (n *Node) close() {
+	n.cancel()
+	n.background.Wait()
+	n.pool.Close()
+	n.feeds.Close()
+}
+
+func (n *Node) servers() []*httpserver.Server {
+	return []*httpserver.Server{n.callerServer, n.adminServer, n.peerServer}
+}
+
+func (n *Node) closeServers() {
+	for _, server := range n.servers() {
+		server.Close()
+	}
+}
+
+// Ready says whether the balancer may send callers here.
+func (n *Node) Ready() bool {
+	return !n.draining.Load() && n.control.Snapshot().Index != nil
+}
+
+// CallerAddress returns the IP:port for callers.
+func (n *Node) CallerAddress() string { return n.callerServer.Address() }
+
+// AdminAddress returns the IP:port for operators.
+func (n *Node) AdminAddress() string { return n.adminServer.Address() }
+
+// PeerAddress returns the IP:port for other nodes.
+func (n *Node) PeerAddress() string { return n.peerServer.Address() }
+
+// Incarnation returns the id of this process's life.
+func (n *Node) Incarnation() string { return n.incarnation }
+
+// Metrics returns the node's metrics.
+func (n *Node) Metrics() *telemetry.Metrics { return n.metrics }
+
+// wait returns after d or when ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// Complete says whether the node has heard of a number of peers and has an upstream
+// for every service of its configuration.
+func (n *Node) Complete(peers int) bool {
+	snapshot := n.control.Snapshot()
+	if snapshot.Index == nil || len(snapshot.Peers) < peers {
+		return false
+	}
+	for _, known := range snapshot.Peers {
+		if known.State != api.HeartbeatStateReady {
+			return false
+		}
+	}
+	for name := range snapshot.Index.Config.Services {
+		if len(snapshot.Fleet.ByService[name]) == 0 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/node/settings.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"time"
+
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/telemetry"
+)
+
+// minPeerKey is the shortest secret between nodes, in characters.
+const minPeerKey = 16
+
+// idPattern keeps ids free of the dots that separate the parts of a request id.
+var idPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,62}$`)
+
+// SettingError is one fault of the settings.
+type SettingError struct {
+	// Flag that has the fault, with its dashes.
+	Flag string
+	// Value that it has.
+	Value string
+	// Message says what is wrong.
+	Message string
+}
+
+// Error implements error.
+func (s *SettingError) Error() string { return fmt.Sprintf("%s=%q: %s", s.Flag, s.Value, s.Message) }
+
+// Validate checks settings whole and returns all faults, joined.
+func Validate(s api.Settings) error {
+	v := &settingsValidator{}
+	v.id("--node-id", s.NodeID)
+	v.id("--data-centre", s.DataCentre)
+	v.address("--caller-address", s.CallerAddress)
+	v.address("--admin-address", s.AdminAddress)
+	v.address("--peer-address", s.PeerAddress)
+	v.url("--log-url", s.LogURL, true)
+	v.url("--hosts-url", s.HostsURL, true)
+	v.url("--cloud-url", s.CloudURL, true)
+	v.url("--weights-url", s.WeightsURL, false)
+	if len(s.PeerKey) < minPeerKey {
+		v.fault("--peer-key", "(hidden)", fmt.Sprintf("must have %d characters or more", minPeerKey))
+	}
+	v.duration("--readiness-grace", s.ReadinessGrace, 0)
+	v.duration("--drain-timeout", s.DrainTimeout, 0)
+	v.duration("--config-poll", s.ConfigPoll, time.Millisecond)
+	v.duration("--hosts-poll", s.HostsPoll, time.Millisecond)
+	v.duration("--heartbeat", s.Heartbeat, time.Millisecond)
+	v.positive("--max-body-bytes", s.MaxBodyBytes)
+	v.positive("--max-streams", int64(s.MaxStreams))
+	if s.TraceExporter == telemetry.ExporterOTLP {
+		v.url("--trace-endpoint", s.TraceEndpoint, true)
+	}
+	return errors.Join(v.faults...)
+}
+
+type settingsValidator struct {
+	faults []error
+}
+
+func (v *settingsValidator) fault(flag, value, message string) {
+	v.faults = append(v.faults, &SettingError{Flag: flag, Value: value, Message: message})
+}
+
+func (v *settingsValidator) id(flag, value string) {
+	if !idPattern.MatchString(value) {
+		v.fault(flag, value, "must be lower-case letters, digits, dashes and underscores")
+	}
+}
+
+func (v *settingsValidator) address(flag, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		v.fault(flag, value, "must be IP:port, for example 127.0.0.1:8080")
+	}
+}
+
+func (v *settingsValidator) url(flag, value string, required bool) {
+	if value == "" && !required {
+		return
+	}
+	parsed, err := url.Parse(value)
+	if err != nil || parsed.Scheme == "" || parsed.Host == "" {
+		v.fault(flag, value, "must be a URL, for example http://127.0.0.1:7000")
+	}
+}
+
+func (v *settingsValidator) duration(flag string, value, least time.Duration) {
+	if value < least {
+		v.fault(flag, value.String(), fmt.Sprintf("must be %v or more", least))
+	}
+}
+
+func (v *settingsValidator) positive(flag string, value int64) {
+	if value <= 0 {
+		v.fault(flag, fmt.Sprint(value), "must be above 0")
+	}
+}
--- /dev/null
+++ b/refusal/refusal.go
@@ -0,0 +1,198 @@
+// Package refusal holds the one form in which every layer says that it does
+// not answer a request: OpenAI's error body, plus whether the request ran.
+package refusal
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/persimmonline/persimmonline/api"
+)
+
+// Names of the response headers that every refusal carries.
+const (
+	// HeaderRan says whether the request ran: "no" or "unknown".
+	HeaderRan = "X-Persimmon-Ran"
+	// HeaderCode is the cause of the refusal.
+	HeaderCode = "X-Persimmon-Code"
+	// HeaderRequestID names the request.
+	HeaderRequestID = "X-Request-Id"
+)
+
+// Ran says whether any byte of a request can have reached an upstream.
+type Ran = api.ErrorDetailRan
+
+// Values of Ran.
+const (
+	// RanNo means that the request did not run.
+	RanNo Ran = api.ErrorDetailRanNo
+	// RanUnknown means that the request may have run.
+	RanUnknown Ran = api.ErrorDetailRanUnknown
+)
+
+// Code is the cause of a refusal.
+type Code string
+
+// Causes of refusals.
+const (
+	CodeInvalidKey       Code = "invalid_api_key"
+	CodeForbidden        Code = "route_not_allowed"
+	CodeInvalidJSON      Code = "invalid_json"
+	CodeInvalidField     Code = "invalid_field"
+	CodeBodyTooLarge     Code = "body_too_large"
+	CodeUnknownModel     Code = "model_not_found"
+	CodeNotFound         Code = "not_found"
+	CodeMethodNotAllowed Code = "method_not_allowed"
+	CodeNoConfiguration  Code = "no_configuration"
+	CodeOverloaded       Code = "overloaded"
+	CodeWorkspaceLimit   Code = "workspace_limit"
+	CodeNoUpstream       Code = "no_upstream"
+	CodeUpstreamFailed   Code = "upstream_failed"
+	CodePoison           Code = "request_crashes_upstreams"
+	CodeKeyReused        Code = "idempotency_key_reused"
+	CodeInProgress       Code = "call_in_progress"
+	CodeOutcomeUnknown   Code = "outcome_unknown"
+	CodeLogUnavailable   Code = "log_unavailable"
+	CodeDraining         Code = "draining"
+	CodeDeadline         Code = "deadline"
+	CodeCanceled         Code = "canceled"
+	CodeInternal         Code = "internal"
+	CodeStale            Code = "stale_version"
+)
+
+// Refusal is the error that a caller sees. Step and Peer say where it arose.
+type Refusal struct {
+	// Status is the HTTP status.
+	Status int
+	// Code is the cause.
+	Code Code
+	// Ran says whether the request ran.
+	Ran Ran
+	// Message is for people.
+	Message string
+	// Param is the field at fault; empty when there is none.
+	Param string
+	// RetryAfter is when to ask again; 0 when asking again does not help.
+	RetryAfter time.Duration
+	// Step is what was being done.
+	Step string
+	// Peer is the process that was being talked to; empty when there is none.
+	Peer string
+	// Err is the cause underneath, if any.
+	Err error
+}
+
+// New returns a refusal of a request that did not run.
+func New(status int, code Code, format string, args ...any) *Refusal {
+	return &Refusal{Status: status, Code: code, Ran: RanNo, Message: fmt.Sprintf(format, args...)}
+}
+
+// Field returns a 400 refusal that names the field at fault.
+func Field(param, format string, args ...any) *Refusal {
+	r := New(http.StatusBadRequest, CodeInvalidField, format, args...)
+	r.Param = param
+	return r
+}
+
+// At returns r with the step and the peer at which it arose.
+func (r *Refusal) At(step, peer string, err error) *Refusal {
+	r.Step, r.Peer, r.Err = step, peer, err
+	return r
+}
+
+// After returns r with the time after which to ask again.
+func (r *Refusal) After(d time.Duration) *Refusal {
+	r.RetryAfter = d
+	return r
+}
+
+// Unknown returns r marked as a request that may have run.
+func (r *Refusal) Unknown() *Refusal {
+	r.Ran = RanUnknown
+	return r
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	text := fmt.Sprintf("%s (%s, ran: %s)", r.Message, r.Code, r.Ran)
+	if r.Step != "" {
+		text = fmt.Sprintf("step %s: %s", r.Step, text)
+	}
+	if r.Peer != "" {
+		text = fmt.Sprintf("peer %s: %s", r.Peer, text)
+	}
+	if r.Err != nil {
+		text = fmt.Sprintf("%s: %v", text, r.Err)
+	}
+	return text
+}
+
+// Unwrap returns the cause underneath.
+func (r *Refusal) Unwrap() error { return r.Err }
+
+// From returns err as a refusal. An error of another type becomes an internal
+// refusal of unknown effect, since nothing is known of it.
+func From(err error) *Refusal {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return New(http.StatusInternalServerError, CodeInternal, "internal error").Unknown().At("", "", err)
+}
+
+// Body returns the refusal as an OpenAI error body.
+func (r *Refusal) Body(requestID string) api.ErrorResponse {
+	detail := api.ErrorDetail{
+		Message:      r.Message,
+		Type:         errorType(r.Status),
+		Code:         string(r.Code),
+		Ran:          r.Ran,
+		RequestID:    requestID,
+		RetryAfterMS: int(r.RetryAfter / time.Millisecond),
+	}
+	if r.Param != "" {
+		detail.Param = &r.Param
+	}
+	return api.ErrorResponse{Error: detail}
+}
+
+// Write sends the refusal as a whole HTTP answer.
+func (r *Refusal) Write(w http.ResponseWriter, requestID string) {
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(HeaderRan, string(r.Ran))
+	header.Set(HeaderCode, string(r.Code))
+	if requestID != "" {
+		header.Set(HeaderRequestID, requestID)
+	}
+	if r.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(retryAfterSeconds(r.RetryAfter)))
+		header.Set("Retry-After-Ms", strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
+	}
+	w.WriteHeader(r.Status)
+	_ = json.NewEncoder(w).Encode(r.Body(requestID))
+}
+
+// retryAfterSeconds rounds up, since Retry-After has whole seconds.
+func retryAfterSeconds(d time.Duration) int {
+	return int((d + time.Second - 1) / time.Second)
+}
+
+func errorType(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusForbidden:
+		return "permission_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status >= http.StatusInternalServerError:
+		return "server_error"
+	default:
+		return "invalid_request_error"
+	}
+}
--- /dev/null
+++ b/retry/retry.go
@@ -0,0 +1,62 @@
+// Package retry decides what follows a failed attempt: another upstream, a resume,
+// or the end. It is pure.
+package retry
+
+// Sent says how far a failed attempt got.
+type Sent int
+
+// How far an attempt got.
+const (
+	// NotSent means that no byte of the request can have reached the upstream.
+	NotSent Sent = iota
+	// MaybeSent means that the request may have run.
+	MaybeSent
+)
+
+// MaxAttempts bounds the attempts of one request.
+const MaxAttempts = 4
+
+// Failure is what is known of a failed attempt.
+type Failure struct {
+	// Sent says how far the attempt got.
+	Sent Sent
+	// Repeatable says that the request may run twice.
+	Repeatable bool
+	// Attempts made so far, with the failed one.
+	Attempts int
+}
+
+// Allowed returns whether another attempt may be made.
+func Allowed(failure Failure) bool {
+	if failure.Attempts >= MaxAttempts {
+		return false
+	}
+	return failure.Repeatable || failure.Sent == NotSent
+}
+
+// Budget bounds retries as a share of requests.
+type Budget struct {
+	ratio   float64
+	reserve float64
+	tokens  float64
+}
+
+// NewBudget returns a budget that allows ratio retries a request, and reserve
+// retries at once.
+func NewBudget(ratio, reserve float64) *Budget {
+	return &Budget{ratio: ratio, reserve: reserve, tokens: reserve}
+}
+
+// Request counts a request, which pays for a share of a retry.
+func (b *Budget) Request() {
+	b.tokens = min(b.tokens+b.ratio, b.reserve)
+}
+
+// Retry takes one retry from the budget and returns whether there was one.
+func (b *Budget) Retry() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/standin/deployment.go
@@ -0,0 +1,220 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/persimmonline/persimmonline/api"
+)
+
+const (
+	// hostListLag is how late the host list is.
+	hostListLag = time.Second
+	// loadLag is how old an engine's load report is.
+	loadLag = 500 * time.Millisecond
+	// cacheEventLag is how late cache events come.
+	cacheEventLag = 500 * time.Millisecond
+	// cacheEventGap drops every n-th cache event.
+	cacheEventGap = 50
+	// loopback is where stand-ins listen.
+	loopback = "127.0.0.1:0"
+)
+
+// CrashMarker is a text in a prompt that kills the engine that runs it.
+const CrashMarker = "[[crash-upstream]]"
+
+// Deployment runs all stand-ins of a deployment.
+type Deployment struct {
+	// Log of the platform.
+	Log *Log
+	// Cloud of the platform, with the host list.
+	Cloud *Cloud
+	// Ledger of what ran on plain services.
+	Ledger *Ledger
+
+	description api.Deployment
+	logServer   *Server
+	cloudServer *Server
+
+	mu       sync.Mutex
+	engines  map[string]*Engine
+	services map[string]*Service
+	servers  map[string]*Server
+}
+
+// StartDeployment starts the platform, engines and services of a deployment.
+func StartDeployment(description api.Deployment) (*Deployment, error) {
+	d := &Deployment{
+		Log:         NewLog(),
+		Ledger:      NewLedger(),
+		description: description,
+		engines:     map[string]*Engine{},
+		services:    map[string]*Service{},
+		servers:     map[string]*Server{},
+	}
+	d.Cloud = NewCloud(hostListLag, d.launch)
+	var err error
+	if d.logServer, err = Serve(loopback, d.Log.Handler()); err != nil {
+		return nil, err
+	}
+	if d.cloudServer, err = Serve(loopback, d.Cloud.Handler()); err != nil {
+		return nil, err
+	}
+	for _, engine := range description.Engines {
+		if err := d.StartEngine(engine); err != nil {
+			return nil, err
+		}
+	}
+	for _, service := range description.Services {
+		if err := d.StartService(service); err != nil {
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+// LogURL returns the base URL of the log.
+func (d *Deployment) LogURL() string { return d.logServer.URL() }
+
+// CloudURL returns the base URL of the cloud API and the host list.
+func (d *Deployment) CloudURL() string { return d.cloudServer.URL() }
+
+// Engine returns a running engine by host id; nil if there is none.
+func (d *Deployment) Engine(id string) *Engine {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.engines[id]
+}
+
+// Service returns a running service by host id; nil if there is none.
+func (d *Deployment) Service(id string) *Service {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.services[id]
+}
+
+// Server returns the server of an upstream by host id; nil if there is none.
+func (d *Deployment) Server(id string) *Server {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.servers[id]
+}
+
+// StartEngine starts an engine and registers its host.
+func (d *Deployment) StartEngine(described api.DeploymentEngine) error {
+	host, kill, err := d.startEngine(described)
+	if err != nil {
+		return err
+	}
+	d.Cloud.Add(host, kill)
+	return nil
+}
+
+// StartService starts a plain service and registers its host.
+func (d *Deployment) StartService(described api.DeploymentService) error {
+	host, kill, err := d.startService(described)
+	if err != nil {
+		return err
+	}
+	d.Cloud.Add(host, kill)
+	return nil
+}
+
+// AddNode registers the host of a node; stop is called when it is reclaimed.
+func (d *Deployment) AddNode(id, dataCentre, peerAddress, adminAddress, incarnation string, stop func()) {
+	host := hostOf(id, api.HostRoleNode, "", peerAddress, dataCentre, d.description.Region, "node")
+	host.AdminAddress = adminAddress
+	host.Incarnation = incarnation
+	d.Cloud.Add(host, stop)
+}
+
+// Kill ends an upstream at once, without notice.
+func (d *Deployment) Kill(id string) {
+	d.mu.Lock()
+	server := d.servers[id]
+	delete(d.servers, id)
+	delete(d.engines, id)
+	delete(d.services, id)
+	d.mu.Unlock()
+	if server != nil {
+		server.Close()
+	}
+}
+
+// Close ends all stand-ins.
+func (d *Deployment) Close() {
+	d.Cloud.Close()
+	d.cloudServer.Close()
+	d.logServer.Close()
+}
+
+func (d *Deployment) startEngine(described api.DeploymentEngine) (api.Host, func(), error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	models := make([]api.LoadedModel, len(described.Models))
+	for i, name := range described.Models {
+		models[i] = api.LoadedModel{Name: name, Version: "1"}
+	}
+	engine := NewEngine(EngineConfig{
+		Models:                 models,
+		Slots:                  described.Slots,
+		PrefillTokensPerSecond: described.PrefillTokensPerSecond,
+		Step:                   time.Duration(described.StepMS * float64(time.Millisecond)),
+		KVLimitTokens:          described.KVLimitTokens,
+		LoadLag:                loadLag,
+		CacheEventLag:          cacheEventLag,
+		CacheEventGap:          cacheEventGap,
+		ChecksFencing:          true,
+		CrashMarker:            CrashMarker,
+		Crashed:                func() { go d.Kill(described.ID) },
+	})
+	server, err := Serve(loopback, engine.Handler())
+	if err != nil {
+		cancel()
+		return api.Host{}, nil, fmt.Errorf("start engine %s: %w", described.ID, err)
+	}
+	go engine.Run(ctx)
+	d.mu.Lock()
+	d.engines[described.ID] = engine
+	d.servers[described.ID] = server
+	d.mu.Unlock()
+	host := hostOf(described.ID, api.HostRoleEngine, "", server.Address(), described.DataCentre, d.description.Region, described.MachineClass)
+	host.Incarnation = engine.Incarnation()
+	kill := func() {
+		d.Kill(described.ID)
+		cancel()
+	}
+	return host, kill, nil
+}
+
+func (d *Deployment) startService(described api.DeploymentService) (api.Host, func(), error) {
+	service := NewService(described.Service, d.Ledger)
+	server, err := Serve(loopback, service)
+	if err != nil {
+		return api.Host{}, nil, fmt.Errorf("start service %s: %w", described.ID, err)
+	}
+	d.mu.Lock()
+	d.services[described.ID] = service
+	d.servers[described.ID] = server
+	d.mu.Unlock()
+	host := hostOf(described.ID, api.HostRoleService, described.Service, server.Address(), described.DataCentre, d.description.Region, described.MachineClass)
+	return host, func() { d.Kill(described.ID) }, nil
+}
+
+// launch starts what the cloud API was asked for, shaped like the first of its kind.
+func (d *Deployment) launch(request api.StartHostRequest, id string) (api.Host, func(), error) {
+	if request.Role == string(api.HostRoleService) {
+		return d.startService(api.DeploymentService{
+			ID: id, DataCentre: request.DataCentre, MachineClass: request.MachineClass, Service: request.Service,
+		})
+	}
+	for _, known := range d.description.Engines {
+		if known.MachineClass == request.MachineClass {
+			known.ID = id
+			known.DataCentre = request.DataCentre
+			return d.startEngine(known)
+		}
+	}
+	return api.Host{}, nil, fmt.Errorf("machine class %q is not offered", request.MachineClass)
+}
--- /dev/null
+++ b/standin/engine_http.go
@@ -0,0 +1,204 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/prompt"
+)
+
+// tokenQueue is how many tokens may wait for a slow reader.
+const tokenQueue = 4096
+
+// Handler serves the engine's protocol.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.chat)
+	mux.HandleFunc("GET /engine/v1/load", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, e.load())
+	})
+	mux.HandleFunc("GET /engine/v1/cache-events", e.cacheEvents)
+	mux.HandleFunc("POST /engine/v1/orders", e.order)
+	mux.HandleFunc("POST /engine/v1/kv/export", e.exportKV)
+	return mux
+}
+
+func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
+	var request api.ChatRequest
+	if !readJSON(w, r, &request) {
+		return
+	}
+	if !e.hasModel(request.Model) {
+		http.Error(w, "model is not loaded", http.StatusNotFound)
+		return
+	}
+	text := prompt.Text(request.Messages)
+	if marker := e.config.CrashMarker; marker != "" && bytes.Contains(text, []byte(marker)) {
+		e.config.Crashed()
+		panic(http.ErrAbortHandler)
+	}
+	j := newJob(r, request, text)
+	if !e.submit(j) {
+		http.Error(w, "queue is full", http.StatusServiceUnavailable)
+		return
+	}
+	if request.Stream {
+		writeTokens(w, request, j)
+		return
+	}
+	writeCompletion(w, request, j)
+}
+
+func newJob(r *http.Request, request api.ChatRequest, text []byte) *job {
+	maxTokens := request.MaxCompletionTokens
+	if maxTokens == 0 {
+		maxTokens = request.MaxTokens
+	}
+	priority, _ := strconv.Atoi(r.Header.Get("X-Priority"))
+	j := &job{
+		ctx:      r.Context(),
+		id:       r.Header.Get("X-Request-Id"),
+		priority: priority,
+		text:     text,
+		blocks:   prompt.Blocks(text),
+		out:      make(chan token, tokenQueue),
+	}
+	j.end, j.reason = AnswerTokens(text, maxTokens)
+	if request.Resume != nil {
+		j.offset = request.Resume.Offset
+		if request.Resume.KV != nil {
+			j.cached = request.Resume.KV.Tokens
+			j.blocks = nil
+		}
+	}
+	return j
+}
+
+func writeTokens(w http.ResponseWriter, request api.ChatRequest, j *job) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	controller := http.NewResponseController(w)
+	_ = controller.Flush()
+	for t := range j.out {
+		chunk := chunkOf(request, j, t)
+		data, _ := json.Marshal(chunk)
+		_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
+		_ = controller.Flush()
+		if t.done {
+			writeEnd(w, request, j)
+		}
+	}
+}
+
+func writeEnd(w http.ResponseWriter, request api.ChatRequest, j *job) {
+	if request.StreamOptions != nil && request.StreamOptions.IncludeUsage {
+		usage := usageOf(j)
+		last := api.ChatChunk{
+			ID: j.id, Object: "chat.completion.chunk", Created: time.Now().Unix(), Model: request.Model,
+			Choices: []api.ChatChunkChoice{}, Usage: &usage, TokenOffset: j.offset,
+		}
+		data, _ := json.Marshal(last)
+		_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
+	}
+	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+func chunkOf(request api.ChatRequest, j *job, t token) api.ChatChunk {
+	choice := api.ChatChunkChoice{Delta: api.ChatDelta{Content: t.text}}
+	count := 1
+	if t.offset == 0 {
+		choice.Delta.Role = "assistant"
+	}
+	if t.done {
+		choice.FinishReason = &t.reason
+		count = 0
+	}
+	return api.ChatChunk{
+		ID: j.id, Object: "chat.completion.chunk", Created: time.Now().Unix(), Model: request.Model,
+		Choices: []api.ChatChunkChoice{choice}, TokenOffset: t.offset, TokenCount: count,
+	}
+}
+
+func usageOf(j *job) api.ChatUsage {
+	promptTokens := prompt.Tokens(j.text)
+	return api.ChatUsage{
+		PromptTokens:        promptTokens,
+		CompletionTokens:    j.end,
+		TotalTokens:         promptTokens + j.end,
+		PromptTokensDetails: &api.ChatPromptDetails{CachedTokens: min(j.cached, promptTokens)},
+	}
+}
+
+func writeCompletion(w http.ResponseWriter, request api.ChatRequest, j *job) {
+	var content []byte
+	for t := range j.out {
+		content = append(content, t.text...)
+	}
+	writeJSON(w, http.StatusOK, api.ChatCompletion{
+		ID: j.id, Object: "chat.completion", Created: time.Now().Unix(), Model: request.Model, Usage: usageOf(j),
+		Choices: []api.ChatChoice{{Message: api.ChatAnswer{Role: "assistant", Content: string(content)}, FinishReason: j.reason}},
+	})
+}
+
+func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	e.mu.Lock()
+	events, next := e.cache.since(from)
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, api.CacheEvents{Incarnation: e.incarnation, NextSeq: next, Events: events})
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var order api.EngineOrder
+	if !readJSON(w, r, &order) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if result, seen := e.orders[order.ID]; seen {
+		writeJSON(w, http.StatusOK, result)
+		return
+	}
+	if e.config.ChecksFencing && order.Fence < e.fence {
+		writeJSON(w, http.StatusConflict, api.OrderResult{ID: order.ID, State: api.OrderResultStateRefused, Reason: "old fencing number"})
+		return
+	}
+	e.fence = max(e.fence, order.Fence)
+	e.obey(order)
+	result := api.OrderResult{ID: order.ID, State: api.OrderResultStateDone}
+	e.orders[order.ID] = result
+	writeJSON(w, http.StatusOK, result)
+}
+
+func (e *Engine) obey(order api.EngineOrder) {
+	named := func(m api.LoadedModel) bool { return m.Name == order.Model }
+	switch order.Kind {
+	case api.EngineOrderKindLoad:
+		e.models = slices.DeleteFunc(e.models, named)
+		e.models = append(e.models, api.LoadedModel{Name: order.Model, Version: order.Version})
+	case api.EngineOrderKindUnload:
+		e.models = slices.DeleteFunc(e.models, named)
+	case api.EngineOrderKindRole:
+		e.role = api.EngineLoadRole(order.Role)
+	}
+}
+
+func (e *Engine) exportKV(w http.ResponseWriter, r *http.Request) {
+	var request api.KVExportRequest
+	if !readJSON(w, r, &request) {
+		return
+	}
+	e.mu.Lock()
+	tokens, ok := e.exports[request.RequestID]
+	e.mu.Unlock()
+	if !ok {
+		http.Error(w, "unknown request", http.StatusNotFound)
+		return
+	}
+	writeJSON(w, http.StatusOK, api.KVState{RequestID: request.RequestID, Tokens: tokens, Data: []byte("kv")})
+}
--- /dev/null
+++ b/standin/server.go
@@ -0,0 +1,163 @@
+// Package standin holds small stand-ins for what the system meets: the platform's
+// log, cloud, host list and weight store, model engines and plain services. Each
+// speaks its published protocol over HTTP and has a switch for each fault.
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// readHeaderTimeout bounds the time a client has to send its headers.
+const readHeaderTimeout = 10 * time.Second
+
+// Server serves a stand-in on a loopback port.
+type Server struct {
+	listener *faultListener
+	http     *http.Server
+	done     chan struct{}
+}
+
+// Serve starts a handler on address, an IP:port; port 0 takes a free one.
+func Serve(address string, handler http.Handler) (*Server, error) {
+	inner, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for stand-in on %s: %w", address, err)
+	}
+	s := &Server{
+		listener: &faultListener{Listener: inner, conns: map[*faultConn]bool{}},
+		http:     &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout},
+		done:     make(chan struct{}),
+	}
+	go func() {
+		defer close(s.done)
+		_ = s.http.Serve(s.listener)
+	}()
+	return s, nil
+}
+
+// Address returns the IP:port of the server.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// URL returns the base URL of the server.
+func (s *Server) URL() string { return "http://" + s.Address() }
+
+// Silence makes every connection that is open now go silent for good, while new
+// ones work.
+func (s *Server) Silence() { s.listener.silence() }
+
+// Close ends the server and its connections at once.
+func (s *Server) Close() {
+	_ = s.http.Close()
+	s.listener.closeAll()
+	<-s.done
+}
+
+// faultListener wraps connections so that they can go silent.
+type faultListener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns map[*faultConn]bool
+}
+
+// Accept implements net.Listener.
+func (l *faultListener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	conn := &faultConn{Conn: inner, listener: l, silent: make(chan struct{}), closed: make(chan struct{})}
+	l.mu.Lock()
+	l.conns[conn] = true
+	l.mu.Unlock()
+	return conn, nil
+}
+
+func (l *faultListener) silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.conns {
+		conn.silenceOnce.Do(func() { close(conn.silent) })
+	}
+}
+
+func (l *faultListener) closeAll() {
+	l.mu.Lock()
+	conns := make([]*faultConn, 0, len(l.conns))
+	for conn := range l.conns {
+		conns = append(conns, conn)
+	}
+	l.mu.Unlock()
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
+}
+
+// errConnClosed is what a silent connection returns once it is closed.
+var errConnClosed = errors.New("connection closed")
+
+// faultConn swallows all bytes once it is silent.
+type faultConn struct {
+	net.Conn
+	listener    *faultListener
+	silent      chan struct{}
+	closed      chan struct{}
+	silenceOnce sync.Once
+	closeOnce   sync.Once
+}
+
+// Read implements net.Conn.
+func (c *faultConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.isSilent() && err == nil {
+		<-c.closed
+		return 0, errConnClosed
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *faultConn) Write(p []byte) (int, error) {
+	if c.isSilent() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn.
+func (c *faultConn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	c.listener.mu.Lock()
+	delete(c.listener.conns, c)
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
+
+func (c *faultConn) isSilent() bool {
+	select {
+	case <-c.silent:
+		return true
+	default:
+		return false
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	if err := json.NewDecoder(r.Body).Decode(into); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/standin/service.go
@@ -0,0 +1,124 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/persimmonline/persimmonline/api"
+)
+
+// Service is a stand-in for a plain service. Every call that is not safe by HTTP
+// counts as one run of the operation that its body names.
+type Service struct {
+	// Name of the service.
+	Name string
+
+	ledger *Ledger
+	mu     sync.Mutex
+	delay  time.Duration
+	lose   int
+}
+
+// Ledger counts how often each operation ran, over all instances of a service.
+type Ledger struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{runs: map[string]int{}} }
+
+// Run counts a run.
+func (l *Ledger) Run(operation string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[operation]++
+	return l.runs[operation]
+}
+
+// Runs returns how often an operation ran.
+func (l *Ledger) Runs(operation string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[operation]
+}
+
+// RanTwice returns the number of operations that ran more than once.
+func (l *Ledger) RanTwice() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	count := 0
+	for _, runs := range l.runs {
+		if runs > 1 {
+			count++
+		}
+	}
+	return count
+}
+
+// serviceAnswer is what the stand-in answers.
+type serviceAnswer struct {
+	Service string `json:"service"`
+	Method  string `json:"method"`
+	Path    string `json:"path"`
+	Query   string `json:"query"`
+	Body    string `json:"body"`
+	Run     int    `json:"run"`
+}
+
+// NewService returns a service that counts in a ledger.
+func NewService(name string, ledger *Ledger) *Service {
+	return &Service{Name: name, ledger: ledger}
+}
+
+// SetDelay makes every call slow.
+func (s *Service) SetDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = delay
+}
+
+// LoseAnswers makes the next n calls take effect and lose their answer.
+func (s *Service) LoseAnswers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose = n
+}
+
+// ServeHTTP serves any call.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	delay := s.delay
+	lose := s.lose > 0
+	if lose {
+		s.lose--
+	}
+	s.mu.Unlock()
+	if delay > 0 {
+		time.Sleep(delay)
+	}
+	run := 0
+	if r.Method != http.MethodGet && r.Method != http.MethodHead {
+		run = s.ledger.Run(r.Method + " " + r.URL.Path + " " + string(body))
+	}
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, http.StatusOK, serviceAnswer{
+		Service: s.Name, Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery, Body: string(body), Run: run,
+	})
+}
+
+// hostOf returns the host-list entry of a process.
+func hostOf(id string, role api.HostRole, service, address, dataCentre, region, class string) api.Host {
+	return api.Host{
+		ID: id, Incarnation: id + "-1", Role: role, Service: service, Address: address,
+		DataCentre: dataCentre, Region: region, MachineClass: class, State: api.HostStateLive,
+	}
+}
--- /dev/null
+++ b/telemetry/log.go
@@ -0,0 +1,65 @@
+// Package telemetry holds logs, metrics and traces of a node.
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/zeromicro/go-zero/core/logx"
+)
+
+// NewLogger returns a logger that writes JSON lines to w. Level is one of debug,
+// info, warn and error; any other value is an error.
+func NewLogger(w io.Writer, level string) (zerolog.Logger, error) {
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Logger{}, fmt.Errorf("parse log level %q: %w", level, err)
+	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	return zerolog.New(w).Level(parsed).With().Timestamp().Logger(), nil
+}
+
+// BridgeLogx sends what go-zero logs to logger, so that the process has one
+// stream of JSON lines.
+func BridgeLogx(logger zerolog.Logger) {
+	// go-zero sets its writer up once, with the first server; that must come first.
+	_ = logx.SetUp(logx.LogConf{Mode: "console", Encoding: "json", Level: "info"})
+	logx.DisableStat()
+	logx.SetWriter(logxWriter{logger: logger.With().Str("component", "go-zero").Logger()})
+}
+
+// logxWriter is go-zero's log writer over zerolog.
+type logxWriter struct {
+	logger zerolog.Logger
+}
+
+func (l logxWriter) Alert(v any) { l.write(zerolog.ErrorLevel, v, nil) }
+
+func (l logxWriter) Close() error { return nil }
+
+func (l logxWriter) Debug(v any, fields ...logx.LogField) { l.write(zerolog.DebugLevel, v, fields) }
+
+func (l logxWriter) Error(v any, fields ...logx.LogField) { l.write(zerolog.ErrorLevel, v, fields) }
+
+func (l logxWriter) Info(v any, fields ...logx.LogField) { l.write(zerolog.DebugLevel, v, fields) }
+
+func (l logxWriter) Severe(v any) { l.write(zerolog.ErrorLevel, v, nil) }
+
+func (l logxWriter) Slow(v any, fields ...logx.LogField) { l.write(zerolog.WarnLevel, v, fields) }
+
+func (l logxWriter) Stack(v any) { l.write(zerolog.ErrorLevel, v, nil) }
+
+func (l logxWriter) Stat(v any, fields ...logx.LogField) { l.write(zerolog.DebugLevel, v, fields) }
+
+func (l logxWriter) write(level zerolog.Level, v any, fields []logx.LogField) {
+	event := l.logger.WithLevel(level)
+	if l.logger.GetLevel() > level {
+		return
+	}
+	for _, field := range fields {
+		event = event.Interface(field.Key, field.Value)
+	}
+	event.Msg(fmt.Sprint(v))
+}
--- /dev/null
+++ b/upstream/engine.go
@@ -0,0 +1,127 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"iter"
+	"net/http"
+	"strconv"
+
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/refusal"
+	"github.com/persimmonline/persimmonline/retry"
+)
+
+const (
+	// maxEventBytes bounds one server-sent event.
+	maxEventBytes = 1 << 20
+	// maxErrorBytes bounds the part of an error answer that is kept.
+	maxErrorBytes = 2048
+	// streamEnd is the data of the last event of a stream.
+	streamEnd = "[DONE]"
+	// HeaderPriority carries the priority to engines, 0 (first) to 9.
+	HeaderPriority = "X-Priority"
+)
+
+// ErrBroken says that a stream ended before its answer was whole.
+var ErrBroken = errors.New("stream ended before the answer was whole")
+
+// Stream is a streamed answer of an engine.
+type Stream struct {
+	address string
+	body    io.ReadCloser
+	next    func() (sse.Event, error, bool)
+	stop    func()
+}
+
+// Chat asks an engine for a streamed answer. The body is an OpenAI chat request
+// with stream set.
+func (c *Conn) Chat(ctx context.Context, requestID string, priority int, body []byte) (*Stream, error) {
+	const step = "start chat stream"
+	url := "http://" + c.address + "/v1/chat/completions"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, &Error{Step: step, Peer: c.address, Sent: retry.NotSent, Err: err}
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set(refusal.HeaderRequestID, requestID)
+	request.Header.Set(HeaderPriority, strconv.Itoa(priority))
+	response, err := c.Do(step, request) //nolint:bodyclose // Stream.Close and errorAnswer close it.
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, c.errorAnswer(step, response)
+	}
+	next, stop := iter.Pull2(iter.Seq2[sse.Event, error](sse.Read(response.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes})))
+	return &Stream{address: c.address, body: response.Body, next: next, stop: stop}, nil
+}
+
+// errorAnswer reads an error answer. A 4xx or a 503 of an engine says that it did
+// not run the request.
+func (c *Conn) errorAnswer(step string, response *http.Response) error {
+	defer func() { _ = response.Body.Close() }()
+	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	sent := retry.MaybeSent
+	if response.StatusCode < http.StatusInternalServerError || response.StatusCode == http.StatusServiceUnavailable {
+		sent = retry.NotSent
+	}
+	return &Error{
+		Step: step, Peer: c.address, Sent: sent, Status: response.StatusCode,
+		Err: fmt.Errorf("status %d: %s", response.StatusCode, bytes.TrimSpace(text)),
+	}
+}
+
+// Next returns the next chunk, io.EOF after the last, or an *Error.
+func (s *Stream) Next() (api.ChatChunk, error) {
+	const step = "read chat stream"
+	event, err, more := s.next()
+	if err != nil {
+		return api.ChatChunk{}, &Error{Step: step, Peer: s.address, Sent: retry.MaybeSent, Err: err}
+	}
+	if !more {
+		return api.ChatChunk{}, &Error{Step: step, Peer: s.address, Sent: retry.MaybeSent, Err: ErrBroken}
+	}
+	if event.Data == streamEnd {
+		return api.ChatChunk{}, io.EOF
+	}
+	var chunk api.ChatChunk
+	if err := json.Unmarshal([]byte(event.Data), &chunk); err != nil {
+		return api.ChatChunk{}, &Error{Step: step, Peer: s.address, Sent: retry.MaybeSent, Err: err}
+	}
+	return chunk, nil
+}
+
+// Close ends the stream; the engine cancels the request if it still runs.
+func (s *Stream) Close() {
+	_ = s.body.Close()
+	s.stop()
+}
+
+// Load asks an engine for its load.
+func (c *Conn) Load(ctx context.Context) (api.EngineLoad, error) {
+	const step = "read engine load"
+	var load api.EngineLoad
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+"/engine/v1/load", nil)
+	if err != nil {
+		return load, &Error{Step: step, Peer: c.address, Err: err}
+	}
+	response, err := c.Do(step, request)
+	if err != nil {
+		return load, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return load, c.errorAnswer(step, response)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(response.Body).Decode(&load); err != nil {
+		return load, &Error{Step: step, Peer: c.address, Err: err}
+	}
+	return load, nil
+}
