gateway: routing decisions in a file of their own

Cause: pick, pickService and owner stood in run.go, service.go and chat.go, which others change at the same time. Change: moved as they are to gateway/pick.go. Conclusion: routing can be deepened without touching the request path.

--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -5,21 +5,15 @@
 	"encoding/json"
 	"errors"
 	"net/http"
-	"time"
 
 	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/exchange"
 	"github.com/persimmonline/persimmonline/peer"
-	"github.com/persimmonline/persimmonline/prompt"
 	"github.com/persimmonline/persimmonline/refusal"
 	"github.com/persimmonline/persimmonline/retry"
-	"github.com/persimmonline/persimmonline/routing"
 	"github.com/persimmonline/persimmonline/upstream"
 )
 
-// peerSilentAfter is the age of a heartbeat after which a peer owns nothing new.
-const peerSilentAfter = 3 * time.Second
-
 // source is an answer as it comes, from this node's journal or from the owner.
 type source interface {
 	Next(ctx context.Context, from int) (exchange.Page, error)
@@ -85,24 +79,6 @@
 	return journal, func() { journal.Detach(detachGrace) }, nil
 }
 
-// owner returns the peer that owns the call; false means this node.
-func (g *Gateway) owner(c *call) (api.Heartbeat, bool) {
-	snapshot := g.Control.Snapshot()
-	members := []string{g.Settings.NodeID}
-	now := time.Now()
-	for id, known := range snapshot.Peers {
-		if known.State == api.HeartbeatStateReady && now.Sub(known.HeardAt) < peerSilentAfter {
-			members = append(members, id)
-		}
-	}
-	key := routing.OwnerKey(c.workspace, c.service, prompt.PrefixKey(c.text))
-	owner := routing.Owner(key, members)
-	if owner == g.Settings.NodeID {
-		return api.Heartbeat{}, false
-	}
-	return snapshot.Peers[owner].Heartbeat, true
-}
-
 // start runs the call on this node.
 func (g *Gateway) start(ctx context.Context, c *call) *exchange.Exchange {
 	return g.store.Start(ctx, c.id, c.workspace, func(ctx context.Context, journal *exchange.Exchange) {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -110,27 +110,6 @@
 		"upstreams failed %d times", attempts).At("run", "", failed).After(jittered(noUpstreamRetry))
 }
 
-// pick routes one attempt.
-func (g *Gateway) pick(c *call, excluded map[string]bool) (*routing.Upstream, error) {
-	snapshot := g.Control.Snapshot()
-	weights := routing.Weights{Latency: 1}
-	if snapshot.Index != nil {
-		weights.Latency = snapshot.Index.Config.Policy.LatencyWeight
-		weights.Cost = snapshot.Index.Config.Policy.CostWeight
-	}
-	return routing.Pick(snapshot.Fleet, routing.Request{
-		Service:            c.service,
-		Blocks:             c.blocks,
-		PromptTokens:       prompt.Tokens(c.text),
-		AnswerTokens:       c.answerTokens(),
-		Priority:           c.priority,
-		DataCentre:         g.Settings.DataCentre,
-		AllowedDataCentres: c.route.DataCentres,
-		Excluded:           excluded,
-		Key:                prompt.PrefixKey(c.text),
-	}, weights, time.Now())
-}
-
 // attempt runs the call at one upstream, from where the journal ends.
 func (g *Gateway) attempt(ctx context.Context, c *call, journal *exchange.Exchange, chosen *routing.Upstream) (err error) {
 	ctx, span := otel.Tracer(tracerName).Start(ctx, "attempt")
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -109,17 +109,6 @@
 	}
 }
 
-func (g *Gateway) pickService(c *serviceCall, excluded map[string]bool) (*routing.Upstream, error) {
-	snapshot := g.Control.Snapshot()
-	return routing.Pick(snapshot.Fleet, routing.Request{
-		Service:            c.service,
-		Priority:           c.operation.Priority,
-		DataCentre:         g.Settings.DataCentre,
-		AllowedDataCentres: c.route.DataCentres,
-		Excluded:           excluded,
-	}, routing.Weights{Latency: 1}, time.Now())
-}
-
 // serviceAnswer is a whole answer of a plain service.
 type serviceAnswer struct {
 	status int
