routing: price of an attempt from a corrected load report and cached prefixes

Cause: the scheduler knew only its own attempts in flight; the lagging load report, the engines' caches and the risk of reclaim were not used, owners had no bound. Change: NewFleet estimates each engine's speed and what others sent it; scorers queue, prefix, decode, reclaim, price and distance add up; a prefix index learns from cache events (control/cachefeed.go), from sends and from the usage of answers; owner by rendezvous hash with bounded load; a sample and the prefix's holders are scored when there are more than 24 candidates.

--- a/control/feeds.go
+++ b/control/feeds.go
@@ -48,6 +48,7 @@
 	group.Go(func() { f.poll(ctx, f.listHosts) })
 	group.Go(func() { f.poll(ctx, f.listReclaims) })
 	group.Go(func() { f.poll(ctx, f.readLoads) })
+	group.Go(func() { f.followCaches(ctx) })
 	group.Wait()
 }
 
--- a/control/loop.go
+++ b/control/loop.go
@@ -61,6 +61,8 @@
 	members   *membership.Table
 	loads     map[string]api.EngineLoad
 	trackers  map[string]*routing.Tracker
+	prefixes  *routing.Prefixes
+	holders   map[string]engineCache
 	peers     map[string]Peer
 	now       func() time.Time
 	logger    zerolog.Logger
@@ -85,6 +87,8 @@
 			members:  membership.NewTable(),
 			loads:    map[string]api.EngineLoad{},
 			trackers: map[string]*routing.Tracker{},
+			prefixes: routing.NewPrefixes(maxPrefixBlocks),
+			holders:  map[string]engineCache{},
 			peers:    map[string]Peer{},
 			now:      now,
 			logger:   logger,
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -2,46 +2,80 @@
 
 import (
 	"maps"
+	"time"
 
 	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/membership"
+	"github.com/persimmonline/persimmonline/prompt"
 	"github.com/persimmonline/persimmonline/routing"
 )
 
-// secondsPerHour turns prices by the hour into prices by the second.
-const secondsPerHour = 3600
+const (
+	// secondsPerHour turns prices by the hour into prices by the second.
+	secondsPerHour = 3600
+	// waveReclaimsPerHour is the rate at which the hosts of a data centre and machine
+	// class go while a reclaim wave runs through all of it.
+	waveReclaimsPerHour = 120
+	// defaultCacheTokens is the size of an engine's cache that it does not report.
+	defaultCacheTokens = 65536
+)
 
 // snapshot copies the state into an immutable form.
 func (s *state) snapshot() *Snapshot {
-	view := s.members.View(s.now())
+	now := s.now()
+	view := s.members.View(now)
 	return &Snapshot{
 		Config:    s.config,
 		Index:     s.index,
 		LogReadAt: s.logReadAt,
 		Members:   view,
-		Fleet:     s.fleet(view),
+		Fleet:     s.fleet(view, now),
 		Peers:     maps.Clone(s.peers),
 		Leaving:   s.members.Leaving(),
 	}
 }
 
 // fleet sorts the upstreams by the services that they serve.
-func (s *state) fleet(view *membership.View) *routing.Fleet {
-	fleet := &routing.Fleet{ByService: map[string][]*routing.Upstream{}}
+func (s *state) fleet(view *membership.View, now time.Time) *routing.Fleet {
+	byService := map[string][]*routing.Upstream{}
+	waves := leavingShares(view)
 	for _, member := range view.Upstreams {
-		upstream := s.upstream(member)
+		upstream := s.upstream(member, waves)
 		if member.Role == api.HostRoleService {
-			fleet.ByService[member.Service] = append(fleet.ByService[member.Service], upstream)
+			byService[member.Service] = append(byService[member.Service], upstream)
 			continue
 		}
+		upstream.Holder = s.holder(member, upstream.Load)
 		for _, service := range s.modelServices(upstream.Load) {
-			fleet.ByService[service] = append(fleet.ByService[service], upstream)
+			byService[service] = append(byService[service], upstream)
 		}
 	}
-	return fleet
+	s.forgetHolders(view)
+	return routing.NewFleet(byService, s.prefixes, now)
+}
+
+// pool is a set of hosts that are reclaimed together.
+type pool struct {
+	dataCentre, machineClass string
 }
 
-func (s *state) upstream(member membership.Member) *routing.Upstream {
+// leavingShares returns which share of each pool is leaving.
+func leavingShares(view *membership.View) map[pool]float64 {
+	total, leaving := map[pool]float64{}, map[pool]float64{}
+	for _, member := range view.Upstreams {
+		key := pool{member.DataCentre, member.MachineClass}
+		total[key]++
+		if member.Health == membership.StateLeaving {
+			leaving[key]++
+		}
+	}
+	for key, count := range leaving {
+		leaving[key] = count / total[key]
+	}
+	return leaving
+}
+
+func (s *state) upstream(member membership.Member, waves map[pool]float64) *routing.Upstream {
 	upstream := &routing.Upstream{
 		ID:          member.ID,
 		Incarnation: member.Incarnation,
@@ -57,6 +91,9 @@
 		class := s.index.Config.MachineClasses[member.MachineClass]
 		upstream.PricePerSecond = class.PricePerHour / secondsPerHour
 		upstream.ReclaimsPerHour = class.ReclaimsPerHour
+		if class.Reclaimable {
+			upstream.ReclaimsPerHour += waveReclaimsPerHour * waves[pool{member.DataCentre, member.MachineClass}]
+		}
 	}
 	return upstream
 }
@@ -85,3 +122,51 @@
 	}
 	return tracker
 }
+
+// holder returns the name of an engine's cache in the prefix index; a new
+// incarnation starts with an empty cache.
+func (s *state) holder(member membership.Member, load *api.EngineLoad) routing.Holder {
+	known, ok := s.holders[member.ID]
+	if ok && known.incarnation == member.Incarnation {
+		return known.holder
+	}
+	if load == nil {
+		return 0
+	}
+	if ok {
+		s.prefixes.Close(known.holder)
+	}
+	tokens := load.KVLimitTokens
+	if tokens == 0 {
+		tokens = defaultCacheTokens
+	}
+	opened := s.prefixes.Open(member.ID, member.Incarnation, tokens/prompt.BlockTokens)
+	s.holders[member.ID] = engineCache{member.Incarnation, opened}
+	return opened
+}
+
+// engineCache is the cache of one incarnation of an engine.
+type engineCache struct {
+	incarnation string
+	holder      routing.Holder
+}
+
+// forgetHolders drops what belongs to engines that are gone.
+func (s *state) forgetHolders(view *membership.View) {
+	known := make(map[string]bool, len(view.Upstreams))
+	for _, member := range view.Upstreams {
+		known[member.ID] = true
+	}
+	for id, cache := range s.holders {
+		if !known[id] {
+			s.prefixes.Close(cache.holder)
+			delete(s.holders, id)
+		}
+	}
+	for id := range s.trackers {
+		if !known[id] {
+			delete(s.trackers, id)
+			delete(s.loads, id)
+		}
+	}
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -29,6 +29,8 @@
 	// text is the prompt as engines compute on it.
 	text   []byte
 	blocks []uint64
+	// cached is the part of the prompt that the chosen upstream should hold, in tokens.
+	cached int
 }
 
 // readBody reads a request body of bounded size.
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/control"
 	"github.com/persimmonline/persimmonline/prompt"
 	"github.com/persimmonline/persimmonline/routing"
 )
@@ -14,30 +16,40 @@
 // owner returns the peer that owns the call; false means this node.
 func (g *Gateway) owner(c *call) (api.Heartbeat, bool) {
 	snapshot := g.Control.Snapshot()
-	members := []string{g.Settings.NodeID}
+	members := []routing.Member{{ID: g.Settings.NodeID, InFlight: g.store.InFlight()}}
 	now := time.Now()
 	for id, known := range snapshot.Peers {
-		if known.State == api.HeartbeatStateReady && now.Sub(known.HeardAt) < peerSilentAfter {
-			members = append(members, id)
+		if ownsRequests(known, now) {
+			members = append(members, routing.Member{ID: id, InFlight: known.InFlight})
 		}
 	}
 	key := routing.OwnerKey(c.workspace, c.service, prompt.PrefixKey(c.text))
 	owner := routing.Owner(key, members)
-	if owner == g.Settings.NodeID {
+	if owner == "" || owner == g.Settings.NodeID {
 		return api.Heartbeat{}, false
 	}
 	return snapshot.Peers[owner].Heartbeat, true
 }
 
+// ownsRequests says whether a peer may own new requests.
+func ownsRequests(known control.Peer, now time.Time) bool {
+	return known.State == api.HeartbeatStateReady && now.Sub(known.HeardAt) < peerSilentAfter
+}
+
 // pick routes one attempt.
 func (g *Gateway) pick(c *call, excluded map[string]bool) (*routing.Upstream, error) {
-	snapshot := g.Control.Snapshot()
-	weights := routing.Weights{Latency: 1}
-	if snapshot.Index != nil {
-		weights.Latency = snapshot.Index.Config.Policy.LatencyWeight
-		weights.Cost = snapshot.Index.Config.Policy.CostWeight
+	choice, err := g.choose(c, excluded)
+	if err != nil {
+		return nil, err
 	}
-	return routing.Pick(snapshot.Fleet, routing.Request{
+	c.cached = choice.CachedTokens
+	return choice.Upstream, nil
+}
+
+// choose returns the routing decision for one attempt of a call.
+func (g *Gateway) choose(c *call, excluded map[string]bool) (routing.Choice, error) {
+	snapshot := g.Control.Snapshot()
+	return routing.Pick(snapshot.Fleet, &routing.Request{
 		Service:            c.service,
 		Blocks:             c.blocks,
 		PromptTokens:       prompt.Tokens(c.text),
@@ -47,17 +59,31 @@
 		AllowedDataCentres: c.route.DataCentres,
 		Excluded:           excluded,
 		Key:                prompt.PrefixKey(c.text),
-	}, weights, time.Now())
+		Seed:               rand.Uint64(), //nolint:gosec // Sampling needs no secret randomness.
+	}, weightsOf(snapshot), time.Now())
 }
 
-// pickService routes one attempt at a plain service.
+// weightsOf returns the deployment's weights.
+func weightsOf(snapshot *control.Snapshot) routing.Weights {
+	if snapshot.Index == nil {
+		return routing.Weights{Latency: 1}
+	}
+	policy := snapshot.Index.Config.Policy
+	return routing.Weights{Latency: policy.LatencyWeight, Cost: policy.CostWeight}
+}
+
+// pickService routes one attempt at a plain service. Its calls are short, so that
+// only waiting counts.
 func (g *Gateway) pickService(c *serviceCall, excluded map[string]bool) (*routing.Upstream, error) {
-	snapshot := g.Control.Snapshot()
-	return routing.Pick(snapshot.Fleet, routing.Request{
+	choice, err := routing.Pick(g.Control.Snapshot().Fleet, &routing.Request{
 		Service:            c.service,
+		AnswerTokens:       1,
 		Priority:           c.operation.Priority,
 		DataCentre:         g.Settings.DataCentre,
 		AllowedDataCentres: c.route.DataCentres,
 		Excluded:           excluded,
+		Key:                rand.Uint64(), //nolint:gosec // Spreading load needs no secret randomness.
+		Seed:               rand.Uint64(), //nolint:gosec // Sampling needs no secret randomness.
 	}, routing.Weights{Latency: 1}, time.Now())
+	return choice.Upstream, err
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -126,8 +126,8 @@
 		}
 		span.End()
 	}()
-	chosen.Tracker.InFlight.Add(1)
-	defer chosen.Tracker.InFlight.Add(-1)
+	observed := g.observe(c, chosen)
+	defer observed.end()
 
 	body, err := c.engineBody(resumeFrom(journal))
 	if err != nil {
@@ -142,11 +142,11 @@
 		return err
 	}
 	defer stream.Close()
-	return g.copyStream(c, journal, stream, watchdog)
+	return g.copyStream(c, journal, stream, watchdog, observed)
 }
 
 // copyStream appends the chunks of an attempt to the journal until the answer is whole.
-func (g *Gateway) copyStream(c *call, journal *exchange.Exchange, stream *upstream.Stream, watchdog *time.Timer) error {
+func (g *Gateway) copyStream(c *call, journal *exchange.Exchange, stream *upstream.Stream, watchdog *time.Timer, observed *observation) error {
 	finished := false
 	last := time.Time{}
 	for {
@@ -161,6 +161,7 @@
 			return err
 		}
 		watchdog.Reset(nextChunkTimeout)
+		observed.chunk(chunk)
 		if now := time.Now(); last.IsZero() {
 			last = now
 		} else {
--- /dev/null
+++ b/routing/fleet.go
@@ -0,0 +1,140 @@
+package routing
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// defaultRate is the prefill rate of an engine of which nothing is known, in
+	// tokens per second.
+	defaultRate = 8000.0
+	// defaultStep is the decode step of an engine of which nothing is known, in seconds.
+	defaultStep = 0.015
+	// defaultSlots is the batch of an engine that has not reported, or the calls that a
+	// plain service runs at once.
+	defaultSlots = 8
+	// forgetAfter is the time constant after which a learned speed returns to the
+	// fleet's mean, so that a recovered engine gets work again.
+	forgetAfter = 20 * time.Second
+	// staleAfter is the time constant after which a load report counts less than the
+	// fleet's mean.
+	staleAfter = 3 * time.Second
+)
+
+// estimate is what is known of an upstream's speed and of the work that others have
+// sent it, as of the fleet's publication.
+type estimate struct {
+	rate         float64
+	step         float64
+	slots        float64
+	otherRunning float64
+	otherQueued  float64
+	fleetStep    float64
+}
+
+// NewFleet indexes upstreams by service and estimates their speed and the load that
+// other nodes put on them. The upstreams must not be changed afterwards.
+func NewFleet(byService map[string][]*Upstream, prefixes *Prefixes, now time.Time) *Fleet {
+	fleet := &Fleet{ByService: byService, Prefixes: prefixes, byHolder: map[Holder]*Upstream{}}
+	var all []*Upstream
+	seen := map[*Upstream]bool{}
+	for _, upstreams := range byService {
+		for _, upstream := range upstreams {
+			if seen[upstream] {
+				continue
+			}
+			seen[upstream] = true
+			all = append(all, upstream)
+			if upstream.Holder != 0 {
+				fleet.byHolder[upstream.Holder] = upstream
+			}
+		}
+	}
+	estimateAll(all, now)
+	return fleet
+}
+
+// means are the averages of a fleet, which stand in for what is unknown.
+type means struct {
+	rate, step geometric
+}
+
+// geometric is a geometric mean, in which one slow engine weighs little.
+type geometric struct {
+	sum, count float64
+}
+
+func (g *geometric) add(value float64) {
+	if value > 0 {
+		g.sum += math.Log(value)
+		g.count++
+	}
+}
+
+func (g *geometric) or(fallback float64) float64 {
+	if g.count == 0 {
+		return fallback
+	}
+	return math.Exp(g.sum / g.count)
+}
+
+func estimateAll(upstreams []*Upstream, now time.Time) {
+	var fleet means
+	var running, queued, reports float64
+	for _, upstream := range upstreams {
+		upstream.hash = hashID(upstream.ID)
+		rate, step := upstream.Tracker.speeds()
+		fleet.rate.add(rate.value)
+		fleet.step.add(step.value)
+		upstream.state = othersOf(upstream)
+		if upstream.Load != nil {
+			running += upstream.state.otherRunning
+			queued += upstream.state.otherQueued
+			reports++
+		}
+	}
+	meanRate, meanStep := fleet.rate.or(defaultRate), fleet.step.or(defaultStep)
+	for _, upstream := range upstreams {
+		rate, step := upstream.Tracker.speeds()
+		state := &upstream.state
+		state.rate = aged(rate, meanRate, now)
+		state.step = aged(step, meanStep, now)
+		state.fleetStep = meanStep
+		if upstream.Load == nil {
+			continue
+		}
+		fresh := math.Exp(-now.Sub(time.UnixMilli(upstream.Load.AtMS)).Seconds() / staleAfter.Seconds())
+		state.otherRunning = fresh*state.otherRunning + (1-fresh)*running/reports
+		state.otherQueued = fresh*state.otherQueued + (1-fresh)*queued/reports
+	}
+}
+
+// othersOf is the reported load less what this node had there at the report's time.
+func othersOf(upstream *Upstream) estimate {
+	state := estimate{slots: defaultSlots}
+	load := upstream.Load
+	if load == nil {
+		return state
+	}
+	if load.BatchSlots > 0 {
+		state.slots = float64(load.BatchSlots)
+	}
+	inFlight, pending := upstream.Tracker.at(time.UnixMilli(load.AtMS))
+	state.otherRunning = max(0, float64(load.Running)-float64(inFlight))
+	state.otherQueued = max(0, float64(load.QueuedTokens)-float64(pending))
+	return state
+}
+
+// OtherQueued returns the prefill tokens that other nodes are expected to have
+// queued at the upstream.
+func (u *Upstream) OtherQueued() float64 { return u.state.otherQueued }
+
+// aged returns a learned speed, which fades to the mean with its age.
+func aged(known learned, mean float64, now time.Time) float64 {
+	if known.value == 0 {
+		return mean
+	}
+	keep := math.Exp(-now.Sub(known.at).Seconds() / forgetAfter.Seconds())
+	return math.Exp(keep*math.Log(known.value) + (1-keep)*math.Log(mean))
+}
--- a/routing/route.go
+++ b/routing/route.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"sync/atomic"
 	"time"
 
 	"github.com/persimmonline/persimmonline/api"
@@ -12,14 +11,14 @@
 // ErrNoUpstream says that no upstream passed the filters.
 var ErrNoUpstream = errors.New("no upstream can take the request")
 
-// Tracker counts what this node has under way at one upstream. Traffic goroutines
-// share it.
-type Tracker struct {
-	// InFlight attempts.
-	InFlight atomic.Int64
-	// Tokens of prompt and answer that those attempts still need.
-	Tokens atomic.Int64
-}
+const (
+	// scoreAll is the number of candidates up to which all are scored.
+	scoreAll = 24
+	// sampleSize is the number of candidates that are scored when there are more.
+	sampleSize = 12
+	// maxHolders bounds the holders of the prompt's prefix that are scored beside the sample.
+	maxHolders = 8
+)
 
 // Upstream is one upstream as the scheduler sees it. All but Tracker is immutable.
 type Upstream struct {
@@ -39,14 +38,23 @@
 	ReclaimsPerHour float64
 	// Load is the last report of an engine; nil when there is none.
 	Load *api.EngineLoad
+	// Holder names the upstream in the prefix index; 0 when it holds no prefixes.
+	Holder Holder
 	// Tracker of this node's attempts.
 	Tracker *Tracker
+
+	hash  uint64
+	state estimate
 }
 
-// Fleet is all upstreams by service. It is immutable.
+// Fleet is all upstreams by service. It is immutable; see NewFleet.
 type Fleet struct {
 	// ByService holds the upstreams of each service, sorted by id.
 	ByService map[string][]*Upstream
+	// Prefixes tells which engine holds which prompt prefix; nil when unknown.
+	Prefixes *Prefixes
+
+	byHolder map[Holder]*Upstream
 }
 
 // Request is what the scheduler knows of an attempt.
@@ -67,8 +75,10 @@
 	AllowedDataCentres []string
 	// Excluded upstreams, which were tried already, by id.
 	Excluded map[string]bool
-	// Key spreads equal choices.
+	// Key spreads equal choices: requests with one prefix share it.
 	Key uint64
+	// Seed chooses the sample when candidates are many.
+	Seed uint64
 }
 
 // Weights are the deployment's prices.
@@ -79,26 +89,119 @@
 	Cost float64
 }
 
+// Choice is the outcome of a routing decision.
+type Choice struct {
+	// Upstream that was chosen.
+	Upstream *Upstream
+	// Queue is the predicted wait before the prefill starts, in seconds.
+	Queue float64
+	// Prefill is the predicted time of the prefill, in seconds.
+	Prefill float64
+	// CachedTokens of the prompt that the upstream is expected to hold.
+	CachedTokens int
+	// Price of the attempt.
+	Price float64
+}
+
 // Pick returns the upstream with the lowest price of the attempt, or ErrNoUpstream.
-func Pick(fleet *Fleet, request Request, weights Weights, _ time.Time) (*Upstream, error) {
-	var best *Upstream
-	var bestPrice float64
-	for _, candidate := range fleet.ByService[request.Service] {
-		if !eligible(candidate, request) {
-			continue
-		}
-		price := attemptPrice(candidate, request, weights)
-		if best == nil || price < bestPrice {
-			best, bestPrice = candidate, price
+// Suspect upstreams are chosen only when no other passes the filters.
+func Pick(fleet *Fleet, request *Request, weights Weights, now time.Time) (Choice, error) {
+	return PickWith(Scorers, fleet, request, weights, now)
+}
+
+// PickWith is Pick with a choice of scorers.
+func PickWith(scorers []Scorer, fleet *Fleet, request *Request, weights Weights, now time.Time) (Choice, error) {
+	round := round{scorers: scorers, request: request, weights: weights, now: now}
+	round.findHolders(fleet)
+	candidates := fleet.ByService[request.Service]
+	if len(candidates) <= scoreAll {
+		round.scoreList(candidates)
+		return round.result()
+	}
+	round.scoreSample(fleet, candidates)
+	if round.best.Upstream == nil {
+		round.scoreList(candidates)
+	}
+	return round.result()
+}
+
+// round is the state of one decision; it lives on the stack.
+type round struct {
+	scorers []Scorer
+	request *Request
+	weights Weights
+	now     time.Time
+	held    [maxHolders]Held
+	holders int
+
+	best    Choice
+	suspect Choice
+}
+
+func (r *round) findHolders(fleet *Fleet) {
+	if fleet.Prefixes != nil && len(r.request.Blocks) > 0 {
+		r.holders = fleet.Prefixes.Find(r.request.Blocks, &r.held)
+	}
+}
+
+func (r *round) scoreList(candidates []*Upstream) {
+	for _, candidate := range candidates {
+		r.score(candidate)
+	}
+}
+
+// scoreSample scores the holders of the prefix and a few candidates drawn by the
+// request's seed, plus one that its key always draws.
+func (r *round) scoreSample(fleet *Fleet, candidates []*Upstream) {
+	for _, held := range r.held[:r.holders] {
+		if candidate := fleet.byHolder[held.Holder]; candidate != nil {
+			r.score(candidate)
 		}
 	}
-	if best == nil {
-		return nil, ErrNoUpstream
+	count := uint64(len(candidates))
+	r.score(candidates[mix(r.request.Key, count)%count])
+	for i := range uint64(sampleSize) {
+		r.score(candidates[mix(r.request.Seed, i)%count])
 	}
-	return best, nil
 }
 
-func eligible(candidate *Upstream, request Request) bool {
+// score filters and prices one candidate and keeps it if it is the cheapest.
+func (r *round) score(candidate *Upstream) {
+	if !eligible(candidate, r.request) {
+		return
+	}
+	forecast := r.forecast(candidate)
+	price := 0.0
+	for _, scorer := range r.scorers {
+		price += scorer.Price(candidate, r.request, forecast, r.weights)
+	}
+	kept := &r.best
+	if candidate.Health == membership.StateSuspect {
+		kept = &r.suspect
+	}
+	if kept.Upstream != nil && price >= kept.Price {
+		return
+	}
+	*kept = Choice{
+		Upstream: candidate, Price: price, CachedTokens: forecast.CachedTokens,
+		Queue: forecast.Queue, Prefill: forecast.Prefill,
+	}
+}
+
+func (r *round) result() (Choice, error) {
+	switch {
+	case r.best.Upstream != nil:
+		return r.best, nil
+	case r.suspect.Upstream != nil:
+		return r.suspect, nil
+	default:
+		return Choice{}, ErrNoUpstream
+	}
+}
+
+// eligible is the filter step. That the model and its version are loaded is known
+// from the fleet's index by service.
+func eligible(candidate *Upstream, request *Request) bool {
 	if candidate.Health == membership.StateLeaving || request.Excluded[candidate.ID] {
 		return false
 	}
@@ -112,28 +215,3 @@
 	}
 	return false
 }
-
-const (
-	// slotWaitSeconds is the wait that one attempt ahead adds.
-	slotWaitSeconds = 0.05
-	// suspectSeconds is the wait that a suspect upstream is expected to add.
-	suspectSeconds = 10.0
-	// remoteSeconds is the wait that another data centre adds.
-	remoteSeconds = 0.001
-	// affinitySeconds is the prefill that the preferred upstream of a prefix saves.
-	affinitySeconds = 0.1
-)
-
-// attemptPrice is the price of running the request at the candidate.
-func attemptPrice(candidate *Upstream, request Request, weights Weights) float64 {
-	wait := slotWaitSeconds * float64(candidate.Tracker.InFlight.Load())
-	if candidate.Health == membership.StateSuspect {
-		wait += suspectSeconds
-	}
-	if candidate.DataCentre != request.DataCentre {
-		wait += remoteSeconds
-	}
-	spread := float64(mix(request.Key, hashID(candidate.ID))>>32) / (1 << 32)
-	wait += affinitySeconds * spread
-	return weights.Latency*wait + weights.Cost*candidate.PricePerSecond
-}
--- /dev/null
+++ b/routing/route_test.go
@@ -0,0 +1,218 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/membership"
+	"github.com/persimmonline/persimmonline/prompt"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+const service = "review"
+
+func engine(id string, prefixes *Prefixes) *Upstream {
+	load := &api.EngineLoad{AtMS: epoch.UnixMilli(), BatchSlots: 8}
+	upstream := &Upstream{
+		ID: id, DataCentre: "nizwa", Health: membership.StateLive, PricePerSecond: 1.2 / 3600,
+		Load: load, Tracker: &Tracker{},
+	}
+	if prefixes != nil {
+		upstream.Holder = prefixes.Open(id, "1", 1024)
+	}
+	return upstream
+}
+
+func fleetOf(prefixes *Prefixes, now time.Time, upstreams ...*Upstream) *Fleet {
+	return NewFleet(map[string][]*Upstream{service: upstreams}, prefixes, now)
+}
+
+func choose(t *testing.T, fleet *Fleet, request Request, now time.Time) Choice {
+	t.Helper()
+	request.Service = service
+	choice, err := Pick(fleet, &request, Weights{Latency: 1, Cost: 20}, now)
+	require.NoError(t, err)
+	return choice
+}
+
+func TestPickFilters(t *testing.T) {
+	leaving, remote, tried, good := engine("a", nil), engine("b", nil), engine("c", nil), engine("d", nil)
+	leaving.Health = membership.StateLeaving
+	remote.DataCentre = "ibri"
+	good.PricePerSecond = 100
+	fleet := fleetOf(nil, epoch, leaving, remote, tried, good)
+	request := Request{AllowedDataCentres: []string{"nizwa"}, Excluded: map[string]bool{"c": true}, AnswerTokens: 10}
+	require.Equal(t, "d", choose(t, fleet, request, epoch).Upstream.ID)
+	request.Excluded["d"] = true
+	request.Service = service
+	_, err := Pick(fleet, &request, Weights{Latency: 1}, epoch)
+	require.ErrorIs(t, err, ErrNoUpstream)
+}
+
+func TestSuspectUpstreamIsTheLastChoice(t *testing.T) {
+	suspect, busy := engine("a", nil), engine("b", nil)
+	suspect.Health = membership.StateSuspect
+	for range 50 {
+		busy.Tracker.Begin(epoch, 4000, 0)
+	}
+	fleet := fleetOf(nil, epoch, suspect, busy)
+	require.Equal(t, "b", choose(t, fleet, Request{AnswerTokens: 10}, epoch).Upstream.ID)
+	require.Equal(t, "a", choose(t, fleet, Request{AnswerTokens: 10, Excluded: map[string]bool{"b": true}}, epoch).Upstream.ID)
+}
+
+func TestLaggingReportIsCorrectedBySendsSinceIt(t *testing.T) {
+	old, idle := engine("a", nil), engine("b", nil)
+	now := epoch.Add(5 * time.Second)
+	for range 10 {
+		old.Tracker.Begin(now, 4000, 0)
+	}
+	require.Equal(t, "b", choose(t, fleetOf(nil, now, old, idle), Request{AnswerTokens: 10}, now).Upstream.ID)
+}
+
+func TestOwnWorkInAReportIsNotCountedTwice(t *testing.T) {
+	upstream := engine("a", nil)
+	var sent []*Attempt
+	for range 4 {
+		sent = append(sent, upstream.Tracker.Begin(epoch, 1000, 0))
+	}
+	upstream.Load = &api.EngineLoad{AtMS: epoch.Add(time.Second).UnixMilli(), BatchSlots: 8, Running: 6, QueuedTokens: 5000}
+	for _, attempt := range sent {
+		attempt.End(epoch.Add(2*time.Second), 0)
+	}
+	fleetOf(nil, epoch.Add(time.Second), upstream)
+	require.InDelta(t, 2, upstream.state.otherRunning, 1e-9)
+	require.InDelta(t, 1000, upstream.state.otherQueued, 1e-9)
+}
+
+func TestCachedPrefixAttractsUntilItsHolderIsBusy(t *testing.T) {
+	prefixes := NewPrefixes(1 << 16)
+	holder, other := engine("a", prefixes), engine("b", prefixes)
+	blocks := make([]uint64, 40)
+	for i := range blocks {
+		blocks[i] = uint64(i + 1)
+	}
+	prefixes.Add(holder.Holder, blocks...)
+	request := Request{Blocks: blocks, PromptTokens: 41 * prompt.BlockTokens, AnswerTokens: 10}
+	choice := choose(t, fleetOf(prefixes, epoch, holder, other), request, epoch)
+	require.Equal(t, "a", choice.Upstream.ID)
+	require.Equal(t, 40*prompt.BlockTokens, choice.CachedTokens)
+	for range 10 {
+		holder.Tracker.Begin(epoch, 1000, 0)
+	}
+	require.Equal(t, "b", choose(t, fleetOf(prefixes, epoch, holder, other), request, epoch).Upstream.ID)
+}
+
+func TestPrefixEstimateHealsFromAnswers(t *testing.T) {
+	prefixes := NewPrefixes(1 << 16)
+	holder := prefixes.Open("a", "1", 1024)
+	blocks := []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10}
+	var held [maxHolders]Held
+	prefixes.Add(holder, blocks...)
+	require.Equal(t, 1, prefixes.Find(blocks, &held))
+	require.Equal(t, 10, held[0].Blocks)
+	for range 20 {
+		prefixes.Answered(holder, blocks, 0, 640)
+	}
+	prefixes.Find(blocks, &held)
+	require.LessOrEqual(t, held[0].Blocks, 1, "an engine that never had what was forecast is not believed")
+	for range 20 {
+		prefixes.Answered(holder, blocks, 640, 64)
+	}
+	prefixes.Find(blocks, &held)
+	require.GreaterOrEqual(t, held[0].Blocks, 9)
+	prefixes.Evict(holder, 1)
+	require.Zero(t, prefixes.Find(blocks, &held))
+}
+
+func TestPrefixIndexIsBounded(t *testing.T) {
+	prefixes := NewPrefixes(500)
+	first, second := prefixes.Open("a", "1", 100), prefixes.Open("b", "1", 100_000)
+	for i := range uint64(10_000) {
+		prefixes.Add(first, i)
+		prefixes.Add(second, i)
+	}
+	require.LessOrEqual(t, prefixes.Blocks(), 500)
+	require.LessOrEqual(t, len(prefixes.caches[second].uses), 1000)
+	prefixes.Close(first)
+	prefixes.Close(second)
+	require.Zero(t, prefixes.Blocks())
+}
+
+func TestSlowUpstreamIsAvoidedBeforeItAnswers(t *testing.T) {
+	slow, good := engine("a", nil), engine("b", nil)
+	good.PricePerSecond *= 2
+	slow.Tracker.Begin(epoch, 100, 0)
+	now := epoch.Add(3 * time.Second)
+	require.Equal(t, "b", choose(t, fleetOf(nil, now, slow, good), Request{AnswerTokens: 10}, now).Upstream.ID)
+}
+
+func TestHotKeySpreadsOverOwners(t *testing.T) {
+	members := []Member{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}, {ID: "e"}}
+	seen := map[string]int{}
+	for range 500 {
+		owner := Owner(42, members)
+		seen[owner]++
+		for i := range members {
+			if members[i].ID == owner {
+				members[i].InFlight++
+			}
+		}
+	}
+	require.GreaterOrEqual(t, float64(len(seen)), 5/ownerBound)
+	for _, count := range seen {
+		require.LessOrEqual(t, count, int(500/5*ownerBound)+ownerSlack+1)
+	}
+}
+
+// bigFleet has a number of engines, all of which have load and cached prefixes.
+func bigFleet(size int) (*Fleet, *Request) {
+	prefixes := NewPrefixes(1 << 16)
+	upstreams := make([]*Upstream, size)
+	blocks := make([]uint64, 62)
+	for i := range blocks {
+		blocks[i] = uint64(i + 1)
+	}
+	for i := range upstreams {
+		upstreams[i] = engine(fmt.Sprintf("engine-%05d", i), prefixes)
+		upstreams[i].Tracker.Begin(epoch, 100*(i%7), 0)
+		if i%3 == 0 {
+			prefixes.Add(upstreams[i].Holder, blocks[:20+i%40]...)
+		}
+	}
+	request := &Request{Service: service, Blocks: blocks, PromptTokens: 4000, AnswerTokens: 200, Key: 7}
+	return fleetOf(prefixes, epoch, upstreams...), request
+}
+
+func TestDecisionDoesNotAllocate(t *testing.T) {
+	fleet, request := bigFleet(1000)
+	allocations := testing.AllocsPerRun(100, func() {
+		request.Seed++
+		if _, err := Pick(fleet, request, Weights{Latency: 1, Cost: 20}, epoch); err != nil {
+			t.Error(err)
+		}
+	})
+	require.Zero(t, allocations)
+}
+
+// decisionBound is the target for one decision at 1,000 candidates.
+const decisionBound = 10 * time.Microsecond
+
+func BenchmarkDecision(b *testing.B) {
+	for _, size := range []int{12, 100, 1000, 12000} {
+		b.Run(fmt.Sprintf("engines=%d", size), func(b *testing.B) {
+			fleet, request := bigFleet(size)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				request.Seed++
+				_, _ = Pick(fleet, request, Weights{Latency: 1, Cost: 20}, epoch)
+			}
+			b.ReportMetric(float64(decisionBound.Nanoseconds()), "bound-ns/op")
+		})
+	}
+}
--- /dev/null
+++ b/routing/score.go
@@ -0,0 +1,142 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/persimmonline/persimmonline/prompt"
+)
+
+const (
+	// batchSlowdown is how much each running request slows a decode step.
+	batchSlowdown = 0.02
+	// remoteSeconds is the wait that another data centre adds.
+	remoteSeconds = 0.001
+	// resumeSeconds is the pause of an answer that moves to another engine.
+	resumeSeconds = 1.0
+	// secondsPerHour turns reclaims per hour into reclaims per second.
+	secondsPerHour = 3600.0
+	// spreadSeconds is the preference of a prefix for one engine among equals.
+	spreadSeconds = 0.01
+	// overdueFactor is how many times its forecast an attempt may take before its
+	// upstream is taken for slow.
+	overdueFactor = 3
+)
+
+// Forecast is what an attempt at a candidate is expected to meet, in seconds.
+type Forecast struct {
+	// CachedTokens of the prompt.
+	CachedTokens int
+	// Queue is the wait before the prefill starts.
+	Queue float64
+	// Prefill of the tokens that are not cached.
+	Prefill float64
+	// Decode of the whole answer.
+	Decode float64
+	// Running requests beside this one.
+	Running float64
+}
+
+// Scorer prices one aspect of an attempt, in the deployment's unit.
+type Scorer struct {
+	// Name is one word.
+	Name string
+	// Price of the aspect; lower is better.
+	Price func(candidate *Upstream, request *Request, forecast Forecast, weights Weights) float64
+}
+
+// Scorers are the aspects that Pick adds up.
+var Scorers = []Scorer{
+	{Name: "queue", Price: priceQueue},
+	{Name: "prefix", Price: pricePrefix},
+	{Name: "decode", Price: priceDecode},
+	{Name: "reclaim", Price: priceReclaim},
+	{Name: "price", Price: priceHost},
+	{Name: "distance", Price: priceDistance},
+}
+
+func priceQueue(_ *Upstream, _ *Request, forecast Forecast, weights Weights) float64 {
+	return weights.Latency * forecast.Queue
+}
+
+func pricePrefix(candidate *Upstream, request *Request, forecast Forecast, weights Weights) float64 {
+	preference := float64(mix(request.Key, candidate.hash)>>32) / (1 << 32)
+	return weights.Latency * (forecast.Prefill + spreadSeconds*preference)
+}
+
+// priceDecode prices the time by which the answer takes longer than the fleet's
+// usual, and by which it slows those that run beside it.
+func priceDecode(candidate *Upstream, request *Request, forecast Forecast, weights Weights) float64 {
+	usual := float64(request.AnswerTokens) * candidate.state.fleetStep
+	return weights.Latency * (max(0, forecast.Decode-usual) + batchSlowdown*forecast.Running*usual)
+}
+
+// priceReclaim prices the chance that the host goes before the answer is whole: the
+// prompt is computed again and the answer pauses.
+func priceReclaim(candidate *Upstream, request *Request, forecast Forecast, weights Weights) float64 {
+	length := forecast.Queue + forecast.Prefill + forecast.Decode
+	chance := min(1, candidate.ReclaimsPerHour*length/secondsPerHour)
+	again := float64(request.PromptTokens) / candidate.state.rate
+	return chance * (weights.Latency*(again+resumeSeconds) + weights.Cost*candidate.PricePerSecond*again)
+}
+
+// priceHost prices the machine time: the prefill whole, the decode shared with the
+// requests in the same batch.
+func priceHost(candidate *Upstream, _ *Request, forecast Forecast, weights Weights) float64 {
+	share := forecast.Decode / (forecast.Running + 1)
+	return weights.Cost * candidate.PricePerSecond * (forecast.Prefill + share)
+}
+
+func priceDistance(candidate *Upstream, request *Request, _ Forecast, weights Weights) float64 {
+	if candidate.DataCentre == request.DataCentre {
+		return 0
+	}
+	return weights.Latency * remoteSeconds
+}
+
+// forecast predicts an attempt at a candidate from its last report, corrected by
+// what this node has there now.
+func (r *round) forecast(candidate *Upstream) Forecast {
+	state := &candidate.state
+	request := r.request
+	running := state.otherRunning + float64(candidate.Tracker.InFlight.Load())
+	queued := state.otherQueued + float64(candidate.Tracker.pending.Load())
+	forecast := Forecast{CachedTokens: r.cached(candidate), Running: min(running, state.slots-1)}
+	if uncached := request.PromptTokens - forecast.CachedTokens; uncached > 0 {
+		forecast.Prefill = float64(uncached) / state.rate
+	}
+	forecast.Decode = float64(request.AnswerTokens) * state.step
+	forecast.Queue = queued / state.rate
+	if excess := running + 1 - state.slots; excess > 0 {
+		hold := max(forecast.Decode, state.step)
+		forecast.Queue += excess * hold / state.slots
+	}
+	forecast.Queue = max(forecast.Queue, r.overdue(candidate, forecast.Queue))
+	return forecast
+}
+
+// overdue returns the age of the oldest attempt whose first token should have come
+// long ago, in seconds; 0 when none is late.
+func (r *round) overdue(candidate *Upstream, queue float64) float64 {
+	oldest := candidate.Tracker.oldest.Load()
+	if oldest == 0 {
+		return 0
+	}
+	age := time.Duration(r.now.UnixNano() - oldest).Seconds()
+	if age < overdueFactor*(queue+candidate.state.step) {
+		return 0
+	}
+	return age
+}
+
+// cached returns the prompt tokens that the candidate is expected to hold.
+func (r *round) cached(candidate *Upstream) int {
+	if candidate.Holder == 0 {
+		return 0
+	}
+	for _, held := range r.held[:r.holders] {
+		if held.Holder == candidate.Holder {
+			return min(held.Blocks*prompt.BlockTokens, r.request.PromptTokens)
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/routing/tracker.go
@@ -0,0 +1,162 @@
+package routing
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// historyStep is the resolution of a tracker's history.
+	historyStep = 100 * time.Millisecond
+	// historySteps bounds a tracker's history to the changes of this many steps.
+	historySteps = 256
+	// learnShare is the weight of a new observation in a moving average.
+	learnShare = 0.3
+	// leastLearnTokens is the shortest prefill that tells an engine's rate.
+	leastLearnTokens = 128
+)
+
+// Tracker counts what this node has under way at one upstream, keeps the counts of
+// the last seconds, and learns the upstream's speed from answers. Traffic goroutines
+// share it; a routing decision reads only its atomics.
+type Tracker struct {
+	// InFlight attempts.
+	InFlight atomic.Int64
+
+	// pending is the number of prompt tokens sent whose first answer token is due.
+	pending atomic.Int64
+	// oldest is when the oldest such attempt was sent, in Unix nanoseconds; 0 for none.
+	oldest atomic.Int64
+
+	mu      sync.Mutex
+	due     []*Attempt
+	history [historySteps]mark
+	rate    learned
+	step    learned
+}
+
+// mark is the count at the end of one step of the history.
+type mark struct {
+	step     int64
+	inFlight int64
+	pending  int64
+}
+
+// learned is a moving average and the time of its last observation.
+type learned struct {
+	value float64
+	at    time.Time
+}
+
+func (l *learned) observe(sample float64, now time.Time) {
+	if l.value == 0 {
+		l.value = sample
+	}
+	l.value += learnShare * (sample - l.value)
+	l.at = now
+}
+
+// Attempt is one request under way at an upstream.
+type Attempt struct {
+	tracker *Tracker
+	tokens  int64
+	ahead   int64
+	sentAt  time.Time
+	firstAt time.Time
+}
+
+// Begin records that a request was sent that needs tokens of prefill; others is the
+// prefill that other nodes have queued there.
+func (t *Tracker) Begin(now time.Time, tokens int, others float64) *Attempt {
+	a := &Attempt{tracker: t, tokens: int64(tokens), sentAt: now}
+	t.InFlight.Add(1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a.ahead = t.pending.Add(a.tokens) + int64(others)
+	t.due = append(t.due, a)
+	t.noteDue()
+	t.mark(now)
+	return a
+}
+
+// FirstToken records the first token of the answer.
+func (a *Attempt) FirstToken(now time.Time) {
+	if !a.firstAt.IsZero() {
+		return
+	}
+	a.firstAt = now
+	t := a.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.settle(a)
+	t.mark(now)
+	took := now.Sub(a.sentAt).Seconds() - t.step.value
+	if a.ahead >= leastLearnTokens && took > 0 {
+		t.rate.observe(float64(a.ahead)/took, now)
+	}
+}
+
+// End records that the attempt is over; answerTokens came.
+func (a *Attempt) End(now time.Time, answerTokens int) {
+	t := a.tracker
+	t.InFlight.Add(-1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if a.firstAt.IsZero() {
+		t.settle(a)
+	} else if answerTokens > 1 {
+		t.step.observe(now.Sub(a.firstAt).Seconds()/float64(answerTokens-1), now)
+	}
+	t.mark(now)
+}
+
+// settle takes an attempt out of those whose first token is due.
+func (t *Tracker) settle(a *Attempt) {
+	for i, known := range t.due {
+		if known != a {
+			continue
+		}
+		t.due = append(t.due[:i], t.due[i+1:]...)
+		t.pending.Add(-a.tokens)
+		break
+	}
+	t.noteDue()
+}
+
+func (t *Tracker) noteDue() {
+	if len(t.due) == 0 {
+		t.oldest.Store(0)
+		return
+	}
+	t.oldest.Store(t.due[0].sentAt.UnixNano())
+}
+
+// mark keeps the counts of now in the history.
+func (t *Tracker) mark(now time.Time) {
+	step := now.UnixNano() / int64(historyStep)
+	t.history[step%historySteps] = mark{step: step, inFlight: t.InFlight.Load(), pending: t.pending.Load()}
+}
+
+// at returns the counts at a time in the past; zero before the history begins.
+func (t *Tracker) at(when time.Time) (inFlight, pending int64) {
+	step := when.UnixNano() / int64(historyStep)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	best := mark{step: math.MinInt64}
+	for _, known := range t.history {
+		if known.step <= step && known.step > best.step {
+			best = known
+		}
+	}
+	return best.inFlight, best.pending
+}
+
+// speeds returns the learned prefill rate in tokens per second and decode step in
+// seconds, with when they were learned.
+func (t *Tracker) speeds() (rate, step learned) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rate, t.step
+}
--- /dev/null
+++ b/upstream/cache.go
@@ -0,0 +1,33 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/persimmonline/persimmonline/api"
+)
+
+// CacheEvents asks an engine for its cache events from a sequence number on.
+func (c *Conn) CacheEvents(ctx context.Context, from int64) (api.CacheEvents, error) {
+	const step = "read cache events"
+	var events api.CacheEvents
+	url := "http://" + c.address + "/engine/v1/cache-events?from=" + strconv.FormatInt(from, 10)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return events, &Error{Step: step, Peer: c.address, Err: err}
+	}
+	response, err := c.Do(step, request)
+	if err != nil {
+		return events, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return events, c.errorAnswer(step, response)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(response.Body).Decode(&events); err != nil {
+		return events, &Error{Step: step, Peer: c.address, Err: err}
+	}
+	return events, nil
+}
