Measure what a node adds to a direct call

Cause: the added latency, requests a second and memory of open streams were unknown. Change: bench/overhead compares direct calls, a bare net/http pass-through and the node in one run, with the targets beside the figures; go-zero's log calls are cut off at their source when they would be dropped anyway.

--- /dev/null
+++ b/bench/overhead/overhead_test.go
@@ -0,0 +1,237 @@
+package overhead
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/config"
+	"github.com/persimmonline/persimmonline/demo"
+	"github.com/persimmonline/persimmonline/standin"
+	"github.com/persimmonline/persimmonline/telemetry"
+)
+
+// Targets of the stated aims.
+const (
+	// targetAddedP50 is the most that a node may add to a direct call, at the median.
+	targetAddedP50 = 300 * time.Microsecond
+	// targetStreams must be open at once.
+	targetStreams = 2000
+	// targetStreamsBytes is the memory that they may take.
+	targetStreamsBytes = 256 << 20
+)
+
+const callerKey = "bench-key"
+
+func TestMain(m *testing.M) {
+	telemetry.BridgeLogx(zerolog.Nop())
+	os.Exit(m.Run())
+}
+
+// rig is one node before one instant engine and one plain service.
+type rig struct {
+	engine  *instantEngine
+	direct  string
+	through string
+	node    string
+	cluster *demo.Cluster
+}
+
+func newRig(b testing.TB) *rig {
+	b.Helper()
+	engine := &instantEngine{hold: make(chan struct{})}
+	server, err := standin.Serve("127.0.0.1:0", engine.handler())
+	require.NoError(b, err)
+	bare, err := standin.Serve("127.0.0.1:0", passThrough(server.Address()))
+	require.NoError(b, err)
+	cluster, err := demo.Start(b.Context(), demo.Options{
+		Deployment: deployment(b),
+		Logger:     zerolog.Nop(),
+		Prepare: func(d *standin.Deployment) {
+			d.Cloud.Add(api.Host{
+				ID: "engine", Incarnation: "1", Role: api.HostRoleEngine, Address: server.Address(),
+				DataCentre: "dc", Region: "r", MachineClass: "m", State: api.HostStateLive,
+			}, server.Close)
+		},
+		Adjust: func(s *api.Settings) { s.ReadinessGrace = time.Millisecond },
+	})
+	require.NoError(b, err)
+	b.Cleanup(func() {
+		_ = cluster.Stop(context.Background())
+		bare.Close()
+	})
+	return &rig{
+		engine:  engine,
+		direct:  server.URL(),
+		through: bare.URL(),
+		node:    cluster.Announce().Callers[0],
+		cluster: cluster,
+	}
+}
+
+func deployment(b testing.TB) api.Deployment {
+	b.Helper()
+	raw, err := json.Marshal(api.Configuration{
+		Deployment: "bench",
+		Workspaces: map[string]api.Workspace{"w": {KeyHashes: []string{config.HashKey(callerKey)}, Weight: 1}},
+		Services:   map[string]api.Service{modelName: {Kind: api.ServiceKindModel, Operations: []api.Operation{}}},
+		Routes:     map[string]api.Route{"r": {Workspace: "w", Service: modelName}},
+		MachineClasses: map[string]api.MachineClass{
+			"m": {PricePerHour: 1},
+		},
+		Operators: map[string]api.Operator{"o": {KeyHashes: []string{config.HashKey("operator")}}},
+		Policy:    api.Policy{LatencyWeight: 1, CostWeight: 1, RetryRatio: 0.1},
+	})
+	require.NoError(b, err)
+	return api.Deployment{
+		DataCentres: []string{"dc"}, Region: "r",
+		Nodes:         []api.DeploymentNode{{ID: "node-1", DataCentre: "dc"}},
+		PeerKey:       "bench-peer-secret",
+		Configuration: raw,
+	}
+}
+
+// call makes one streamed chat call and returns the time to its first byte.
+func call(client *http.Client, base string, index int) (time.Duration, error) {
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":[{"role":"user","content":"prompt %d"}]}`, modelName, index)
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, base+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set("Authorization", "Bearer "+callerKey)
+	started := time.Now()
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("status %d", response.StatusCode)
+	}
+	var first [1]byte
+	if _, err := io.ReadFull(response.Body, first[:]); err != nil {
+		return 0, err
+	}
+	took := time.Since(started)
+	_, err = io.Copy(io.Discard, response.Body)
+	return took, err
+}
+
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096}}
+}
+
+// BenchmarkFirstToken gives the time to the first byte, one call at a time,
+// interleaved over the three ways so that the machine treats them alike.
+func BenchmarkFirstToken(b *testing.B) {
+	r := newRig(b)
+	ways := []struct{ name, base string }{{"direct", r.direct}, {"through", r.through}, {"node", r.node}}
+	client := newClient()
+	histograms := make([]*hdrhistogram.Histogram, len(ways))
+	for i := range histograms {
+		histograms[i] = hdrhistogram.New(1, int64(10*time.Second), 3)
+	}
+	index := 0
+	for b.Loop() {
+		for i, way := range ways {
+			index++
+			took, err := call(client, way.base, index)
+			require.NoError(b, err)
+			_ = histograms[i].RecordValue(int64(took))
+		}
+	}
+	for i, way := range ways {
+		b.ReportMetric(float64(histograms[i].ValueAtQuantile(50))/1e3, way.name+"-p50-µs")
+		b.ReportMetric(float64(histograms[i].ValueAtQuantile(99))/1e3, way.name+"-p99-µs")
+	}
+	added := time.Duration(histograms[2].ValueAtQuantile(50) - histograms[0].ValueAtQuantile(50))
+	b.ReportMetric(float64(added)/1e3, "added-p50-µs")
+	b.ReportMetric(float64(targetAddedP50)/1e3, "bound-added-p50-µs")
+	ratio := float64(histograms[2].ValueAtQuantile(50)) / float64(histograms[1].ValueAtQuantile(50))
+	b.ReportMetric(ratio, "node/through-p50")
+	if b.N > 100 && added > targetAddedP50 {
+		b.Errorf("the node adds %v at the median to a direct call of %dns, the pass-through %dns; target %v",
+			added, histograms[0].ValueAtQuantile(50), histograms[1].ValueAtQuantile(50)-histograms[0].ValueAtQuantile(50), targetAddedP50)
+	}
+}
+
+// BenchmarkRequests gives requests a second with many callers.
+func BenchmarkRequests(b *testing.B) {
+	r := newRig(b)
+	for _, way := range []struct{ name, base string }{{"through", r.through}, {"node", r.node}} {
+		b.Run(way.name, func(b *testing.B) {
+			client := newClient()
+			b.SetParallelism(8)
+			b.RunParallel(func(pb *testing.PB) {
+				for i := 0; pb.Next(); i++ {
+					if _, err := call(client, way.base, i); err != nil {
+						b.Error(err)
+						return
+					}
+				}
+			})
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+		})
+	}
+}
+
+// BenchmarkOpenStreams holds streams open after their first token. The memory that
+// callers and engine take is measured without the node and subtracted.
+func BenchmarkOpenStreams(b *testing.B) {
+	r := newRig(b)
+	var used int64
+	for b.Loop() {
+		base := holdStreams(r, r.direct)
+		whole := holdStreams(r, r.node)
+		used = int64(whole) - int64(base)
+	}
+	b.ReportMetric(float64(used)/targetStreams, "B/stream")
+	b.ReportMetric(float64(used)/(1<<20), "MB")
+	b.ReportMetric(float64(targetStreamsBytes)/(1<<20), "bound-MB")
+	if used > targetStreamsBytes {
+		b.Errorf("%d streams take %d bytes, target %d", targetStreams, used, targetStreamsBytes)
+	}
+}
+
+// holdStreams returns the memory that open streams take, in bytes.
+func holdStreams(r *rig, base string) uint64 {
+	client := newClient()
+	defer client.CloseIdleConnections()
+	r.engine.hold = make(chan struct{})
+	r.engine.holding.Store(true)
+	r.engine.open.Store(0)
+	before := heapInUse()
+	var group sync.WaitGroup
+	for i := range targetStreams {
+		group.Go(func() { _, _ = call(client, base, i) })
+	}
+	for r.engine.open.Load() < targetStreams {
+		time.Sleep(10 * time.Millisecond)
+	}
+	used := heapInUse() - before
+	r.engine.holding.Store(false)
+	close(r.engine.hold)
+	group.Wait()
+	return used
+}
+
+// heapInUse is heap and stacks after a collection.
+func heapInUse() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapInuse + stats.StackInuse
+}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -40,6 +40,8 @@
 	Port int
 	// Adjust changes the settings of each node before it starts; nil changes nothing.
 	Adjust func(*api.Settings)
+	// Prepare is called with the stand-ins before any node starts; nil does nothing.
+	Prepare func(*standin.Deployment)
 	// Logger of the nodes.
 	Logger zerolog.Logger
 }
@@ -61,6 +63,9 @@
 		return nil, err
 	}
 	c := &Cluster{Standins: standins, options: options}
+	if options.Prepare != nil {
+		options.Prepare(standins)
+	}
 	if err := Bootstrap(ctx, standins.LogURL(), options.Deployment.Configuration); err != nil {
 		c.Kill()
 		return nil, err
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -27,6 +27,9 @@
 	// go-zero sets its writer up once, with the first server; that must come first.
 	_ = logx.SetUp(logx.LogConf{Mode: "console", Encoding: "json", Level: "info"})
 	logx.DisableStat()
+	if logger.GetLevel() > zerolog.DebugLevel {
+		logx.SetLevel(logx.ErrorLevel)
+	}
 	logx.SetWriter(logxWriter{logger: logger.With().Str("component", "go-zero").Logger()})
 }
 
