Leases in the log, and Held for control duties

Change: lease/ folds the stream leases; a claim is granted by the log alone (void if a record of its duty lies between what its writer read and itself), clocks only bound when to claim and how long to act. control.Duties follows the stream and answers Held(duty). Conclusion: duties can be wired to Held now.

--- a/api/records_gen.go
+++ b/api/records_gen.go
@@ -74,10 +74,14 @@
 	Version int64 `json:"version"`
 }
 
-// LeaseRecord claims or renews a control duty; the record's offset is the fencing
-// number.
+// LeaseRecord claims, renews or releases a control duty; the offset of the granted
+// claim is the fencing number.
 type LeaseRecord struct {
-	// Fence is the fencing number that a renewal extends; 0 claims anew.
+	// Attempt is unique to one append, so that its writer finds it after a lost
+	// answer.
+	Attempt string `json:"attempt"`
+
+	// Fence is the fencing number that a renewal or release is for; -1 claims anew.
 	Fence int64 `json:"fence"`
 
 	// Holder is the node id.
@@ -89,11 +93,15 @@
 	// Name of the duty.
 	Name string `json:"name"`
 
+	// Previous is the offset through which the writer had read the stream, -1 for
+	// none; a claim is void if a record of its duty lies between.
+	Previous int64 `json:"previous"`
+
 	// Release gives the lease up.
 	Release bool `json:"release,omitempty,omitzero"`
 
 	// TTLMS is the life of the lease from the time it is read, in milliseconds.
-	TtlMS int64 `json:"ttl_ms"`
+	TTLMS int64 `json:"ttl_ms"`
 }
 
 // Outcome is the answer of a claimed call, or the fact that it is unknown.
--- /dev/null
+++ b/control/duties_test.go
@@ -0,0 +1,55 @@
+package control_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonline/persimmonline/control"
+	"github.com/persimmonline/persimmonline/platform"
+	"github.com/persimmonline/persimmonline/standin"
+)
+
+const generous = 20 * time.Second
+
+func TestDutyMovesToAnotherNodeWhenItsHolderStops(t *testing.T) {
+	log := standin.NewLog()
+	server, err := standin.Serve("127.0.0.1:0", log.Handler())
+	require.NoError(t, err)
+	defer server.Close()
+	log.LoseAnswers(1)
+	client := platform.NewLogClient(server.URL())
+	defer client.Close()
+	first := control.NewDuties(client, "node-1", "a", zerolog.Nop(), control.DutyPlanner)
+	stopFirst := run(t, first)
+	require.Eventually(t, func() bool { return held(first) }, generous, 10*time.Millisecond)
+	second := control.NewDuties(client, "node-2", "b", zerolog.Nop(), control.DutyPlanner)
+	run(t, second)
+	stopFirst()
+	require.False(t, held(first))
+	require.Eventually(t, func() bool { return held(second) }, generous, 10*time.Millisecond)
+}
+
+func held(d *control.Duties) bool {
+	_, ok := d.Held(control.DutyPlanner)
+	return ok
+}
+
+func run(t *testing.T, d *control.Duties) func() {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.Run(ctx)
+	}()
+	stop := func() {
+		cancel()
+		<-done
+	}
+	t.Cleanup(stop)
+	return stop
+}
--- /dev/null
+++ b/lease/holder.go
@@ -0,0 +1,196 @@
+package lease
+
+import (
+	"slices"
+	"time"
+
+	"github.com/persimmonline/persimmonline/api"
+)
+
+// Timing of a holder. All are durations by the holder's own clock.
+type Timing struct {
+	// Life of a lease from when it is read.
+	Life time.Duration
+	// Margin is how long before the lease can have lapsed for others the holder stops.
+	Margin time.Duration
+	// Renew is the time between two renewals.
+	Renew time.Duration
+	// Spread is the longest wait before a free duty is claimed.
+	Spread time.Duration
+}
+
+// DefaultTiming costs 0.2 appends a second a duty.
+func DefaultTiming() Timing {
+	return Timing{
+		Life:   15 * time.Second,
+		Margin: 3 * time.Second,
+		Renew:  5 * time.Second,
+		Spread: 2 * time.Second,
+	}
+}
+
+// Grant is the right to act on a duty.
+type Grant struct {
+	// Fence is the fencing number.
+	Fence int64
+	// Until is when the holder stops acting, by its own clock.
+	Until time.Time
+}
+
+// attempt is an append whose record was not read back yet.
+type attempt struct {
+	id        string
+	startedAt time.Time
+}
+
+// duty is a duty that the holder wants.
+type duty struct {
+	pending []attempt
+	grant   Grant
+	held    bool
+	// notBefore delays the claim of a free duty; zero when none is planned.
+	notBefore time.Time
+	renewAt   time.Time
+}
+
+// Holder decides what one node appends to hold its duties, and how long it may act.
+// One goroutine owns it.
+type Holder struct {
+	node, incarnation string
+	timing            Timing
+	table             *Table
+	duties            map[string]*duty
+	names             []string
+	stopped           bool
+}
+
+// NewHolder returns a holder of no duty that wants the named ones.
+func NewHolder(node, incarnation string, timing Timing, names ...string) *Holder {
+	h := &Holder{
+		node: node, incarnation: incarnation, timing: timing,
+		table: NewTable(), duties: map[string]*duty{}, names: slices.Sorted(slices.Values(names)),
+	}
+	for _, name := range h.names {
+		h.duties[name] = &duty{}
+	}
+	return h
+}
+
+// Table returns the leases that the holder has read.
+func (h *Holder) Table() *Table { return h.table }
+
+// Read folds one record. A record of this holder counts from before its append, so
+// its right ends before any reader may claim the duty.
+func (h *Holder) Read(offset int64, record api.LeaseRecord, readAt time.Time) {
+	granted := h.table.Apply(offset, record, readAt)
+	d, wanted := h.duties[record.Name]
+	if !wanted {
+		return
+	}
+	lease := h.table.Lease(record.Name)
+	if d.held && (lease.Fence != d.grant.Fence || lease.Holder == "") {
+		d.held = false
+	}
+	started, own := d.take(record.Attempt)
+	if !own || !granted || record.Release || h.stopped {
+		return
+	}
+	until := started.Add(h.timing.Life - h.timing.Margin)
+	if !d.held || until.After(d.grant.Until) {
+		d.grant = Grant{Fence: lease.Fence, Until: until}
+	}
+	d.held = true
+	d.renewAt = started.Add(h.timing.Renew)
+}
+
+// take removes a pending append and returns when it began.
+func (d *duty) take(id string) (time.Time, bool) {
+	for i, pending := range d.pending {
+		if pending.id == id {
+			d.pending = slices.Delete(d.pending, i, i+1)
+			return pending.startedAt, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// Plan returns the records to append now. newID names an append, spread returns a
+// random wait below a bound.
+func (h *Holder) Plan(now time.Time, newID func() string, spread func(time.Duration) time.Duration) []api.LeaseRecord {
+	if h.stopped {
+		return nil
+	}
+	var records []api.LeaseRecord
+	for _, name := range h.names {
+		d := h.duties[name]
+		d.forget(now.Add(-h.timing.Life))
+		fence, due := h.due(name, d, now, spread)
+		if !due {
+			continue
+		}
+		records = append(records, h.record(name, fence, newID(), false))
+		d.pending = append(d.pending, attempt{id: records[len(records)-1].Attempt, startedAt: now})
+		d.renewAt = now.Add(h.timing.Renew)
+		d.notBefore = time.Time{}
+	}
+	return records
+}
+
+// due says whether a claim or a renewal of a duty is to be appended now.
+func (h *Holder) due(name string, d *duty, now time.Time, spread func(time.Duration) time.Duration) (int64, bool) {
+	if d.held && now.Before(d.grant.Until) {
+		return d.grant.Fence, !now.Before(d.renewAt)
+	}
+	d.held = false
+	if len(d.pending) > 0 || !h.table.Free(name, now) {
+		d.notBefore = time.Time{}
+		return None, false
+	}
+	if d.notBefore.IsZero() {
+		d.notBefore = now.Add(spread(h.timing.Spread))
+	}
+	return None, !now.Before(d.notBefore)
+}
+
+// forget drops appends that began before a time; if they come yet, they give no right.
+func (d *duty) forget(before time.Time) {
+	d.pending = slices.DeleteFunc(d.pending, func(a attempt) bool { return a.startedAt.Before(before) })
+}
+
+// Held returns the grants in force at now, by duty.
+func (h *Holder) Held(now time.Time) map[string]Grant {
+	held := map[string]Grant{}
+	for name, d := range h.duties {
+		if d.held && now.Before(d.grant.Until) {
+			held[name] = d.grant
+		}
+	}
+	return held
+}
+
+// Stop ends all rights at once and returns the records that release them.
+func (h *Holder) Stop(now time.Time, newID func() string) []api.LeaseRecord {
+	var records []api.LeaseRecord
+	for _, name := range h.names {
+		d := h.duties[name]
+		if d.held && now.Before(d.grant.Until) {
+			records = append(records, h.record(name, d.grant.Fence, newID(), true))
+		}
+		d.held = false
+	}
+	h.stopped = true
+	return records
+}
+
+func (h *Holder) record(name string, fence int64, id string, release bool) api.LeaseRecord {
+	return api.LeaseRecord{
+		Name:        name,
+		Holder:      h.node,
+		Incarnation: h.incarnation,
+		Attempt:     id,
+		TTLMS:       h.timing.Life.Milliseconds(),
+		Fence:       fence,
+		Previous:    h.table.Through(),
+		Release:     release,
+	}
+}
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,174 @@
+package lease_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/lease"
+)
+
+const duty = "planner"
+
+// world is a log, its readers' clocks and the holders on it.
+type world struct {
+	now     time.Time
+	log     []api.LeaseRecord
+	holders []*lease.Holder
+	read    []int
+	ids     int
+}
+
+func newWorld(nodes int) *world {
+	w := &world{now: time.Unix(1000, 0), read: make([]int, nodes)}
+	for i := range nodes {
+		w.holders = append(w.holders, lease.NewHolder("node-"+strconv.Itoa(i), "1", lease.DefaultTiming(), duty))
+	}
+	return w
+}
+
+func (w *world) id() string {
+	w.ids++
+	return strconv.Itoa(w.ids)
+}
+
+func noWait(time.Duration) time.Duration { return 0 }
+
+// plan returns what a node would append; the caller decides when it lands.
+func (w *world) plan(node int) []api.LeaseRecord {
+	return w.holders[node].Plan(w.now, w.id, noWait)
+}
+
+func (w *world) land(records []api.LeaseRecord) { w.log = append(w.log, records...) }
+
+func (w *world) readAll(node int) {
+	for ; w.read[node] < len(w.log); w.read[node]++ {
+		w.holders[node].Read(int64(w.read[node]), w.log[w.read[node]], w.now)
+	}
+}
+
+func (w *world) holding(node int) (int64, bool) {
+	grant, ok := w.holders[node].Held(w.now)[duty]
+	return grant.Fence, ok
+}
+
+func (w *world) step(node int) {
+	w.readAll(node)
+	w.land(w.plan(node))
+	w.readAll(node)
+}
+
+func TestFirstClaimWinsAndOthersWait(t *testing.T) {
+	w := newWorld(2)
+	first, second := w.plan(0), w.plan(1)
+	w.land(first)
+	w.land(second)
+	w.readAll(0)
+	w.readAll(1)
+	fence, held := w.holding(0)
+	require.True(t, held)
+	require.Zero(t, fence)
+	_, held = w.holding(1)
+	require.False(t, held)
+}
+
+func TestRenewalsKeepTheFence(t *testing.T) {
+	w := newWorld(2)
+	for range 40 {
+		w.step(0)
+		w.step(1)
+		w.now = w.now.Add(time.Second)
+	}
+	fence, held := w.holding(0)
+	require.True(t, held)
+	require.Zero(t, fence)
+	require.Less(t, len(w.log), 10, "renewals cost few appends")
+}
+
+func TestHolderStopsWithoutTheLogBeforeAnotherCanClaim(t *testing.T) {
+	w := newWorld(2)
+	w.step(0)
+	w.readAll(1)
+	for range 60 {
+		w.plan(0) // Renewals are lost: the log is down for the holder.
+		w.step(1)
+		_, first := w.holding(0)
+		_, second := w.holding(1)
+		require.False(t, first && second)
+		w.now = w.now.Add(500 * time.Millisecond)
+	}
+	fence, held := w.holding(1)
+	require.True(t, held)
+	require.Positive(t, fence)
+}
+
+func TestReleaseFreesAtOnce(t *testing.T) {
+	w := newWorld(2)
+	w.step(0)
+	w.land(w.holders[0].Stop(w.now, w.id))
+	_, held := w.holding(0)
+	require.False(t, held)
+	w.step(1)
+	_, held = w.holding(1)
+	require.True(t, held)
+}
+
+func TestLateClaimOfPausedWriterGivesNoRight(t *testing.T) {
+	w := newWorld(2)
+	late := w.plan(0)
+	w.now = w.now.Add(time.Minute)
+	w.land(late)
+	w.readAll(0)
+	_, held := w.holding(0)
+	require.False(t, held)
+}
+
+func TestReaderThatMissedRecordsWaitsALife(t *testing.T) {
+	w := newWorld(1)
+	w.holders[0].Table().Missed(50, w.now, lease.DefaultTiming().Life)
+	require.Empty(t, w.plan(0))
+	w.now = w.now.Add(lease.DefaultTiming().Life)
+	require.Len(t, w.plan(0), 1)
+}
+
+// TestNoTwoHoldersAct walks at random over appends that land late or never, reads
+// that lag, pauses and restarts.
+func TestNoTwoHoldersAct(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const nodes = 3
+		w := newWorld(nodes)
+		var flying []api.LeaseRecord
+		for range rapid.IntRange(20, 150).Draw(t, "steps") {
+			node := rapid.IntRange(0, nodes-1).Draw(t, "node")
+			switch rapid.IntRange(0, 4).Draw(t, "action") {
+			case 0:
+				flying = append(flying, w.plan(node)...)
+			case 1:
+				w.readAll(node)
+			case 2:
+				w.now = w.now.Add(time.Duration(rapid.IntRange(100, 6000).Draw(t, "ms")) * time.Millisecond)
+			case 3:
+				if len(flying) > 0 {
+					i := rapid.IntRange(0, len(flying)-1).Draw(t, "flying")
+					w.land(flying[i : i+1])
+					flying = append(flying[:i:i], flying[i+1:]...)
+				}
+			case 4:
+				w.step(node)
+			}
+			holders := 0
+			for i := range nodes {
+				if _, ok := w.holding(i); ok {
+					holders++
+				}
+			}
+			if holders > 1 {
+				t.Fatalf("%d nodes act on one lease", holders)
+			}
+		}
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -39,6 +39,7 @@
 	pool    *upstream.Pool
 	peers   *peer.Client
 	gateway *gateway.Gateway
+	duties  *control.Duties
 
 	callerServer *httpserver.Server
 	adminServer  *httpserver.Server
@@ -75,6 +76,7 @@
 		ConfigPoll: settings.ConfigPoll,
 		HostsPoll:  settings.HostsPoll,
 	}
+	n.duties = n.newDuties()
 	n.gateway = gateway.New(gateway.Options{
 		Settings:    settings,
 		Incarnation: n.incarnation,
@@ -122,6 +124,7 @@
 	n.background.Go(func() { n.control.Run(ctx) })
 	n.background.Go(func() { n.feeds.Run(ctx) })
 	n.background.Go(func() { n.sendHeartbeats(ctx) })
+	n.background.Go(func() { n.duties.Run(ctx) })
 	n.logger.Info().Str("callers", n.callerServer.Address()).Str("admin", n.adminServer.Address()).
 		Str("peers", n.peerServer.Address()).Msg("node started")
 	return nil
