Operators' command line and the reads of the administration API

Cause: operators could only call the administration API by hand, it had no reads of workspaces, services, routes and upstreams, it showed whole key hashes, and a silent node was left out of what 'in force everywhere' means.

Change: package operator (typed client, publish, bootstrap, output) under thin kong commands; reads in admin/resources.go with shortened key hashes; a patch request with an unknown field is refused by its name; a repeated id is answered with its first verdict without another record; a silent node of the host list is reported and counts as waiting until the list drops it.

Conclusion: the verdict is that of the log; exit codes are 0 accepted, 3 stale, 4 invalid, 5 unknown, 6 not in force everywhere in time.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -51,6 +50,14 @@
 		{Method: http.MethodGet, Path: "/metrics", Handler: a.Metrics.Handler().ServeHTTP},
 		{Method: http.MethodGet, Path: "/admin/v1/status", Handler: a.authenticated(a.status)},
 		{Method: http.MethodGet, Path: "/admin/v1/config", Handler: a.authenticated(a.configuration)},
+		{Method: http.MethodGet, Path: "/admin/v1/workspaces", Handler: a.authenticated(a.listWorkspaces)},
+		{Method: http.MethodGet, Path: "/admin/v1/workspaces/{name}", Handler: a.authenticated(a.getWorkspace)},
+		{Method: http.MethodGet, Path: "/admin/v1/services", Handler: a.authenticated(a.listServices)},
+		{Method: http.MethodGet, Path: "/admin/v1/services/{name}", Handler: a.authenticated(a.getService)},
+		{Method: http.MethodGet, Path: "/admin/v1/routes", Handler: a.authenticated(a.listRoutes)},
+		{Method: http.MethodGet, Path: "/admin/v1/routes/{name}", Handler: a.authenticated(a.getRoute)},
+		{Method: http.MethodGet, Path: "/admin/v1/upstreams", Handler: a.authenticated(a.listUpstreams)},
+		{Method: http.MethodGet, Path: "/admin/v1/upstreams/{name}", Handler: a.authenticated(a.getUpstream)},
 		{Method: http.MethodPost, Path: "/admin/v1/patches", Handler: a.authenticated(a.publish)},
 		{Method: http.MethodGet, Path: "/admin/v1/patches", Handler: a.authenticated(a.listPatches)},
 		{Method: http.MethodGet, Path: "/admin/v1/patches/{id}", Handler: a.authenticated(a.getPatch)},
@@ -88,74 +95,6 @@
 	}
 }
 
-func (a *API) status(w http.ResponseWriter, _ *http.Request, _ string) {
-	snapshot := a.Control.Snapshot()
-	own := nodeStatus(a.Own())
-	report := api.StatusReport{
-		Node:      own,
-		Nodes:     []api.NodeStatus{own},
-		Upstreams: upstreams(snapshot),
-		Refusals:  a.Refusals(),
-	}
-	for _, known := range snapshot.Peers {
-		status := nodeStatus(known.Heartbeat)
-		if time.Since(known.HeardAt) > peerSilentAfter {
-			status.State = "silent"
-		}
-		report.Nodes = append(report.Nodes, status)
-	}
-	slices.SortFunc(report.Nodes, func(x, y api.NodeStatus) int { return strings.Compare(x.NodeID, y.NodeID) })
-	writeJSON(w, http.StatusOK, report)
-}
-
-func nodeStatus(heartbeat api.Heartbeat) api.NodeStatus {
-	return api.NodeStatus{
-		NodeID:        heartbeat.NodeID,
-		Incarnation:   heartbeat.Incarnation,
-		DataCentre:    heartbeat.DataCentre,
-		State:         string(heartbeat.State),
-		ConfigVersion: heartbeat.ConfigVersion,
-		ConfigAgeMS:   heartbeat.ConfigAgeMS,
-		InFlight:      heartbeat.InFlight,
-	}
-}
-
-func upstreams(snapshot *control.Snapshot) []api.UpstreamStatus {
-	inFlight := map[string]int{}
-	services := map[string][]string{}
-	for service, list := range snapshot.Fleet.ByService {
-		for _, upstream := range list {
-			inFlight[upstream.ID] = int(upstream.Tracker.InFlight.Load())
-			services[upstream.ID] = append(services[upstream.ID], service)
-		}
-	}
-	list := make([]api.UpstreamStatus, 0, len(snapshot.Members.Upstreams))
-	for _, member := range snapshot.Members.Upstreams {
-		slices.Sort(services[member.ID])
-		list = append(list, api.UpstreamStatus{
-			HostID:       member.ID,
-			Role:         string(member.Role),
-			Service:      strings.Join(services[member.ID], ","),
-			Address:      member.Address,
-			DataCentre:   member.DataCentre,
-			MachineClass: member.MachineClass,
-			State:        string(member.Health),
-			InFlight:     inFlight[member.ID],
-		})
-	}
-	return list
-}
-
-func (a *API) configuration(w http.ResponseWriter, _ *http.Request, _ string) {
-	snapshot := a.Control.Snapshot()
-	stored, err := snapshot.Config.Snapshot()
-	if err != nil {
-		refusal.From(err).Write(w, "")
-		return
-	}
-	writeJSON(w, http.StatusOK, stored)
-}
-
 func writeJSON(w http.ResponseWriter, status int, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/admin/patches.go
+++ b/admin/patches.go
@@ -4,7 +4,11 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
+	"net/url"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/persimmonline/persimmonline/api"
@@ -23,20 +27,28 @@
 	maxPatchBytes = 4 << 20
 	// verdictUnknown is what is said while the log has not shown a patch.
 	verdictUnknown = "unknown"
+	// unknownFieldPrefix starts encoding/json's error on a field that a type does not have.
+	unknownFieldPrefix = "json: unknown field "
+	// maxPatchID bounds the id of a patch, in bytes.
+	maxPatchID = 128
 )
 
 // publish appends a patch to the log and answers with its verdict. The query
 // wait=1 waits until it is in force everywhere.
 func (a *API) publish(w http.ResponseWriter, r *http.Request, operator string) {
-	var request api.PatchRequest
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxPatchBytes)).Decode(&request); err != nil {
-		refusal.New(http.StatusBadRequest, refusal.CodeInvalidJSON, "the body can't be read: %v", err).Write(w, "")
+	request, refused := readPatchRequest(http.MaxBytesReader(w, r.Body, maxPatchBytes))
+	if refused != nil {
+		refused.Write(w, "")
 		return
 	}
 	if refused := checkPatch(request); refused != nil {
 		refused.Write(w, "")
 		return
 	}
+	if _, known := a.Control.Snapshot().Config.Verdict(request.ID); known {
+		a.answer(w, r, request.ID)
+		return
+	}
 	if err := a.append(r.Context(), request, operator); err != nil {
 		refused := refusal.New(http.StatusServiceUnavailable, refusal.CodeLogUnavailable,
 			"the patch is not in the log; publish it again with the same id").At("append patch", "log", err)
@@ -49,10 +61,37 @@
 	a.answer(w, r, request.ID)
 }
 
+// readPatchRequest refuses fields that the request does not have, so that a typing
+// error is not taken for an absent field.
+func readPatchRequest(body io.Reader) (api.PatchRequest, *refusal.Refusal) {
+	var request api.PatchRequest
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(&request)
+	var tooLarge *http.MaxBytesError
+	var wrongType *json.UnmarshalTypeError
+	switch {
+	case err == nil:
+		return request, nil
+	case errors.As(err, &tooLarge):
+		return request, refusal.New(http.StatusRequestEntityTooLarge, refusal.CodeBodyTooLarge,
+			"the body is larger than %d bytes", tooLarge.Limit)
+	case errors.As(err, &wrongType):
+		return request, refusal.Field(wrongType.Field, "%s must not be a %s", wrongType.Field, wrongType.Value)
+	}
+	if name, unknown := strings.CutPrefix(err.Error(), unknownFieldPrefix); unknown {
+		name = strings.Trim(name, `"`)
+		return request, refusal.Field(name, "%s is not a field of a patch request", name)
+	}
+	return request, refusal.New(http.StatusBadRequest, refusal.CodeInvalidJSON, "the body can't be read: %v", err)
+}
+
 func checkPatch(request api.PatchRequest) *refusal.Refusal {
 	switch {
 	case request.ID == "":
 		return refusal.Field("id", "id is missing")
+	case len(request.ID) > maxPatchID:
+		return refusal.Field("id", "id has more than %d bytes", maxPatchID)
 	case request.Format != string(api.ConfigPatchFormatMerge) && request.Format != string(api.ConfigPatchFormatJSON):
 		return refusal.Field("format", "format %q is not merge or json", request.Format)
 	case len(request.Patch) == 0:
@@ -119,22 +158,27 @@
 	snapshot := a.Control.Snapshot()
 	verdict, ok := snapshot.Config.Verdict(id)
 	if !ok {
-		return api.PatchResult{ID: id, Verdict: verdictUnknown, Offset: -1, Version: snapshot.Config.Version}
+		return api.PatchResult{
+			ID: id, Verdict: verdictUnknown, Offset: -1, Version: snapshot.Config.Version,
+			Reason:   "the log has not shown this patch to this node; ask again, or publish it again with the same id",
+			AskAgain: "/admin/v1/patches/" + url.PathEscape(id),
+		}
 	}
+	return a.resultOf(snapshot, verdict)
+}
+
+func (a *API) resultOf(snapshot *control.Snapshot, verdict api.PatchVerdict) api.PatchResult {
 	result := api.PatchResult{
-		ID:      id,
+		ID:      verdict.ID,
 		Verdict: string(verdict.Verdict),
 		Offset:  verdict.Offset,
 		Version: verdict.Version,
 		Reason:  verdict.Reason,
 	}
-	for _, known := range snapshot.Peers {
-		silent := time.Since(known.HeardAt) > peerSilentAfter
-		if !silent && known.ConfigOffset <= verdict.Offset {
-			result.WaitingFor = append(result.WaitingFor, known.NodeID)
-		}
-	}
-	result.InForce = verdict.Verdict == api.PatchVerdictVerdictAccepted && len(result.WaitingFor) == 0
+	covered := coverageOf(snapshot, a.Own(), verdict.Offset, time.Now())
+	result.WaitingFor = slices.Concat(covered.waiting, covered.silent)
+	result.Silent = covered.silent
+	result.InForce = verdict.Verdict == api.PatchVerdictVerdictAccepted && covered.everywhere()
 	return result
 }
 
@@ -143,10 +187,11 @@
 }
 
 func (a *API) listPatches(w http.ResponseWriter, _ *http.Request, _ string) {
-	state := a.Control.Snapshot().Config
+	snapshot := a.Control.Snapshot()
+	state := snapshot.Config
 	list := api.PatchList{Version: state.Version, Verdicts: []api.PatchResult{}}
 	for _, verdict := range state.Verdicts {
-		list.Verdicts = append(list.Verdicts, a.result(verdict.ID))
+		list.Verdicts = append(list.Verdicts, a.resultOf(snapshot, verdict))
 	}
 	writeJSON(w, http.StatusOK, list)
 }
--- a/api/admin_gen.go
+++ b/api/admin_gen.go
@@ -4,11 +4,31 @@
 
 import "encoding/json"
 
+// ConfigReport is the configuration in force; key hashes are shortened.
+type ConfigReport struct {
+	// Configuration with shortened key hashes.
+	Configuration Configuration `json:"configuration"`
+
+	// Hash of the snapshot of this state, to compare nodes by.
+	Hash string `json:"hash"`
+
+	// Offset of the next record of the config stream.
+	Offset int64 `json:"offset"`
+
+	// Version in force.
+	Version int64 `json:"version"`
+}
+
 // NodeStatus is the state of a node.
 type NodeStatus struct {
-	// ConfigAgeMS is the time since it last read the log, in milliseconds.
+	// ConfigAgeMS is the time since it last read the log, in milliseconds; -1 when it
+	// never did.
 	ConfigAgeMS int64 `json:"config_age_ms"`
 
+	// ConfigState says why its configuration can't advance: log_unreachable,
+	// log_trimmed, log_behind or rule_set_unknown; empty when it can.
+	ConfigState string `json:"config_state,omitempty,omitzero"`
+
 	// ConfigVersion in force.
 	ConfigVersion int64 `json:"config_version"`
 
@@ -54,6 +74,10 @@
 
 // PatchResult is the answer to a published patch.
 type PatchResult struct {
+	// AskAgain is the path that tells the verdict later; set while the verdict is
+	// unknown.
+	AskAgain string `json:"ask_again,omitempty,omitzero"`
+
 	// ID of the patch.
 	ID string `json:"id"`
 
@@ -66,13 +90,17 @@
 	// Reason why it was not accepted.
 	Reason string `json:"reason,omitempty,omitzero"`
 
+	// Silent are nodes of the host list that no heartbeat came from lately; whether
+	// they have it is not known.
+	Silent []string `json:"silent,omitempty,omitzero"`
+
 	// Verdict is accepted, stale, invalid, or unknown while the log has not shown it.
 	Verdict string `json:"verdict"`
 
 	// Version in force at the answering node.
 	Version int64 `json:"version"`
 
-	// WaitingFor are nodes that do not have it yet.
+	// WaitingFor are nodes that do not have it yet, or that are silent.
 	WaitingFor []string `json:"waiting_for,omitempty,omitzero"`
 }
 
@@ -88,6 +116,42 @@
 	Ran string `json:"ran"`
 }
 
+// RouteEntry is a route with its name.
+type RouteEntry struct {
+	// Name of the route.
+	Name string `json:"name"`
+
+	// Route as configured.
+	Route Route `json:"route"`
+}
+
+// RouteList lists the routes of a version.
+type RouteList struct {
+	// Routes by name.
+	Routes []RouteEntry `json:"routes"`
+
+	// Version in force.
+	Version int64 `json:"version"`
+}
+
+// ServiceEntry is a service with its name.
+type ServiceEntry struct {
+	// Name of the service.
+	Name string `json:"name"`
+
+	// Service as configured.
+	Service Service `json:"service"`
+}
+
+// ServiceList lists the services of a version.
+type ServiceList struct {
+	// Services by name.
+	Services []ServiceEntry `json:"services"`
+
+	// Version in force.
+	Version int64 `json:"version"`
+}
+
 // StatusReport is what one node knows of the system.
 type StatusReport struct {
 	// Node is the one that answers.
@@ -103,6 +167,12 @@
 	Upstreams []UpstreamStatus `json:"upstreams"`
 }
 
+// UpstreamList lists the upstreams as the answering node sees them.
+type UpstreamList struct {
+	// Upstreams by host id.
+	Upstreams []UpstreamStatus `json:"upstreams"`
+}
+
 // UpstreamStatus is the state of an upstream as this node sees it.
 type UpstreamStatus struct {
 	// Address is IP:port.
@@ -129,3 +199,21 @@
 	// State is live, leaving, suspect or gone.
 	State string `json:"state"`
 }
+
+// WorkspaceEntry is a workspace with its name; key hashes are shortened.
+type WorkspaceEntry struct {
+	// Name of the workspace.
+	Name string `json:"name"`
+
+	// Workspace as configured.
+	Workspace Workspace `json:"workspace"`
+}
+
+// WorkspaceList lists the workspaces of a version.
+type WorkspaceList struct {
+	// Version in force.
+	Version int64 `json:"version"`
+
+	// Workspaces by name.
+	Workspaces []WorkspaceEntry `json:"workspaces"`
+}
--- a/cmd/persimmonline/main.go
+++ b/cmd/persimmonline/main.go
@@ -14,11 +14,22 @@
 	"github.com/persimmonline/persimmonline/node"
 )
 
-// Exit codes.
+// Exit codes; docs/operators/commands.md explains them.
 const (
-	exitOK       = 0
-	exitFailure  = 1
+	// exitOK means done, or accepted.
+	exitOK = 0
+	// exitFailure means that the command failed.
+	exitFailure = 1
+	// exitSettings means that a flag, an argument or a setting is at fault.
 	exitSettings = 2
+	// exitStale means that a patch was against a version that is not in force.
+	exitStale = 3
+	// exitInvalid means that a patch breaks a rule.
+	exitInvalid = 4
+	// exitUnknown means that a patch may or may not be in the log.
+	exitUnknown = 5
+	// exitNotInForce means that a patch is accepted but not yet known to be in force everywhere.
+	exitNotInForce = 6
 )
 
 // neverForceQuit keeps go-zero from ending the process during a planned stop.
@@ -26,18 +37,24 @@
 
 // cli is the whole command line.
 type cli struct {
-	Node    nodeCommand    `cmd:"" help:"Run one node."`
-	Demo    demoCommand    `cmd:"" help:"Run a whole deployment with stand-ins, on loopback, in one process."`
-	Version versionCommand `cmd:"" help:"Print the version."`
+	Node      nodeCommand      `cmd:"" help:"Run one node."`
+	Status    statusCommand    `cmd:"" help:"Show nodes, upstreams, what is in flight and what is refused."`
+	Patch     patchCommand     `cmd:"" help:"Publish patches of the configuration and see what became of them."`
+	Workspace workspaceCommand `cmd:"" help:"Show workspaces."`
+	Service   serviceCommand   `cmd:"" help:"Show services."`
+	Route     routeCommand     `cmd:"" help:"Show routes."`
+	Upstream  upstreamCommand  `cmd:"" help:"Show upstreams."`
+	Demo      demoCommand      `cmd:"" help:"Run a whole deployment with stand-ins, on loopback, in one process."`
+	Version   versionCommand   `cmd:"" help:"Print the version."`
 }
 
 func main() {
 	proc.Setup(proc.ShutdownConf{WrapUpTime: neverForceQuit, WaitTime: 2 * neverForceQuit})
-	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
 }
 
 // run parses the arguments and runs a command; it returns the exit code.
-func run(args []string, stdout, stderr io.Writer) int {
+func run(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
 	parser, err := kong.New(&cli{},
 		kong.Name("persimmonline"),
 		kong.Description("Serves language models and small services on reclaimable hosts."),
@@ -53,11 +70,15 @@
 		_, _ = fmt.Fprintf(stderr, "persimmonline: %v\n", err)
 		return exitSettings
 	}
-	err = parsed.Run(&streams{out: stdout, err: stderr})
+	err = parsed.Run(&streams{in: stdin, out: stdout, err: stderr})
 	if err == nil {
 		return exitOK
 	}
 	_, _ = fmt.Fprintf(stderr, "persimmonline: %v\n", err)
+	var verdict *verdictError
+	if errors.As(err, &verdict) {
+		return verdict.exitCode()
+	}
 	var setting *node.SettingError
 	if errors.As(err, &setting) {
 		return exitSettings
@@ -65,7 +86,8 @@
 	return exitFailure
 }
 
-// streams are where a command writes.
+// streams are where a command reads and writes.
 type streams struct {
+	in       io.Reader
 	out, err io.Writer
 }
--- /dev/null
+++ b/operator/bootstrap.go
@@ -0,0 +1,98 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/config"
+	"github.com/persimmonline/persimmonline/control"
+	"github.com/persimmonline/persimmonline/platform"
+)
+
+const (
+	// bootstrapAuthor is the author of the first patch, since there is no operator yet.
+	bootstrapAuthor = "bootstrap"
+	// bootstrapPage is the number of records that one read asks for.
+	bootstrapPage = 1000
+	// bootstrapRetry is the wait after a failed read.
+	bootstrapRetry = 500 * time.Millisecond
+)
+
+// ErrTrimmed says that the log has expired the start of the config stream, so that
+// there was a configuration before.
+var ErrTrimmed = errors.New("the config stream does not start at offset 0: the deployment has a configuration already")
+
+// Bootstrap writes the first configuration straight to the log, since no operator
+// exists before it, and reads the log until the verdict is known. The id makes it
+// idempotent; empty takes a new one.
+func Bootstrap(ctx context.Context, log platform.Log, id string, configuration json.RawMessage) (api.PatchResult, error) {
+	if id == "" {
+		id = uuid.NewString()
+	}
+	empty := config.Empty()
+	if _, _, err := config.Apply(empty.Raw, api.ConfigPatchFormatMerge, configuration); err != nil {
+		return api.PatchResult{ID: id, Verdict: string(VerdictInvalid), Offset: -1, Reason: err.Error()}, nil //nolint:nilerr // The verdict carries the cause.
+	}
+	record, err := json.Marshal(api.Record{Patch: &api.ConfigPatch{
+		ID:            id,
+		BaseVersion:   0,
+		RuleSet:       config.CurrentRuleSet,
+		Format:        api.ConfigPatchFormatMerge,
+		Patch:         configuration,
+		Author:        bootstrapAuthor,
+		PublishedAtMS: time.Now().UnixMilli(),
+	}})
+	if err != nil {
+		return api.PatchResult{}, fmt.Errorf("encode first patch: %w", err)
+	}
+	_, err = log.Append(ctx, control.ConfigStream, []json.RawMessage{record})
+	var failed *platform.Error
+	if errors.As(err, &failed) && failed.Effect == platform.EffectNone {
+		return api.PatchResult{}, err
+	}
+	return readVerdict(ctx, log, id)
+}
+
+// readVerdict folds the config stream from its start until it holds the patch.
+func readVerdict(ctx context.Context, log platform.Log, id string) (api.PatchResult, error) {
+	state := config.Empty()
+	for {
+		verdict, known := state.Verdict(id)
+		if known {
+			return api.PatchResult{
+				ID: id, Verdict: string(verdict.Verdict), Offset: verdict.Offset, Version: verdict.Version, Reason: verdict.Reason,
+			}, nil
+		}
+		page, err := log.Read(ctx, control.ConfigStream, state.Offset, bootstrapPage, time.Second)
+		if ctx.Err() != nil {
+			return unknown(id, ctx.Err()), nil //nolint:nilerr // The verdict carries the cause.
+		}
+		if err != nil {
+			pause(ctx, bootstrapRetry)
+			continue
+		}
+		if page.OldestOffset > state.Offset {
+			return api.PatchResult{}, fmt.Errorf("read config stream from offset %d: %w", state.Offset, ErrTrimmed)
+		}
+		for _, stored := range page.Records {
+			if state, err = config.Fold(state, stored); err != nil {
+				return unknown(id, err), nil //nolint:nilerr // The verdict carries the cause.
+			}
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
