limit: fair shares, deadlines and workspace limits in the running gateway

Cause: the queue was one list with MaxStreams slots; limits of workspaces were not enforced; plain calls passed no admission; nothing was refused for lateness.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -2,77 +2,294 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/config"
+	"github.com/persimmonline/persimmonline/control"
 	"github.com/persimmonline/persimmonline/limit"
+	"github.com/persimmonline/persimmonline/membership"
 	"github.com/persimmonline/persimmonline/refusal"
+	"github.com/persimmonline/persimmonline/routing"
 )
 
-// overloadRetry is when to ask a full node again.
-const overloadRetry = 2 * time.Second
+const (
+	// leastRetry is the shortest time after which a refused caller is asked back.
+	leastRetry = 500 * time.Millisecond
+	// mostRetry is the longest.
+	mostRetry = 30 * time.Second
+	// capacityEvery is how often the capacity is taken from the snapshot.
+	capacityEvery = 250 * time.Millisecond
+	// overcommit is how far above its part of the upstreams' slots a node may go,
+	// since owners are not loaded alike.
+	overcommit = 1.5
+	// plainSlots is the number of calls that a plain upstream runs at once.
+	plainSlots = 32
+	// leastWaitShare is the part of the first-token target for which any request may
+	// wait, also one whose prefill alone takes longer than the target.
+	leastWaitShare = 0.25
+)
 
-// admission locks the limit queue and wakes the requests that wait in it.
+// admission locks the limit queues, one for each service, and the workspaces' limits,
+// and wakes the requests that wait.
 type admission struct {
-	mu      sync.Mutex
-	queue   *limit.Queue
-	nextID  uint64
-	waiters map[uint64]chan struct{}
+	maxStreams int
+
+	mu         sync.Mutex
+	queues     map[string]*limit.Queue
+	workspaces *limit.Workspaces
+	nextID     uint64
+	waiters    map[uint64]chan limit.Verdict
+	refreshed  time.Time
+	index      *config.Index
+	nodes      int
+}
+
+func newAdmission(maxStreams int) *admission {
+	return &admission{
+		maxStreams: maxStreams,
+		queues:     map[string]*limit.Queue{},
+		workspaces: limit.NewWorkspaces(),
+		waiters:    map[uint64]chan limit.Verdict{},
+	}
+}
+
+// enter holds a request to the limits of its workspace; leave must be called at the
+// end of a request that was let in. Every entry node holds its own share.
+func (g *Gateway) enter(workspace string, tokens int) (leave func(), refused *refusal.Refusal) {
+	a := g.admission
+	now := time.Now()
+	a.mu.Lock()
+	a.refresh(g.Control.Snapshot(), now)
+	decision := a.workspaces.Enter(now, workspace, tokens)
+	a.mu.Unlock()
+	if decision.Verdict != limit.Run {
+		return nil, refusal.New(http.StatusTooManyRequests, refusal.CodeWorkspaceLimit,
+			"workspace %s is over its limit", workspace).After(retryAfter(decision.RetryAfter))
+	}
+	return func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.workspaces.Leave(workspace)
+	}, nil
+}
+
+// admit waits until the call may run and returns the function that ends it. A call
+// that can't have its first token in time is refused at once.
+func (g *Gateway) admit(ctx context.Context, c *call) (func(), *refusal.Refusal) {
+	ticket := limit.Ticket{Workspace: c.workspace, Priority: c.priority, Tokens: float64(c.tokens())}
+	target := g.firstTokenTarget(c.service)
+	if target > 0 {
+		choice, err := g.choose(c, nil)
+		if err != nil {
+			return g.admitTicket(ctx, c.service, ticket)
+		}
+		prefill := time.Duration(choice.Prefill * float64(time.Second))
+		queue := time.Duration(choice.Queue * float64(time.Second))
+		allowed := max(target-prefill, time.Duration(leastWaitShare*float64(target)))
+		if queue > allowed {
+			return nil, lateRefusal(queue)
+		}
+		ticket.Deadline = time.Now().Add(allowed - queue)
+	}
+	return g.admitTicket(ctx, c.service, ticket)
 }
 
-func newAdmission(slots, length int) *admission {
-	return &admission{queue: limit.NewQueue(slots, length), waiters: map[uint64]chan struct{}{}}
+// admitService is admit for a call of a plain service.
+func (g *Gateway) admitService(ctx context.Context, c *serviceCall) (func(), *refusal.Refusal) {
+	ticket := limit.Ticket{Workspace: c.workspace, Priority: c.operation.Priority, Tokens: 1}
+	if target := g.firstTokenTarget(c.service); target > 0 {
+		ticket.Deadline = time.Now().Add(target)
+	}
+	return g.admitTicket(ctx, c.service, ticket)
 }
 
-// admit waits until the ticket may run and returns the function that ends it.
-func (a *admission) admit(ctx context.Context, ticket limit.Ticket) (func(), *refusal.Refusal) {
+// firstTokenTarget returns the target of a service; 0 when it has none.
+func (g *Gateway) firstTokenTarget(service string) time.Duration {
+	index := g.Control.Snapshot().Index
+	if index == nil {
+		return 0
+	}
+	known, _ := index.Service(service)
+	return time.Duration(known.FirstTokenTargetMS) * time.Millisecond
+}
+
+func (g *Gateway) admitTicket(ctx context.Context, service string, ticket limit.Ticket) (func(), *refusal.Refusal) {
+	a := g.admission
+	now := time.Now()
 	a.mu.Lock()
+	a.refresh(g.Control.Snapshot(), now)
+	queue := a.queue(service)
 	a.nextID++
 	ticket.ID = a.nextID
-	verdict := a.queue.Arrive(time.Now(), ticket)
-	started := make(chan struct{})
-	if verdict == limit.Wait {
-		a.waiters[ticket.ID] = started
+	decision := queue.Arrive(now, ticket)
+	answer := make(chan limit.Verdict, 1)
+	if decision.Verdict == limit.Wait {
+		a.waiters[ticket.ID] = answer
 	}
 	a.mu.Unlock()
-	switch verdict {
+	switch decision.Verdict {
 	case limit.Run:
-		return a.done, nil
+		return a.slot(queue), nil
 	case limit.Wait:
-		return a.wait(ctx, ticket.ID, started)
-	case limit.RefuseWorkspace:
-		return nil, refusal.New(http.StatusTooManyRequests, refusal.CodeWorkspaceLimit,
-			"workspace %s is over its limit", ticket.Workspace).After(jittered(overloadRetry))
+		return a.wait(ctx, queue, ticket, answer)
+	case limit.RefuseDeadline:
+		return nil, lateRefusal(decision.RetryAfter)
 	default:
 		return nil, refusal.New(http.StatusServiceUnavailable, refusal.CodeOverloaded,
-			"this node is full").After(jittered(overloadRetry))
+			"the queue of service %s is full", service).After(retryAfter(decision.RetryAfter))
 	}
 }
 
-func (a *admission) wait(ctx context.Context, id uint64, started <-chan struct{}) (func(), *refusal.Refusal) {
+func lateRefusal(after time.Duration) *refusal.Refusal {
+	return refusal.New(http.StatusServiceUnavailable, refusal.CodeDeadline,
+		"the first token could not come within its target").After(retryAfter(after))
+}
+
+// retryAfter spreads callers that were refused together.
+func retryAfter(d time.Duration) time.Duration { return jittered(min(max(d, leastRetry), mostRetry)) }
+
+// wait waits for the verdict on a queued ticket.
+func (a *admission) wait(ctx context.Context, queue *limit.Queue, ticket limit.Ticket, answer <-chan limit.Verdict) (func(), *refusal.Refusal) {
+	late := make(<-chan time.Time)
+	if !ticket.Deadline.IsZero() {
+		timer := time.NewTimer(time.Until(ticket.Deadline))
+		defer timer.Stop()
+		late = timer.C
+	}
 	select {
-	case <-started:
-		return a.done, nil
+	case verdict := <-answer:
+		if verdict == limit.Run {
+			return a.slot(queue), nil
+		}
+		return nil, lateRefusal(leastRetry)
+	case <-late:
 	case <-ctx.Done():
 	}
 	a.mu.Lock()
-	waiting := a.queue.Cancel(id)
-	delete(a.waiters, id)
+	waiting := queue.Cancel(ticket.ID)
+	delete(a.waiters, ticket.ID)
 	a.mu.Unlock()
-	if !waiting {
-		a.done()
+	switch {
+	case waiting && ctx.Err() == nil:
+		return nil, lateRefusal(leastRetry)
+	case !waiting && <-answer == limit.Run:
+		if ctx.Err() == nil {
+			return a.slot(queue), nil
+		}
+		a.slot(queue)()
 	}
 	return nil, refusal.New(http.StatusServiceUnavailable, refusal.CodeCanceled,
 		"the request was canceled while it waited").At("wait for a slot", "", ctx.Err())
 }
 
-// done ends a running request and wakes those that start now.
-func (a *admission) done() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, id := range a.queue.Done(time.Now()) {
-		close(a.waiters[id])
+// slot returns the function that frees a slot that was taken now.
+func (a *admission) slot(queue *limit.Queue) func() {
+	taken := time.Now()
+	return func() {
+		now := time.Now()
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.wake(queue.Done(now, now.Sub(taken)))
+	}
+}
+
+// wake tells waiting requests their verdict; the lock must be held.
+func (a *admission) wake(started limit.Started) {
+	for _, id := range started.Run {
+		a.answer(id, limit.Run)
+	}
+	for _, id := range started.Expired {
+		a.answer(id, limit.RefuseDeadline)
+	}
+}
+
+func (a *admission) answer(id uint64, verdict limit.Verdict) {
+	if waiter, ok := a.waiters[id]; ok {
+		waiter <- verdict
 		delete(a.waiters, id)
 	}
 }
+
+func (a *admission) queue(service string) *limit.Queue {
+	queue, ok := a.queues[service]
+	if !ok {
+		queue = limit.NewQueue(1, queueFactor)
+		a.queues[service] = queue
+	}
+	return queue
+}
+
+// refresh takes capacity, weights and limits from the snapshot; the lock must be held.
+func (a *admission) refresh(snapshot *control.Snapshot, now time.Time) {
+	if snapshot.Index == nil || now.Sub(a.refreshed) < capacityEvery {
+		return
+	}
+	a.refreshed = now
+	nodes := liveNodes(snapshot, now)
+	if snapshot.Index != a.index || nodes != a.nodes {
+		a.index, a.nodes = snapshot.Index, nodes
+		a.workspaces.Configure(now, limitsOf(snapshot.Index.Config), nodes)
+	}
+	weights := weightsByWorkspace(snapshot.Index.Config)
+	for name, service := range snapshot.Index.Config.Services {
+		slots := nodeSlots(snapshot.Fleet.ByService[name], service.Kind, nodes)
+		slots = min(max(1, slots), a.maxStreams)
+		queue := a.queue(name)
+		queue.Resize(slots, slots*queueFactor)
+		queue.SetWeights(weights)
+		a.wake(queue.Start(now))
+	}
+}
+
+// liveNodes returns the number of nodes that take requests, this one included.
+func liveNodes(snapshot *control.Snapshot, now time.Time) int {
+	nodes := 1
+	for _, known := range snapshot.Peers {
+		if ownsRequests(known, now) {
+			nodes++
+		}
+	}
+	return nodes
+}
+
+// limitsOf returns the limits by workspace.
+func limitsOf(configuration *api.Configuration) map[string]limit.Limits {
+	limits := make(map[string]limit.Limits, len(configuration.Workspaces))
+	for name, workspace := range configuration.Workspaces {
+		limits[name] = limit.Limits{
+			RequestsPerSecond: workspace.RequestsPerSecond,
+			Burst:             workspace.Burst,
+			Concurrency:       workspace.Concurrency,
+			TokensPerSecond:   workspace.TokensPerSecond,
+		}
+	}
+	return limits
+}
+
+func weightsByWorkspace(configuration *api.Configuration) map[string]float64 {
+	weights := make(map[string]float64, len(configuration.Workspaces))
+	for name, workspace := range configuration.Workspaces {
+		weights[name] = workspace.Weight
+	}
+	return weights
+}
+
+// nodeSlots returns this node's part of the slots of a service's upstreams.
+func nodeSlots(upstreams []*routing.Upstream, kind api.ServiceKind, nodes int) int {
+	total := 0
+	for _, upstream := range upstreams {
+		if upstream.Health == membership.StateLeaving {
+			continue
+		}
+		if kind == api.ServiceKindPlain {
+			total += plainSlots
+			continue
+		}
+		total += upstream.Slots()
+	}
+	return int(math.Ceil(overcommit * float64(total) / float64(nodes)))
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -119,6 +119,9 @@
 	}
 }
 
+// tokens is the expected cost of the call, in prompt and answer tokens.
+func (c *call) tokens() int { return prompt.Tokens(c.text) + c.answerTokens() }
+
 // engineBody returns the body for an engine: the caller's, always streamed and with
 // usage, resumed after the tokens that the journal has.
 func (c *call) engineBody(resume *api.ChatResume) ([]byte, error) {
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -31,6 +31,12 @@
 		g.refuse(w, "", refused)
 		return
 	}
+	leave, refused := g.enter(c.workspace, c.tokens())
+	if refused != nil {
+		g.refuse(w, "", refused)
+		return
+	}
+	defer leave()
 	answer, closeAnswer, err := g.open(r.Context(), c, body)
 	if err != nil {
 		g.refuse(w, c.id, refusal.From(err))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,11 +71,10 @@
 
 // New returns a gateway.
 func New(options Options) *Gateway {
-	slots := options.Settings.MaxStreams
 	return &Gateway{
 		Options:    options,
 		store:      exchange.NewStore(journalRetention),
-		admission:  newAdmission(slots, slots*queueFactor),
+		admission:  newAdmission(options.Settings.MaxStreams),
 		budget:     retry.NewBudget(defaultRetryRatio, retryReserve),
 		quarantine: quarantine.NewTable(),
 		refusals:   map[refusalKey]int64{},
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -14,7 +14,6 @@
 	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/control"
 	"github.com/persimmonline/persimmonline/exchange"
-	"github.com/persimmonline/persimmonline/limit"
 	"github.com/persimmonline/persimmonline/prompt"
 	"github.com/persimmonline/persimmonline/quarantine"
 	"github.com/persimmonline/persimmonline/refusal"
@@ -49,11 +48,7 @@
 		return refusal.New(http.StatusUnprocessableEntity, refusal.CodePoison,
 			"this request crashed the upstreams that ran it and is not run again")
 	}
-	done, refused := g.admission.admit(ctx, limit.Ticket{
-		Workspace: c.workspace,
-		Priority:  c.priority,
-		Tokens:    float64(prompt.Tokens(c.text) + c.answerTokens()),
-	})
+	done, refused := g.admit(ctx, c)
 	if refused != nil {
 		return refused
 	}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -69,6 +69,18 @@
 		route:     route,
 		operation: config.OperationOf(known, r.Method, path),
 	}
+	leave, refused := g.enter(c.workspace, 0)
+	if refused != nil {
+		g.refuse(w, c.id, refused)
+		return
+	}
+	defer leave()
+	done, refused := g.admitService(r.Context(), c)
+	if refused != nil {
+		g.refuse(w, c.id, refused)
+		return
+	}
+	defer done()
 	g.callService(r.Context(), w, c)
 }
 
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -138,3 +138,11 @@
 	keep := math.Exp(-now.Sub(known.at).Seconds() / forgetAfter.Seconds())
 	return math.Exp(keep*math.Log(known.value) + (1-keep)*math.Log(mean))
 }
+
+// Slots returns the requests that an engine runs at once.
+func (u *Upstream) Slots() int {
+	if u.Load == nil || u.Load.BatchSlots == 0 {
+		return defaultSlots
+	}
+	return u.Load.BatchSlots
+}
--- a/routing/route_test.go
+++ b/routing/route_test.go
@@ -145,8 +145,9 @@
 
 func TestSlowUpstreamIsAvoidedBeforeItAnswers(t *testing.T) {
 	slow, good := engine("a", nil), engine("b", nil)
-	good.PricePerSecond *= 2
-	slow.Tracker.Begin(epoch, 100, 0)
+	good.PricePerSecond *= 20
+	slow.Tracker.Begin(epoch, 1, 0)
+	require.Equal(t, "a", choose(t, fleetOf(nil, epoch, slow, good), Request{AnswerTokens: 10}, epoch).Upstream.ID)
 	now := epoch.Add(3 * time.Second)
 	require.Equal(t, "b", choose(t, fleetOf(nil, now, slow, good), Request{AnswerTokens: 10}, now).Upstream.ID)
 }
