--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 GO      ?= go
 LINT    := $(GO) tool -modfile=tools/go.mod golangci-lint
-SCHEMAS := settings config records platform engine chat peer admin deployment
+SCHEMAS := settings config records platform engine chat peer admin deployment slopes
 
 .PHONY: check fmt lint generate generated vet test bench
 
@@ -13,7 +13,7 @@
 
 lint: ## Formatter and linter must be clean.
 	$(LINT) fmt --diff ./...
-	$(LINT) run ./...
+	$(LINT) run --allow-parallel-runners ./...
 
 generate: ## Generates api/ from schema/.
 	./tools/generate.sh api $(SCHEMAS)
--- a/bench/overhead/overhead_test.go
+++ b/bench/overhead/overhead_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/bench/instant"
 	"github.com/persimmonline/persimmonline/config"
 	"github.com/persimmonline/persimmonline/demo"
 	"github.com/persimmonline/persimmonline/standin"
@@ -43,7 +44,7 @@
 
 // rig is one node before one instant engine and one plain service.
 type rig struct {
-	engine  *instantEngine
+	engine  *instant.Engine
 	direct  string
 	through string
 	node    string
@@ -52,8 +53,8 @@
 
 func newRig(b testing.TB) *rig {
 	b.Helper()
-	engine := &instantEngine{hold: make(chan struct{})}
-	server, err := standin.Serve("127.0.0.1:0", engine.handler())
+	engine := &instant.Engine{Models: []string{instant.Model}}
+	server, err := standin.Serve("127.0.0.1:0", engine.Handler())
 	require.NoError(b, err)
 	bare, err := standin.Serve("127.0.0.1:0", passThrough(server.Address()))
 	require.NoError(b, err)
@@ -87,8 +88,8 @@
 	raw, err := json.Marshal(api.Configuration{
 		Deployment: "bench",
 		Workspaces: map[string]api.Workspace{"w": {KeyHashes: []string{config.HashKey(callerKey)}, Weight: 1}},
-		Services:   map[string]api.Service{modelName: {Kind: api.ServiceKindModel, Operations: []api.Operation{}}},
-		Routes:     map[string]api.Route{"r": {Workspace: "w", Service: modelName}},
+		Services:   map[string]api.Service{instant.Model: {Kind: api.ServiceKindModel, Operations: []api.Operation{}}},
+		Routes:     map[string]api.Route{"r": {Workspace: "w", Service: instant.Model}},
 		MachineClasses: map[string]api.MachineClass{
 			"m": {PricePerHour: 1},
 		},
@@ -106,7 +107,7 @@
 
 // call makes one streamed chat call and returns the time to its first byte.
 func call(client *http.Client, base string, index int) (time.Duration, error) {
-	body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":[{"role":"user","content":"prompt %d"}]}`, modelName, index)
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":[{"role":"user","content":"prompt %d"}]}`, instant.Model, index)
 	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, base+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
 		return 0, err
@@ -210,20 +211,17 @@
 func holdStreams(r *rig, base string) uint64 {
 	client := newClient()
 	defer client.CloseIdleConnections()
-	r.engine.hold = make(chan struct{})
-	r.engine.holding.Store(true)
-	r.engine.open.Store(0)
+	r.engine.Hold()
 	before := heapInUse()
 	var group sync.WaitGroup
 	for i := range targetStreams {
 		group.Go(func() { _, _ = call(client, base, i) })
 	}
-	for r.engine.open.Load() < targetStreams {
+	for r.engine.Open() < targetStreams {
 		time.Sleep(10 * time.Millisecond)
 	}
 	used := heapInUse() - before
-	r.engine.holding.Store(false)
-	close(r.engine.hold)
+	r.engine.Release()
 	group.Wait()
 	return used
 }
--- /dev/null
+++ b/bench/slopes/nodes.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/node"
+)
+
+const (
+	bytesPerMB = 1 << 20
+	percent    = 100
+)
+
+// nodesCommand runs nodes and measures them.
+type nodesCommand struct {
+	Series      string        `help:"Name of the series." required:""`
+	X           float64       `help:"Size that the series varies." required:""`
+	Count       int           `help:"Nodes to run." default:"5"`
+	LogURL      string        `help:"Base URL of the log." required:""`
+	CloudURL    string        `help:"Base URL of cloud API and host list." required:""`
+	RegisterURL string        `help:"Base URL to enter the host list." required:""`
+	CallerPort  int           `help:"Caller port of the first node; 0 takes a free one." default:"0"`
+	Warm        time.Duration `help:"Time before the measurement." default:"5s"`
+	For         time.Duration `help:"Time of the measurement." default:"10s"`
+}
+
+// Run implements the command.
+func (c *nodesCommand) Run() error {
+	ctx := context.Background()
+	nodes := make([]*node.Node, c.Count)
+	for i := range nodes {
+		started, err := c.start(ctx, i)
+		if err != nil {
+			return err
+		}
+		defer started.Kill()
+		nodes[i] = started
+	}
+	time.Sleep(c.Warm)
+	before, cpuBefore := measure(nodes), processSeconds()
+	time.Sleep(c.For)
+	after, cpuAfter := measure(nodes), processSeconds()
+	count, seconds := float64(c.Count), c.For.Seconds()
+	return json.NewEncoder(os.Stdout).Encode(api.SlopeSample{
+		Series:                c.Series,
+		X:                     c.X,
+		Nodes:                 c.Count,
+		Seconds:               seconds,
+		CPUPercent:            percent * (cpuAfter - cpuBefore) / seconds / count,
+		HeapMB:                heapBytes() / bytesPerMB / count,
+		ControlBytesPerSecond: (after.bytes - before.bytes) / seconds / count,
+		ControlSecondsPercent: percent * (after.seconds - before.seconds) / seconds / count,
+	})
+}
+
+// start runs one node with the settings of a real deployment.
+func (c *nodesCommand) start(ctx context.Context, i int) (*node.Node, error) {
+	const free = "127.0.0.1:0"
+	id := fmt.Sprintf("node-%d", i)
+	caller := free
+	if i == 0 {
+		caller = fmt.Sprintf("127.0.0.1:%d", c.CallerPort)
+	}
+	n, err := node.New(api.Settings{
+		NodeID: id, DataCentre: dataCentre(i), Region: region,
+		CallerAddress: caller, AdminAddress: free, PeerAddress: free,
+		LogURL: c.LogURL, HostsURL: c.CloudURL, CloudURL: c.CloudURL,
+		PeerKey: peerKey, MaxBodyBytes: 4 << 20, MaxStreams: 4096,
+		ConfigPoll: 2 * time.Second, HostsPoll: time.Second, Heartbeat: time.Second,
+	}, zerolog.Nop())
+	if err != nil {
+		return nil, err
+	}
+	if err := n.Start(ctx); err != nil {
+		return nil, err
+	}
+	host := api.Host{
+		ID: id, Incarnation: n.Incarnation(), Role: api.HostRoleNode, Address: n.PeerAddress(),
+		AdminAddress: n.AdminAddress(), DataCentre: dataCentre(i), Region: region,
+		MachineClass: "node", State: api.HostStateLive,
+	}
+	return n, register(ctx, c.RegisterURL, host)
+}
+
+func register(ctx context.Context, base string, host api.Host) error {
+	body, err := json.Marshal(host)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/hosts", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("register host %s at %s: %w", host.ID, base, err)
+	}
+	return response.Body.Close()
+}
+
+// controlUse is what control has used since the nodes started, over all nodes.
+type controlUse struct {
+	bytes, seconds float64
+}
+
+func measure(nodes []*node.Node) controlUse {
+	var use controlUse
+	for _, n := range nodes {
+		families, err := n.Metrics().Registry().Gather()
+		if err != nil {
+			continue
+		}
+		for _, family := range families {
+			for _, metric := range family.GetMetric() {
+				switch family.GetName() {
+				case "persimmonline_control_bytes_total":
+					use.bytes += metric.GetCounter().GetValue()
+				case "persimmonline_control_seconds_total":
+					use.seconds += metric.GetCounter().GetValue()
+				}
+			}
+		}
+	}
+	return use
+}
+
+// processSeconds is the processor time of this process, in seconds.
+func processSeconds() float64 {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()).Seconds()
+}
+
+// heapBytes is heap and stacks after a collection.
+func heapBytes() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapInuse + stats.StackInuse)
+}
--- a/control/events.go
+++ b/control/events.go
@@ -83,6 +83,9 @@
 	s.members.ApplySuccess(e.HostID)
 }
 
+// lazy says that load reports need no snapshot of their own.
+func (LoadRead) lazy() bool { return true }
+
 // ContactFailed is an upstream that could not be reached or broke off.
 type ContactFailed struct {
 	// HostID of the upstream.
--- a/control/loop.go
+++ b/control/loop.go
@@ -23,6 +23,10 @@
 // depends on time goes on.
 const refreshEvery = 500 * time.Millisecond
 
+// lazyAfter is how long a change that nobody waits for may stay unpublished, so that
+// a stream of load reports costs few snapshots.
+const lazyAfter = 50 * time.Millisecond
+
 // Peer is what is known of another node.
 type Peer struct {
 	api.Heartbeat
@@ -53,6 +57,11 @@
 	apply(s *state)
 }
 
+// lazyEvent is an event that nobody waits for.
+type lazyEvent interface {
+	lazy() bool
+}
+
 // state is owned by the loop's goroutine.
 type state struct {
 	config    *config.State
@@ -123,32 +132,56 @@
 func (l *Loop) Run(ctx context.Context) {
 	refresh := time.NewTicker(refreshEvery)
 	defer refresh.Stop()
+	lazy := time.NewTimer(lazyAfter)
+	defer lazy.Stop()
+	pending := false
 	for {
 		select {
 		case event := <-l.events:
 			started := time.Now()
-			event.apply(l.state)
-			l.drain()
-			l.publish()
+			if l.applyAll(event) {
+				l.publish()
+				pending = false
+			} else if !pending {
+				lazy.Reset(lazyAfter)
+				pending = true
+			}
 			l.metrics.ControlSeconds.Add(time.Since(started).Seconds())
+		case <-lazy.C:
+			if pending {
+				l.publishTimed()
+				pending = false
+			}
 		case <-refresh.C:
-			l.publish()
+			l.publishTimed()
+			pending = false
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// drain applies the events that wait already, so that a burst costs one snapshot.
-func (l *Loop) drain() {
+// applyAll applies an event and those that wait already, so that a burst costs one
+// snapshot. It returns whether any of them must be published at once.
+func (l *Loop) applyAll(event Event) bool {
+	urgent := false
 	for range eventQueue {
+		event.apply(l.state)
+		lazy, ok := event.(lazyEvent)
+		urgent = urgent || !ok || !lazy.lazy()
 		select {
-		case event := <-l.events:
-			event.apply(l.state)
+		case event = <-l.events:
 		default:
-			return
+			return urgent
 		}
 	}
+	return urgent
+}
+
+func (l *Loop) publishTimed() {
+	started := time.Now()
+	l.publish()
+	l.metrics.ControlSeconds.Add(time.Since(started).Seconds())
 }
 
 func (l *Loop) publish() {
