--- a/gateway/run.go
+++ b/gateway/run.go
@@ -14,7 +14,6 @@
 	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/control"
 	"github.com/persimmonline/persimmonline/exchange"
-	"github.com/persimmonline/persimmonline/limit"
 	"github.com/persimmonline/persimmonline/prompt"
 	"github.com/persimmonline/persimmonline/quarantine"
 	"github.com/persimmonline/persimmonline/refusal"
@@ -49,11 +48,7 @@
 		return refusal.New(http.StatusUnprocessableEntity, refusal.CodePoison,
 			"this request crashed the upstreams that ran it and is not run again")
 	}
-	done, refused := g.admission.admit(ctx, limit.Ticket{
-		Workspace: c.workspace,
-		Priority:  c.priority,
-		Tokens:    float64(prompt.Tokens(c.text) + c.answerTokens()),
-	})
+	done, refused := g.admit(ctx, c)
 	if refused != nil {
 		return refused
 	}
@@ -126,8 +121,8 @@
 		}
 		span.End()
 	}()
-	chosen.Tracker.InFlight.Add(1)
-	defer chosen.Tracker.InFlight.Add(-1)
+	observed := g.observe(c, chosen)
+	defer observed.end()
 
 	body, err := c.engineBody(resumeFrom(journal))
 	if err != nil {
@@ -142,11 +137,11 @@
 		return err
 	}
 	defer stream.Close()
-	return g.copyStream(c, journal, stream, watchdog)
+	return g.copyStream(c, journal, stream, watchdog, observed)
 }
 
 // copyStream appends the chunks of an attempt to the journal until the answer is whole.
-func (g *Gateway) copyStream(c *call, journal *exchange.Exchange, stream *upstream.Stream, watchdog *time.Timer) error {
+func (g *Gateway) copyStream(c *call, journal *exchange.Exchange, stream *upstream.Stream, watchdog *time.Timer, observed *observation) error {
 	finished := false
 	last := time.Time{}
 	for {
@@ -161,6 +156,7 @@
 			return err
 		}
 		watchdog.Reset(nextChunkTimeout)
+		observed.chunk(chunk)
 		if now := time.Now(); last.IsZero() {
 			last = now
 		} else {
