At most once through log claims and bound operation ids

Cause: a repeat of a call that may not be repeated ran again. Such calls go out on connections of their own.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 GO      ?= go
 LINT    := $(GO) tool -modfile=tools/go.mod golangci-lint
-SCHEMAS := settings config records platform engine chat peer admin deployment
+SCHEMAS := settings config records platform engine chat peer admin deployment operations
 
 .PHONY: check fmt lint generate generated vet test bench
 
--- a/api/records_gen.go
+++ b/api/records_gen.go
@@ -4,6 +4,27 @@
 
 import "encoding/json"
 
+// CheckpointClaim is a claim without its answer.
+type CheckpointClaim struct {
+	// AtMS is when the claim was stored, by the log's clock, Unix milliseconds.
+	AtMS int64 `json:"at_ms"`
+
+	// Attempt that won.
+	Attempt string `json:"attempt"`
+
+	// Fingerprint of the call.
+	Fingerprint string `json:"fingerprint"`
+
+	// Finished says that an outcome was recorded.
+	Finished bool `json:"finished"`
+
+	// ID is the hash of workspace and key.
+	ID string `json:"id"`
+
+	// Status of the outcome; 0 when there was no answer.
+	Status int `json:"status,omitempty,omitzero"`
+}
+
 // Claim reserves one send of a call that may not be repeated; the first in log
 // order wins.
 type Claim struct {
@@ -27,6 +48,25 @@
 	Workspace string `json:"workspace"`
 }
 
+// ClaimCheckpoint is one part of the claims up to an offset; all parts are
+// appended together.
+type ClaimCheckpoint struct {
+	// Claims, oldest first.
+	Claims []CheckpointClaim `json:"claims"`
+
+	// ID is common to the parts of one checkpoint.
+	ID string `json:"id"`
+
+	// Part counts from 0.
+	Part int `json:"part"`
+
+	// Parts of the checkpoint.
+	Parts int `json:"parts"`
+
+	// Through is the offset of the last record that is covered.
+	Through int64 `json:"through"`
+}
+
 // ConfigPatch is an operator's change against a numbered version.
 type ConfigPatch struct {
 	// Author is the operator's name.
@@ -112,13 +152,16 @@
 	// Body of the answer.
 	Body []byte `json:"body,omitempty,omitzero"`
 
-	// ContentType of the body.
-	ContentType string `json:"content_type,omitempty,omitzero"`
+	// Header of the answer.
+	Header map[string][]string `json:"header,omitempty,omitzero"`
+
+	// Kept says that header and body are the whole answer.
+	Kept bool `json:"kept"`
 
 	// Key is the caller's idempotency key.
 	Key string `json:"key"`
 
-	// Status is the HTTP status of the answer.
+	// Status is the HTTP status of the answer; 0 when there was no answer.
 	Status int `json:"status"`
 
 	// Workspace of the caller.
@@ -157,6 +200,9 @@
 	// Claim reserves one send of a call that may not be repeated.
 	Claim *Claim `json:"claim,omitempty,omitzero"`
 
+	// ClaimCheckpoint carries claims forward before their records are trimmed.
+	ClaimCheckpoint *ClaimCheckpoint `json:"claim_checkpoint,omitempty,omitzero"`
+
 	// Lease claims or renews a control duty.
 	Lease *LeaseRecord `json:"lease,omitempty,omitzero"`
 
--- /dev/null
+++ b/control/claimshard.go
@@ -0,0 +1,294 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
+
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/idempotency"
+	"github.com/persimmonline/persimmonline/logbatch"
+	"github.com/persimmonline/persimmonline/platform"
+)
+
+const (
+	claimBatchRecords = 200
+	claimBatchBytes   = 256 << 10
+	claimQueue        = 4096
+	claimInFlight     = 4
+)
+
+// claimShard follows one claim stream. Its follower goroutine folds the records;
+// calls look them up under the lock.
+type claimShard struct {
+	log     platform.Log
+	stream  string
+	logger  zerolog.Logger
+	batcher *logbatch.Batcher
+
+	settling settling
+
+	mu       sync.Mutex
+	table    *idempotency.Table
+	attempts *idempotency.Attempts
+	// own are outcomes of this node that were not read back yet, by attempt.
+	own map[string]*api.Outcome
+	// readable says that the last read worked.
+	readable bool
+	// unread are the claims of this node that were not read back yet, by attempt.
+	unread map[string]bool
+	// changed is closed at the next change.
+	changed chan struct{}
+	// checkpointed is the offset through which the last checkpoint went.
+	checkpointed int64
+}
+
+func newClaimShard(log platform.Log, stream string, limiter *rate.Limiter, logger zerolog.Logger) *claimShard {
+	return &claimShard{
+		log:    log,
+		stream: stream,
+		logger: logger.With().Str("stream", stream).Logger(),
+		batcher: logbatch.New(logbatch.Options{
+			Log: log, Stream: stream, MaxRecords: claimBatchRecords, MaxBytes: claimBatchBytes,
+			MaxQueue: claimQueue, InFlight: claimInFlight, Timeout: claimTimeout, Limiter: limiter,
+		}),
+		settling:     newSettling(),
+		table:        idempotency.NewTable(idempotency.Bounds{Entries: claimEntries, OutcomeBytes: claimOutcomeBytes}),
+		attempts:     idempotency.NewAttempts(),
+		own:          map[string]*api.Outcome{},
+		unread:       map[string]bool{},
+		changed:      make(chan struct{}),
+		checkpointed: idempotency.None,
+	}
+}
+
+func (s *claimShard) run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { s.batcher.Run(ctx) })
+	group.Go(func() { s.follow(ctx) })
+	group.Wait()
+}
+
+// follow reads the stream from its oldest record on. The first read after a start or
+// an outage does not wait for news.
+func (s *claimShard) follow(ctx context.Context) {
+	from, wait := int64(0), time.Duration(0)
+	for ctx.Err() == nil {
+		page, err := s.log.Read(ctx, s.stream, from, readLimit, wait)
+		if err != nil {
+			wait = 0
+			s.unreadable(err)
+			sleep(ctx, feedBackoff+randomWait(feedBackoff))
+			continue
+		}
+		s.apply(page, time.Now())
+		wait = claimPoll
+		from = max(from, page.OldestOffset)
+		if n := len(page.Records); n > 0 {
+			from = page.Records[n-1].Offset + 1
+		}
+	}
+}
+
+// unreadable wakes the calls that wait for a claim, so that they are refused at once.
+func (s *claimShard) unreadable(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.readable {
+		s.logger.Warn().Err(err).Msg("claims not read; calls with a key of their own are refused")
+	}
+	s.readable = false
+	s.signal()
+}
+
+func (s *claimShard) apply(page api.ReadResponse, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.readable {
+		s.logger.Info().Msg("claims are read")
+	}
+	s.readable = true
+	since := at
+	if len(page.Records) > 0 {
+		since = time.UnixMilli(page.Records[0].AtMS)
+	}
+	s.table.Begin(page.OldestOffset, since)
+	for _, stored := range page.Records {
+		var record api.Record
+		if err := json.Unmarshal(stored.Data, &record); err != nil {
+			s.logger.Warn().Err(err).Int64("offset", stored.Offset).Msg("record of no known form passed over")
+		}
+		s.table.Apply(stored.Offset, stored.AtMS, record, at)
+		s.noteOwn(record)
+	}
+	s.signal()
+}
+
+// noteOwn settles what this node wrote, once it has read it.
+func (s *claimShard) noteOwn(record api.Record) {
+	if outcome := record.Outcome; outcome != nil {
+		delete(s.own, outcome.Attempt)
+		s.attempts.Forget(outcome.Attempt)
+	}
+	claim := record.Claim
+	if claim == nil {
+		return
+	}
+	delete(s.unread, claim.Attempt)
+	won := s.table.Decide(*claim, time.Time{}, 0).Verdict
+	if s.attempts.Seen(claim.Attempt, won == idempotency.Send || won == idempotency.Forgotten) {
+		s.settle(releaseOf(*claim))
+	}
+}
+
+// signal wakes all that wait for a change. The caller holds the lock.
+func (s *claimShard) signal() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// decide looks a call up; readable is false while the log can't be read.
+func (s *claimShard) decide(claim api.Claim, runsFor time.Duration) (idempotency.Decision, bool, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	decision := s.table.Decide(claim, time.Now(), runsFor)
+	if outcome, ok := s.own[decision.Attempt]; ok && decision.Verdict == idempotency.Wait {
+		decision = idempotency.DecideOutcome(outcome)
+	}
+	return decision, s.readable, s.changed
+}
+
+func (s *claimShard) acquire(ctx context.Context, claim api.Claim, runsFor time.Duration) (idempotency.Decision, error) {
+	decision, readable, _ := s.decide(claim, runsFor)
+	if decision.Verdict == idempotency.Forgotten && !readable {
+		return decision, ErrLogUnavailable
+	}
+	if decision.Verdict != idempotency.Claim {
+		return decision, nil
+	}
+	if !readable {
+		return decision, ErrLogUnavailable
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	s.begin(claim.Attempt)
+	refused := make(chan error, 1)
+	go func() { refused <- s.append(ctx, api.Record{Claim: &claim}) }()
+	decision, err := s.readBack(ctx, claim, runsFor, refused)
+	if err != nil || decision.Verdict != idempotency.Send {
+		s.abandon(claim)
+		return decision, err
+	}
+	if !s.send(claim.Attempt) {
+		return decision, ErrLogUnavailable
+	}
+	return decision, nil
+}
+
+// readBack waits until the claim was read, which also means that the stream was read
+// up to it. An ambiguous append is not taken for an answer.
+func (s *claimShard) readBack(ctx context.Context, claim api.Claim, runsFor time.Duration, refused <-chan error) (idempotency.Decision, error) {
+	for {
+		s.mu.Lock()
+		waiting, readable, changed := s.unread[claim.Attempt], s.readable, s.changed
+		s.mu.Unlock()
+		if !waiting {
+			decision, _, _ := s.decide(claim, runsFor)
+			return decision, nil
+		}
+		if !readable {
+			return idempotency.Decision{}, ErrLogUnavailable
+		}
+		select {
+		case <-changed:
+		case err := <-refused:
+			if hadNoEffect(err) {
+				return idempotency.Decision{}, errors.Join(ErrLogUnavailable, err)
+			}
+			refused = nil
+		case <-ctx.Done():
+			return idempotency.Decision{}, errors.Join(ErrLogUnavailable, ctx.Err())
+		}
+	}
+}
+
+func hadNoEffect(err error) bool {
+	var failed *platform.Error
+	return errors.As(err, &failed) && failed.Effect == platform.EffectNone
+}
+
+func (s *claimShard) begin(attempt string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.attempts.Begin(attempt)
+	s.unread[attempt] = true
+}
+
+func (s *claimShard) send(attempt string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.attempts.Send(attempt)
+}
+
+// abandon gives up an attempt. If its claim was read already and has won, it is
+// released now, otherwise when it is read.
+func (s *claimShard) abandon(claim api.Claim) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.attempts.Abandon(claim.Attempt)
+	if s.unread[claim.Attempt] {
+		return
+	}
+	won := s.table.Decide(claim, time.Time{}, 0).Verdict
+	if s.attempts.Seen(claim.Attempt, won == idempotency.Send || won == idempotency.Forgotten) {
+		s.settle(releaseOf(claim))
+	}
+}
+
+func (s *claimShard) await(ctx context.Context, claim api.Claim, runsFor, wait time.Duration) idempotency.Decision {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		decision, _, changed := s.decide(claim, runsFor)
+		if decision.Verdict != idempotency.Wait {
+			return decision
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return decision
+		case <-ctx.Done():
+			return decision
+		}
+	}
+}
+
+func (s *claimShard) append(ctx context.Context, record api.Record) error {
+	encoded, err := json.Marshal(record)
+	if err != nil {
+		return err
+	}
+	return s.batcher.Append(ctx, encoded)
+}
+
+// checkpoint returns the records of a checkpoint; none when nothing is new.
+func (s *claimShard) checkpoint(id string) []json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	through := s.table.Through()
+	if through <= s.checkpointed {
+		return nil
+	}
+	records := s.table.Checkpoint(id)
+	encoded := make([]json.RawMessage, len(records))
+	for i := range records {
+		encoded[i], _ = json.Marshal(records[i])
+	}
+	s.checkpointed = through + int64(len(records))
+	return encoded
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,9 +3,11 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -46,6 +48,8 @@
 	Pool *upstream.Pool
 	// Peers is the client to other nodes.
 	Peers *peer.Client
+	// Claims of calls that may not be repeated.
+	Claims *control.Claims
 	// Logger of the node.
 	Logger zerolog.Logger
 	// Metrics of the node.
@@ -59,6 +63,12 @@
 	store     *exchange.Store
 	admission *admission
 
+	once       *upstream.Once
+	operations *operations
+	calls      atomic.Int64
+	life       context.Context
+	endLife    context.CancelFunc
+
 	mu         sync.Mutex
 	budget     *retry.Budget
 	quarantine *quarantine.Table
@@ -72,8 +82,13 @@
 // New returns a gateway.
 func New(options Options) *Gateway {
 	slots := options.Settings.MaxStreams
+	life, endLife := context.WithCancel(context.Background())
 	return &Gateway{
 		Options:    options,
+		once:       upstream.NewOnce(options.Settings.NodeID),
+		operations: newOperations(options.Settings.NodeID, options.Incarnation, options.Settings.PeerKey),
+		life:       life,
+		endLife:    endLife,
 		store:      exchange.NewStore(journalRetention),
 		admission:  newAdmission(slots, slots*queueFactor),
 		budget:     retry.NewBudget(defaultRetryRatio, retryReserve),
@@ -87,6 +102,7 @@
 	return []rest.Route{
 		{Method: http.MethodPost, Path: "/v1/chat/completions", Handler: g.authenticated(g.chat)},
 		{Method: http.MethodGet, Path: "/v1/models", Handler: g.authenticated(g.models)},
+		{Method: http.MethodPost, Path: "/v1/operations", Handler: g.authenticated(g.createOperation)},
 		{Path: "/services/{service}/{path...}", Handler: g.authenticated(g.service)},
 	}
 }
@@ -95,6 +111,8 @@
 func (g *Gateway) PeerRoutes() []rest.Route {
 	return []rest.Route{
 		{Method: http.MethodPost, Path: peer.PathChat, Handler: peer.Authenticate(g.Settings.PeerKey, g.peerChat)},
+		{Method: http.MethodPost, Path: peer.PathService, Handler: peer.Authenticate(g.Settings.PeerKey, g.peerService)},
+		{Method: http.MethodPost, Path: peer.PathHandover, Handler: peer.Authenticate(g.Settings.PeerKey, g.peerHandover)},
 	}
 }
 
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -1,37 +1,26 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
-	"strings"
+	"net/url"
 	"time"
 
 	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/config"
+	"github.com/persimmonline/persimmonline/idempotency"
 	"github.com/persimmonline/persimmonline/refusal"
-	"github.com/persimmonline/persimmonline/retry"
-	"github.com/persimmonline/persimmonline/routing"
 )
 
 // defaultServiceTimeout bounds an attempt at a plain service.
 const defaultServiceTimeout = 10 * time.Second
 
-// hopByHop are headers that belong to one connection only.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-// internalPrefix starts headers that only nodes may set.
-const internalPrefix = "X-Persimmon-"
-
 // serviceCall is one call of a plain service.
 type serviceCall struct {
 	id        string
 	workspace string
 	service   string
+	// path below the service, escaped.
 	path      string
 	query     string
 	method    string
@@ -41,158 +30,116 @@
 	operation api.Operation
 }
 
+// timeout bounds one attempt.
+func (c *serviceCall) timeout() time.Duration {
+	if c.operation.TimeoutMS > 0 {
+		return time.Duration(c.operation.TimeoutMS) * time.Millisecond
+	}
+	return defaultServiceTimeout
+}
+
+// fingerprint is what two calls with one key have in common.
+func (c *serviceCall) fingerprint() string {
+	return idempotency.Fingerprint(c.service, c.method, c.path, c.query, c.body)
+}
+
+// serviceResult is an answer or a refusal.
+type serviceResult struct {
+	answer   *api.ServiceAnswer
+	refused  *refusal.Refusal
+	replayed bool
+}
+
 // service serves /services/{service}/...
 func (g *Gateway) service(w http.ResponseWriter, r *http.Request, who caller) {
-	name := r.PathValue("service")
-	route, routed := who.index.Route(who.workspace, name)
-	known, exists := who.index.Service(name)
-	if !routed || !exists || known.Kind != api.ServiceKindPlain {
-		g.refuse(w, "", refusal.New(http.StatusNotFound, refusal.CodeNotFound,
-			"service %q does not exist or this workspace has no route to it", name))
+	path, inside := servicePath(r)
+	if !inside {
+		g.refuse(w, "", refusal.Field("path", "the path must not have . or .. segments or control characters"))
 		return
 	}
-	body, refused := g.readBody(w, r)
+	c, refused := g.newServiceCall(who, r.PathValue("service"), r.Method, path, r.URL.RawQuery)
 	if refused != nil {
 		g.refuse(w, "", refused)
 		return
 	}
-	path := "/" + r.PathValue("path")
-	c := &serviceCall{
+	body, refused := g.readBody(w, r)
+	if refused != nil {
+		g.refuse(w, c.id, refused)
+		return
+	}
+	c.body = body
+	c.header = forwardedHeader(r.Header)
+	started := time.Now()
+	result := g.callService(r.Context(), c, r.Header.Values(headerKey))
+	g.writeServiceResult(w, c, result, time.Since(started))
+}
+
+// newServiceCall checks that the workspace may call the service.
+func (g *Gateway) newServiceCall(who caller, name, method, path, query string) (*serviceCall, *refusal.Refusal) {
+	route, routed := who.index.Route(who.workspace, name)
+	known, exists := who.index.Service(name)
+	if !routed || !exists || known.Kind != api.ServiceKindPlain {
+		return nil, refusal.New(http.StatusNotFound, refusal.CodeNotFound,
+			"service %q does not exist or this workspace has no route to it", name)
+	}
+	decoded, err := url.PathUnescape(path)
+	if err != nil {
+		return nil, refusal.Field("path", "the path is not escaped well")
+	}
+	return &serviceCall{
 		id:        g.newRequestID(g.Settings.NodeID, g.Incarnation),
 		workspace: who.workspace,
 		service:   name,
 		path:      path,
-		query:     r.URL.RawQuery,
-		method:    r.Method,
-		header:    forwardedHeader(r.Header),
-		body:      body,
+		query:     query,
+		method:    method,
 		route:     route,
-		operation: config.OperationOf(known, r.Method, path),
-	}
-	g.callService(r.Context(), w, c)
+		operation: config.OperationOf(known, method, decoded),
+	}, nil
 }
 
-// callService tries upstreams until one answers or no further try is allowed.
-func (g *Gateway) callService(ctx context.Context, w http.ResponseWriter, c *serviceCall) {
+// callService takes the way that the operation and the caller's key ask for.
+func (g *Gateway) callService(ctx context.Context, c *serviceCall, keys []string) serviceResult {
 	g.countRequest()
-	excluded := map[string]bool{}
-	ran := refusal.RanNo
-	started := time.Now()
-	for attempts := 1; ; attempts++ {
-		chosen, err := g.pickService(c, excluded)
-		if err != nil {
-			r := refusal.New(http.StatusServiceUnavailable, refusal.CodeNoUpstream,
-				"no upstream can take the call now").At("route", "", err).After(jittered(noUpstreamRetry))
-			r.Ran = ran
-			g.refuse(w, c.id, r)
-			return
-		}
-		response, err := g.attemptService(ctx, c, chosen)
-		if err == nil {
-			g.Metrics.FirstToken.WithLabelValues(c.service).Observe(time.Since(started).Seconds())
-			g.writeServiceAnswer(w, c, response)
-			return
-		}
-		excluded[chosen.ID] = true
-		sent := sentOf(err)
-		if sent == retry.MaybeSent {
-			ran = refusal.RanUnknown
-		}
-		failure := retry.Failure{Sent: sent, Repeatable: c.operation.Repeatable, Attempts: attempts}
-		if !retry.Allowed(failure) || !g.takeRetry() {
-			r := refusal.New(http.StatusBadGateway, refusal.CodeUpstreamFailed,
-				"the upstream failed").At("call service", chosen.ID, err)
-			r.Ran = ran
-			g.refuse(w, c.id, r)
-			return
-		}
+	if c.operation.Repeatable {
+		return g.callRepeatable(ctx, c)
 	}
-}
-
-func (g *Gateway) pickService(c *serviceCall, excluded map[string]bool) (*routing.Upstream, error) {
-	snapshot := g.Control.Snapshot()
-	return routing.Pick(snapshot.Fleet, routing.Request{
-		Service:            c.service,
-		Priority:           c.operation.Priority,
-		DataCentre:         g.Settings.DataCentre,
-		AllowedDataCentres: c.route.DataCentres,
-		Excluded:           excluded,
-	}, routing.Weights{Latency: 1}, time.Now())
-}
-
-// serviceAnswer is a whole answer of a plain service.
-type serviceAnswer struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
-// attemptService sends the call to one upstream and reads the whole answer.
-func (g *Gateway) attemptService(ctx context.Context, c *serviceCall, chosen *routing.Upstream) (*serviceAnswer, error) {
-	timeout := defaultServiceTimeout
-	if c.operation.TimeoutMS > 0 {
-		timeout = time.Duration(c.operation.TimeoutMS) * time.Millisecond
+	if len(keys) == 0 {
+		return g.detached(ctx, func(ctx context.Context) serviceResult { return g.sendOnce(ctx, c) })
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
-	defer cancel()
-	chosen.Tracker.InFlight.Add(1)
-	defer chosen.Tracker.InFlight.Add(-1)
-	url := "http://" + chosen.Address + c.path
-	if c.query != "" {
-		url += "?" + c.query
+	if len(keys) > 1 {
+		return serviceResult{refused: refusal.Field(headerKey, "%s must be given once", headerKey)}
 	}
-	request, err := http.NewRequestWithContext(ctx, c.method, url, bytes.NewReader(c.body))
-	if err != nil {
-		return nil, err
+	if fault := idempotency.CheckKey(keys[0], time.Now()); fault != "" {
+		return serviceResult{refused: refusal.Field(headerKey, "%s %s", headerKey, fault)}
 	}
-	request.Header = c.header.Clone()
-	request.Header.Set(refusal.HeaderRequestID, c.id)
-	response, err := g.Pool.Get(chosen.Address).Do("call service", request)
-	if err != nil {
-		return nil, err
+	if isOperation(keys[0]) {
+		return g.callBound(ctx, c, keys[0])
 	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, g.Settings.MaxBodyBytes))
-	if err != nil {
-		return nil, err
-	}
-	return &serviceAnswer{status: response.StatusCode, header: response.Header, body: body}, nil
+	return g.detached(ctx, func(ctx context.Context) serviceResult { return g.callClaimed(ctx, c, keys[0]) })
 }
 
-func (g *Gateway) writeServiceAnswer(w http.ResponseWriter, c *serviceCall, answer *serviceAnswer) {
+func (g *Gateway) writeServiceResult(w http.ResponseWriter, c *serviceCall, result serviceResult, took time.Duration) {
+	if result.refused != nil {
+		g.Metrics.Requests.WithLabelValues(c.workspace, c.service, resultRefused).Inc()
+		g.refuse(w, c.id, result.refused)
+		return
+	}
+	g.Metrics.FirstToken.WithLabelValues(c.service).Observe(took.Seconds())
+	g.Metrics.Requests.WithLabelValues(c.workspace, c.service, resultAnswered).Inc()
 	header := w.Header()
-	for name, values := range answer.header {
+	for name, values := range result.answer.Header {
 		header[name] = values
 	}
-	dropHopByHop(header)
-	header.Del("Content-Length")
+	if c.method != http.MethodHead {
+		header.Del("Content-Length")
+	}
 	header.Set(refusal.HeaderRequestID, c.id)
-	w.WriteHeader(answer.status)
-	_, _ = w.Write(answer.body)
-	g.Metrics.Requests.WithLabelValues(c.workspace, c.service, resultAnswered).Inc()
-}
-
-// forwardedHeader is the caller's header without what belongs to its connection,
-// its key, and what only nodes may set.
-func forwardedHeader(in http.Header) http.Header {
-	out := in.Clone()
-	dropHopByHop(out)
-	out.Del("Authorization")
-	for name := range out {
-		if strings.HasPrefix(name, internalPrefix) {
-			out.Del(name)
-		}
-	}
-	return out
-}
-
-func dropHopByHop(header http.Header) {
-	for _, listed := range header.Values("Connection") {
-		for _, name := range strings.Split(listed, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		header.Del(name)
+	if result.replayed {
+		header.Set(headerReplayed, "true")
+	}
+	w.WriteHeader(result.answer.Status)
+	if len(result.answer.Body) > 0 {
+		_, _ = w.Write(result.answer.Body)
 	}
 }
--- /dev/null
+++ b/idempotency/decide.go
@@ -0,0 +1,79 @@
+package idempotency
+
+import (
+	"time"
+
+	"github.com/persimmonline/persimmonline/api"
+)
+
+// Verdict is what a node does with a call.
+type Verdict int
+
+// Verdicts on a call.
+const (
+	// Claim means that the key is free: append a claim and read it back.
+	Claim Verdict = iota
+	// Send means that this attempt has won and may be sent, once.
+	Send
+	// Wait means that another attempt has won and its outcome is not known yet.
+	Wait
+	// Replay means that the first answer is known.
+	Replay
+	// Unknown means that the call may have run and its answer can't be had.
+	Unknown
+	// KeyReused means that the key was used for another call.
+	KeyReused
+	// Forgotten means that the key may have been used before the oldest record that
+	// this node knows of.
+	Forgotten
+)
+
+// Decision is the verdict and what comes with it.
+type Decision struct {
+	// Verdict on the call.
+	Verdict Verdict
+	// Outcome of the first call, for Replay.
+	Outcome *api.Outcome
+	// Attempt that has won, for Wait.
+	Attempt string
+	// Status of the first answer, for Unknown; 0 when there was none.
+	Status int
+}
+
+// Decide returns what to do with a call. runsFor is the longest time that the winner
+// may need for its answer.
+func (t *Table) Decide(claim api.Claim, now time.Time, runsFor time.Duration) Decision {
+	known, ok := t.entries[IDOf(claim.Workspace, claim.Key)]
+	switch {
+	case !ok || known.state == released:
+		return t.decideFree(claim, known)
+	case known.attempt == claim.Attempt && !known.sure:
+		return Decision{Verdict: Forgotten}
+	case known.attempt == claim.Attempt && known.state == claimed:
+		return Decision{Verdict: Send}
+	case known.fingerprint != claim.Fingerprint:
+		return Decision{Verdict: KeyReused}
+	case known.state == finished:
+		return DecideOutcome(known.outcome)
+	case now.Sub(known.readAt) > runsFor:
+		return Decision{Verdict: Unknown}
+	default:
+		return Decision{Verdict: Wait, Attempt: known.attempt}
+	}
+}
+
+// decideFree decides on a key that nobody holds; known is nil or released.
+func (t *Table) decideFree(claim api.Claim, known *entry) Decision {
+	if t.mayBeFirst(claim.Key) || known != nil && known.sure {
+		return Decision{Verdict: Claim}
+	}
+	return Decision{Verdict: Forgotten}
+}
+
+// DecideOutcome returns what the repeat of a finished call gets.
+func DecideOutcome(outcome *api.Outcome) Decision {
+	if outcome.Kept {
+		return Decision{Verdict: Replay, Outcome: outcome}
+	}
+	return Decision{Verdict: Unknown, Status: outcome.Status}
+}
--- /dev/null
+++ b/idempotency/handover.go
@@ -0,0 +1,81 @@
+package idempotency
+
+import (
+	"slices"
+	"time"
+
+	"github.com/persimmonline/persimmonline/api"
+)
+
+// Seal ends all sends of this incarnation and returns its journal, one part for each
+// holder. What runs still has an unknown outcome for the successor.
+func (j *Journal) Seal() []api.OperationHandover {
+	j.sealed = true
+	parts := map[Holder]*api.OperationHandover{}
+	for holder, held := range j.holdings {
+		parts[holder] = &api.OperationHandover{
+			NodeID: holder.Node, Incarnation: holder.Incarnation,
+			MayRun:  held.mayRun && j.forgotten.IsZero(),
+			Entries: []api.OperationEntry{},
+		}
+	}
+	for _, id := range j.order {
+		known, ok := j.records[id]
+		if !ok {
+			continue
+		}
+		entry := known.entry
+		if entry.State == api.OperationEntryStateRunning {
+			entry.State = api.OperationEntryStateUnknown
+		}
+		part := parts[known.holder]
+		part.Entries = append(part.Entries, entry)
+	}
+	handovers := make([]api.OperationHandover, 0, len(parts))
+	for _, part := range parts {
+		handovers = append(handovers, *part)
+	}
+	slices.SortFunc(handovers, func(a, b api.OperationHandover) int {
+		if a.NodeID != b.NodeID {
+			return compare(a.NodeID, b.NodeID)
+		}
+		return compare(a.Incarnation, b.Incarnation)
+	})
+	return handovers
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// Adopt takes a handover. It returns false when this node can't be the successor,
+// which means that it will send none of the operations.
+func (j *Journal) Adopt(handover api.OperationHandover) bool {
+	from := Holder{Node: handover.NodeID, Incarnation: handover.Incarnation}
+	successor := Holder{Node: handover.Successor, Incarnation: handover.SuccessorIncarnation}
+	if successor != j.own {
+		j.successors[from] = successor
+		return true
+	}
+	if j.sealed || from == j.own {
+		return false
+	}
+	if _, repeated := j.holdings[from]; repeated {
+		return true
+	}
+	j.holdings[from] = holding{mayRun: handover.MayRun}
+	for _, entry := range handover.Entries {
+		j.add(from, time.UnixMilli(entry.AtMS), entry)
+		if entry.Answer != nil {
+			j.keep(entry.Operation, entry.Answer)
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/idempotency/journal.go
@@ -0,0 +1,201 @@
+package idempotency
+
+import (
+	"time"
+
+	"github.com/persimmonline/persimmonline/api"
+)
+
+// JournalVerdict is what the holder does with a call of an operation.
+type JournalVerdict int
+
+// Verdicts of a journal.
+const (
+	// JournalRun means that the call is to be sent now, once.
+	JournalRun JournalVerdict = iota
+	// JournalRunning means that the call is under way.
+	JournalRunning
+	// JournalReplay means that the first answer is known.
+	JournalReplay
+	// JournalUnknown means that the call may have run and its answer can't be had.
+	JournalUnknown
+	// JournalKeyReused means that the id was used for another call.
+	JournalKeyReused
+	// JournalExpired means that the id is too old for a first call.
+	JournalExpired
+	// JournalSealed means that this node stops and sends no operation any more.
+	JournalSealed
+	// JournalNotHeld means that this node does not hold the operation.
+	JournalNotHeld
+)
+
+// holding is what a node may do for a holder.
+type holding struct {
+	// mayRun lets operations run that the journal does not have.
+	mayRun bool
+}
+
+// JournalBounds bound a journal.
+type JournalBounds struct {
+	// Entries that are kept; the oldest go first.
+	Entries int
+	// AnswerBytes of the answers that are kept; the oldest go first.
+	AnswerBytes int
+}
+
+// record is an operation in the journal.
+type record struct {
+	entry  api.OperationEntry
+	holder Holder
+	issued time.Time
+}
+
+// Journal holds the operations that one incarnation may send, its own and those of
+// incarnations that handed theirs over. One owner at a time may use it.
+type Journal struct {
+	bounds     JournalBounds
+	own        Holder
+	sealed     bool
+	holdings   map[Holder]holding
+	successors map[Holder]Holder
+	records    map[string]*record
+	order      []string
+	answered   []string
+	bytes      int
+	// forgotten is the issue time up to which operations may have been forgotten.
+	forgotten time.Time
+}
+
+// NewJournal returns the empty journal of an incarnation.
+func NewJournal(own Holder, bounds JournalBounds) *Journal {
+	return &Journal{
+		bounds:     bounds,
+		own:        own,
+		holdings:   map[Holder]holding{own: {mayRun: true}},
+		successors: map[Holder]Holder{},
+		records:    map[string]*record{},
+	}
+}
+
+// HolderOf returns who holds an operation now, as far as this node has heard.
+func (j *Journal) HolderOf(operation Operation) Holder {
+	holder := operation.Holder
+	for range len(j.successors) {
+		if _, here := j.holdings[holder]; here {
+			return j.own
+		}
+		next, handed := j.successors[holder]
+		if !handed {
+			return holder
+		}
+		holder = next
+	}
+	if _, here := j.holdings[holder]; here {
+		return j.own
+	}
+	return holder
+}
+
+// Begin decides on a call. After JournalRun the caller must send it, then call
+// Finish, or Unsent when no byte of it can have been sent.
+func (j *Journal) Begin(operation Operation, fingerprint string, now time.Time) (JournalVerdict, *api.ServiceAnswer) {
+	if known, ok := j.records[operation.ID]; ok {
+		return verdictOf(&known.entry, fingerprint)
+	}
+	held, ok := j.holdings[operation.Holder]
+	switch {
+	case !ok:
+		return JournalNotHeld, nil
+	case j.sealed:
+		return JournalSealed, nil
+	case !held.mayRun:
+		return JournalUnknown, nil
+	case now.Sub(operation.IssuedAt) > OperationLifetime || !operation.IssuedAt.After(j.forgotten):
+		return JournalExpired, nil
+	}
+	j.add(operation.Holder, operation.IssuedAt, api.OperationEntry{
+		Operation:   operation.ID,
+		Fingerprint: fingerprint,
+		State:       api.OperationEntryStateRunning,
+		AtMS:        operation.IssuedAt.UnixMilli(),
+	})
+	return JournalRun, nil
+}
+
+func verdictOf(entry *api.OperationEntry, fingerprint string) (JournalVerdict, *api.ServiceAnswer) {
+	switch {
+	case entry.Fingerprint != fingerprint:
+		return JournalKeyReused, nil
+	case entry.State == api.OperationEntryStateRunning:
+		return JournalRunning, nil
+	case entry.State == api.OperationEntryStateFinished && entry.Answer != nil:
+		return JournalReplay, entry.Answer
+	default:
+		return JournalUnknown, nil
+	}
+}
+
+// Finish ends a call that was sent; answer is nil when its outcome is unknown.
+func (j *Journal) Finish(id string, answer *api.ServiceAnswer) {
+	known, ok := j.records[id]
+	if !ok || known.entry.State != api.OperationEntryStateRunning {
+		return
+	}
+	known.entry.State = api.OperationEntryStateUnknown
+	if answer != nil {
+		known.entry.State = api.OperationEntryStateFinished
+		known.entry.Answer = answer
+		j.keep(id, answer)
+	}
+}
+
+// keep bounds the bytes of all answers; an answer that is dropped leaves an unknown
+// outcome.
+func (j *Journal) keep(id string, answer *api.ServiceAnswer) {
+	j.answered = append(j.answered, id)
+	j.bytes += len(answer.Body)
+	for j.bytes > j.bounds.AnswerBytes && len(j.answered) > 1 {
+		oldest, ok := j.records[j.answered[0]]
+		j.answered = j.answered[1:]
+		if ok && oldest.entry.Answer != nil {
+			j.bytes -= len(oldest.entry.Answer.Body)
+			oldest.entry.Answer = nil
+			oldest.entry.State = api.OperationEntryStateUnknown
+		}
+	}
+}
+
+// Unsent takes back a call of which no byte was sent, so that it may be tried again.
+func (j *Journal) Unsent(id string) {
+	if known, ok := j.records[id]; ok && known.entry.State == api.OperationEntryStateRunning {
+		delete(j.records, id)
+	}
+}
+
+// add keeps a record and forgets the oldest ones above the bound.
+func (j *Journal) add(holder Holder, issued time.Time, entry api.OperationEntry) {
+	j.records[entry.Operation] = &record{entry: entry, holder: holder, issued: issued}
+	j.order = append(j.order, entry.Operation)
+	for len(j.records) > j.bounds.Entries {
+		oldest, ok := j.records[j.order[0]]
+		delete(j.records, j.order[0])
+		j.order = j.order[1:]
+		if ok {
+			j.forgotten = latest(j.forgotten, oldest.issued)
+			if oldest.entry.Answer != nil {
+				j.bytes -= len(oldest.entry.Answer.Body)
+			}
+		}
+	}
+}
+
+// Running returns the number of operations under way.
+func (j *Journal) Running() int {
+	running := 0
+	for _, known := range j.records {
+		if known.entry.State == api.OperationEntryStateRunning {
+			running++
+		}
+	}
+	return running
+}
--- a/node/node.go
+++ b/node/node.go
@@ -40,6 +40,7 @@
 	peers   *peer.Client
 	gateway *gateway.Gateway
 	duties  *control.Duties
+	claims  *control.Claims
 
 	callerServer *httpserver.Server
 	adminServer  *httpserver.Server
@@ -77,12 +78,14 @@
 		HostsPoll:  settings.HostsPoll,
 	}
 	n.duties = n.newDuties()
+	n.claims = control.NewClaims(n.feeds.Log, n.duties, n.logger)
 	n.gateway = gateway.New(gateway.Options{
 		Settings:    settings,
 		Incarnation: n.incarnation,
 		Control:     n.control,
 		Pool:        n.pool,
 		Peers:       n.peers,
+		Claims:      n.claims,
 		Logger:      n.logger,
 		Metrics:     n.metrics,
 	})
@@ -125,6 +128,7 @@
 	n.background.Go(func() { n.feeds.Run(ctx) })
 	n.background.Go(func() { n.sendHeartbeats(ctx) })
 	n.background.Go(func() { n.duties.Run(ctx) })
+	n.background.Go(func() { n.claims.Run(ctx) })
 	n.logger.Info().Str("callers", n.callerServer.Address()).Str("admin", n.adminServer.Address()).
 		Str("peers", n.peerServer.Address()).Msg("node started")
 	return nil
@@ -139,6 +143,7 @@
 	drainCtx, cancel := context.WithTimeout(ctx, n.settings.DrainTimeout)
 	defer cancel()
 	drained := n.gateway.Store().Wait(drainCtx)
+	n.handOver(drainCtx)
 	n.gateway.Store().Cancel()
 	stopCtx, cancelStop := context.WithTimeout(ctx, n.settings.DrainTimeout+stopMargin)
 	defer cancelStop()
@@ -149,6 +154,7 @@
 	for _, server := range n.servers() {
 		failures = append(failures, server.Shutdown(stopCtx))
 	}
+	n.settleCalls(stopCtx)
 	n.close()
 	n.logger.Info().Msg("node stopped")
 	return errors.Join(failures...)
@@ -156,6 +162,7 @@
 
 // Kill ends the node at once, as a crash would.
 func (n *Node) Kill() {
+	n.abortCalls()
 	n.gateway.Store().Cancel()
 	n.closeServers()
 	n.close()
--- /dev/null
+++ b/peer/service.go
@@ -0,0 +1,41 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/retry"
+	"github.com/persimmonline/persimmonline/upstream"
+)
+
+// Paths of the peer listener for operations.
+const (
+	PathService  = "/peer/v1/service"
+	PathHandover = "/peer/v1/operations/handover"
+)
+
+// Service hands a call to the holder of its operation id. An *upstream.Error says
+// whether the holder may have got it.
+func (c *Client) Service(ctx context.Context, address string, call api.PeerService) (api.PeerServiceAnswer, error) {
+	var answer api.PeerServiceAnswer
+	response, err := c.post(ctx, "hand over service call", address, PathService, call)
+	if err != nil {
+		return answer, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return answer, &upstream.Error{Step: "read answer of holder", Peer: address, Sent: retry.MaybeSent, Err: err}
+	}
+	return answer, nil
+}
+
+// Handover hands a journal to its successor, or tells a peer who the successor is.
+// An *upstream.Error says whether the peer may have got it.
+func (c *Client) Handover(ctx context.Context, address string, handover api.OperationHandover) error {
+	response, err := c.post(ctx, "hand over operations", address, PathHandover, handover)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -44,6 +44,7 @@
 	CodeInvalidJSON      Code = "invalid_json"
 	CodeInvalidField     Code = "invalid_field"
 	CodeBodyTooLarge     Code = "body_too_large"
+	CodeAnswerTooLarge   Code = "answer_too_large"
 	CodeUnknownModel     Code = "model_not_found"
 	CodeNotFound         Code = "not_found"
 	CodeMethodNotAllowed Code = "method_not_allowed"
