--- a/gateway/serviceattempt.go
+++ b/gateway/serviceattempt.go
@@ -10,7 +10,6 @@
 	"net/url"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
@@ -39,18 +38,6 @@
 	return g.once.Do(address, "call service once", request)
 }
 
-func (g *Gateway) pickService(c *serviceCall, excluded map[string]bool) (*routing.Upstream, error) {
-	snapshot := g.Control.Snapshot()
-	return routing.Pick(snapshot.Fleet, routing.Request{
-		Service:            c.service,
-		Priority:           c.operation.Priority,
-		DataCentre:         g.Settings.DataCentre,
-		AllowedDataCentres: c.route.DataCentres,
-		Excluded:           excluded,
-		Key:                xxhash.Sum64String(c.id),
-	}, routing.Weights{Latency: 1}, time.Now())
-}
-
 // attemptService sends the call to one upstream and reads the whole answer.
 func (g *Gateway) attemptService(ctx context.Context, c *serviceCall, chosen *routing.Upstream, send sendService) (answer *api.ServiceAnswer, err error) {
 	ctx, span := otel.Tracer(tracerName).Start(ctx, "call service")
