Settings checked whole: every fault in one message

Cause: kong stops at the first value that it can't read, so an operator learned one fault a start; enums, region, host id and listeners on one address were not checked.

Conclusion: only faults of the command's grammar (a flag without its value) still hide what comes after them.

--- a/cmd/persimmonline/main.go
+++ b/cmd/persimmonline/main.go
@@ -8,7 +8,6 @@
 	"os"
 	"time"
 
-	"github.com/alecthomas/kong"
 	"github.com/zeromicro/go-zero/core/proc"
 
 	"github.com/persimmonline/persimmonline/node"
@@ -45,6 +44,7 @@
 	Route     routeCommand     `cmd:"" help:"Show routes."`
 	Upstream  upstreamCommand  `cmd:"" help:"Show upstreams."`
 	Demo      demoCommand      `cmd:"" help:"Run a whole deployment with stand-ins, on loopback, in one process."`
+	Settings  settingsCommand  `cmd:"" help:"Print the node settings as a table, as in docs/operators/settings.md."`
 	Version   versionCommand   `cmd:"" help:"Print the version."`
 }
 
@@ -55,17 +55,7 @@
 
 // run parses the arguments and runs a command; it returns the exit code.
 func run(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
-	parser, err := kong.New(&cli{},
-		kong.Name("persimmonline"),
-		kong.Description("Serves language models and small services on reclaimable hosts."),
-		kong.Writers(stdout, stderr),
-		kong.UsageOnError(),
-	)
-	if err != nil {
-		_, _ = fmt.Fprintln(stderr, err)
-		return exitFailure
-	}
-	parsed, err := parser.Parse(args)
+	parsed, err := parse(args, &cli{}, stdout, stderr)
 	if err != nil {
 		_, _ = fmt.Fprintf(stderr, "persimmonline: %v\n", err)
 		return exitSettings
--- a/node/settings.go
+++ b/node/settings.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"net/url"
 	"regexp"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/persimmonline/persimmonline/api"
@@ -33,12 +35,26 @@
 
 // Validate checks settings whole and returns all faults, joined.
 func Validate(s api.Settings) error {
+	var faults []error
+	for _, fault := range Faults(s) {
+		faults = append(faults, fault)
+	}
+	return errors.Join(faults...)
+}
+
+// Faults returns all faults of the settings, each with its flag.
+func Faults(s api.Settings) []*SettingError {
 	v := &settingsValidator{}
 	v.id("--node-id", s.NodeID)
 	v.id("--data-centre", s.DataCentre)
+	v.id("--region", s.Region)
+	if s.HostID != "" {
+		v.id("--host-id", s.HostID)
+	}
 	v.address("--caller-address", s.CallerAddress)
 	v.address("--admin-address", s.AdminAddress)
 	v.address("--peer-address", s.PeerAddress)
+	v.apart(s)
 	v.url("--log-url", s.LogURL, true)
 	v.url("--hosts-url", s.HostsURL, true)
 	v.url("--cloud-url", s.CloudURL, true)
@@ -56,17 +72,42 @@
 	if s.TraceExporter == telemetry.ExporterOTLP {
 		v.url("--trace-endpoint", s.TraceEndpoint, true)
 	}
-	return errors.Join(v.faults...)
+	v.oneOf("--log-level", s.LogLevel, "debug", "info", "warn", "error")
+	v.oneOf("--trace-exporter", s.TraceExporter, telemetry.ExporterNone, telemetry.ExporterStdout, telemetry.ExporterOTLP)
+	return v.faults
 }
 
 type settingsValidator struct {
-	faults []error
+	faults []*SettingError
+}
+
+func (v *settingsValidator) oneOf(flag, value string, allowed ...string) {
+	if !slices.Contains(allowed, value) {
+		v.fault(flag, value, "must be one of "+strings.Join(allowed, ", "))
+	}
 }
 
 func (v *settingsValidator) fault(flag, value, message string) {
 	v.faults = append(v.faults, &SettingError{Flag: flag, Value: value, Message: message})
 }
 
+// apart keeps the listeners for callers, operators and peers on addresses of their own.
+func (v *settingsValidator) apart(s api.Settings) {
+	taken := map[string]string{}
+	for _, listener := range []struct{ flag, address string }{
+		{"--caller-address", s.CallerAddress}, {"--admin-address", s.AdminAddress}, {"--peer-address", s.PeerAddress},
+	} {
+		parsed, err := netip.ParseAddrPort(listener.address)
+		if err != nil || parsed.Port() == 0 {
+			continue
+		}
+		if other, used := taken[listener.address]; used {
+			v.fault(listener.flag, listener.address, "is the address of "+other+" too")
+		}
+		taken[listener.address] = listener.flag
+	}
+}
+
 func (v *settingsValidator) id(flag, value string) {
 	if !idPattern.MatchString(value) {
 		v.fault(flag, value, "must be lower-case letters, digits, dashes and underscores")
@@ -84,8 +125,8 @@
 		return
 	}
 	parsed, err := url.Parse(value)
-	if err != nil || parsed.Scheme == "" || parsed.Host == "" {
-		v.fault(flag, value, "must be a URL, for example http://127.0.0.1:7000")
+	if err != nil || parsed.Scheme != "http" && parsed.Scheme != "https" || parsed.Host == "" {
+		v.fault(flag, value, "must be an HTTP URL, for example http://127.0.0.1:7000")
 	}
 }
 
