--- a/cmd/persimmonline/parse.go
+++ b/cmd/persimmonline/parse.go
@@ -53,12 +53,12 @@
 			return err
 		}
 		value, err := read(text)
-		if err != nil || target.OverflowInt(value) {
-			f.add(&node.SettingError{Flag: "--" + ctx.Value.Name, Value: text, Message: message})
+		if err == nil && !target.OverflowInt(value) {
+			target.SetInt(value)
 			return nil
 		}
-		target.SetInt(value)
-		return nil
+		f.add(&node.SettingError{Flag: "--" + ctx.Value.Name, Value: text, Message: message})
+		return nil //nolint:nilerr // The fault is noted, so that the next ones are found too.
 	}
 }
 
