--- a/gateway/auth.go
+++ b/gateway/auth.go
@@ -5,6 +5,9 @@
 	"strings"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"github.com/persimmonline/persimmonline/config"
 	"github.com/persimmonline/persimmonline/refusal"
 )
@@ -34,6 +37,9 @@
 				"the API key is missing or unknown"))
 			return
 		}
+		// The caller's trace goes on here; the workspace tells whose it is, also when
+		// two workspaces send the same trace id.
+		trace.SpanFromContext(r.Context()).SetAttributes(attribute.String("workspace", workspace))
 		next(w, r, caller{workspace: workspace, index: index})
 	}
 }
