--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -14,6 +15,7 @@
 // Metrics are the metrics of one node, on a registry of its own.
 type Metrics struct {
 	registry *prometheus.Registry
+	names    []string
 
 	// Requests counts requests by workspace, service and result (answered, refused, cut).
 	Requests *prometheus.CounterVec
@@ -69,14 +71,14 @@
 	m.ConfigAge = m.gauge("config_age_seconds", "Time since the log was last read with success.")
 	m.InFlight = m.gauge("in_flight_requests", "Requests in flight.")
 	m.ControlBytes = m.counter("control_bytes_total", "Bytes of control traffic.", "direction", "kind")
-	control := prometheus.NewCounter(prometheus.CounterOpts{
-		Namespace: namespace, Name: "control_seconds_total", Help: "Time spent in the control loop.",
-	})
-	registry.MustRegister(control)
-	m.ControlSeconds = control
+	m.ControlSeconds = m.counter("control_seconds_total", "Time spent in the control loop.").WithLabelValues()
 	return m
 }
 
+// Names returns the full names of the node's own metrics, in the order of their
+// registration.
+func (m *Metrics) Names() []string { return slices.Clone(m.names) }
+
 // Registry returns the node's registry.
 func (m *Metrics) Registry() *prometheus.Registry { return m.registry }
 
@@ -87,13 +89,19 @@
 
 func (m *Metrics) counter(name, help string, labels ...string) *prometheus.CounterVec {
 	vec := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
-	m.registry.MustRegister(vec)
+	m.register(name, vec)
 	return vec
 }
 
+// register adds a metric to the registry and to the names.
+func (m *Metrics) register(name string, collector prometheus.Collector) {
+	m.registry.MustRegister(collector)
+	m.names = append(m.names, namespace+"_"+name)
+}
+
 func (m *Metrics) gauge(name, help string) prometheus.Gauge {
 	gauge := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
-	m.registry.MustRegister(gauge)
+	m.register(name, gauge)
 	return gauge
 }
 
@@ -101,6 +109,6 @@
 	vec := prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: namespace, Name: name, Help: help, Buckets: latencyBuckets,
 	}, labels)
-	m.registry.MustRegister(vec)
+	m.register(name, vec)
 	return vec
 }
