Membership: freshest source wins, bounded news and load reads

Cause: a cloud notice names no incarnation and kept every later process of the host leaving for ever; three empty host lists emptied an answering fleet (both shown red on the old table); loads, trackers and peers were never dropped; every node asked every peer and engine at every interval.

Change: membership is a table with rules for incarnations, notices, suspects and torn lists; heartbeats go to at most four partners, carry each notice once and go at once when there is news; load reports are read every 5 s; host list and cloud API are read with entity tags; control bytes are counted on connections.

Guards removed and seen red: incarnation order, ended incarnations, age of an answer, end of a notice, disbelief of torn lists, suspect until probed, two contacts after flapping, expiry of notices, older lists, news at once, pause after a failed exchange.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -19,7 +19,7 @@
 )
 
 // peerSilentAfter is the age of a heartbeat after which a node is shown as silent.
-const peerSilentAfter = 5 * time.Second
+const peerSilentAfter = 10 * time.Second
 
 // Options are what the administration API needs.
 type Options struct {
--- a/api/platform_gen.go
+++ b/api/platform_gen.go
@@ -33,6 +33,10 @@
 
 	// State of the host.
 	State CloudHostState `json:"state"`
+
+	// Token of the request that started the host; empty when it was not started by
+	// request.
+	Token string `json:"token,omitempty,omitzero"`
 }
 
 type CloudHostState string
--- a/control/feeds.go
+++ b/control/feeds.go
@@ -17,10 +17,6 @@
 	readLimit = 1000
 	// feedBackoff is the wait after a failed read.
 	feedBackoff = 500 * time.Millisecond
-	// loadTimeout bounds one load report.
-	loadTimeout = 2 * time.Second
-	// suspectFor is how long an upstream that failed is avoided.
-	suspectFor = 3 * time.Second
 )
 
 // Feeds read the platform and the upstreams and post what they learn.
@@ -33,8 +29,10 @@
 	Hosts platform.Hosts
 	// Cloud of the platform.
 	Cloud platform.Cloud
-	// Pool of connections to upstreams.
+	// Pool of connections to upstreams, for load reports and probes only.
 	Pool *upstream.Pool
+	// HostID of this node, by which it finds the upstreams that it watches.
+	HostID string
 	// ConfigPoll is the longest wait of one read of the config stream.
 	ConfigPoll time.Duration
 	// HostsPoll is the time between two reads of the host list, cloud and loads.
@@ -47,7 +45,7 @@
 	group.Go(func() { f.followConfig(ctx) })
 	group.Go(func() { f.poll(ctx, f.listHosts) })
 	group.Go(func() { f.poll(ctx, f.listReclaims) })
-	group.Go(func() { f.poll(ctx, f.readLoads) })
+	group.Go(func() { f.watchUpstreams(ctx) })
 	group.Wait()
 }
 
@@ -108,29 +106,6 @@
 	}
 }
 
-// readLoads asks every engine for its load.
-func (f *Feeds) readLoads(ctx context.Context) {
-	var group sync.WaitGroup
-	for _, member := range f.Loop.Snapshot().Members.Upstreams {
-		if member.Role != api.HostRoleEngine {
-			continue
-		}
-		group.Go(func() { f.readLoad(ctx, member.ID, member.Address) })
-	}
-	group.Wait()
-}
-
-func (f *Feeds) readLoad(ctx context.Context, id, address string) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	load, err := f.Pool.Get(address).Load(ctx)
-	if err != nil {
-		f.Loop.Offer(ContactFailed{HostID: id, Until: time.Now().Add(suspectFor)})
-		return
-	}
-	f.Loop.Post(ctx, LoadRead{HostID: id, Load: load})
-}
-
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
@@ -141,8 +116,9 @@
 	}
 }
 
-// Close closes idle connections to the platform.
+// Close closes idle connections to the platform and the upstreams.
 func (f *Feeds) Close() {
+	f.Pool.Close()
 	for _, service := range []any{f.Log, f.Hosts, f.Cloud} {
 		if closer, ok := service.(interface{ Close() }); ok {
 			closer.Close()
--- /dev/null
+++ b/control/hostevents.go
@@ -0,0 +1,119 @@
+package control
+
+import (
+	"time"
+
+	"github.com/persimmonline/persimmonline/api"
+)
+
+// peerKept is how long a peer that the host list lacks is remembered.
+const peerKept = time.Minute
+
+// HostsListed is a host list of the platform.
+type HostsListed struct {
+	// List as the platform knows it.
+	List api.HostList
+}
+
+func (e HostsListed) apply(s *state) {
+	s.members.ApplyList(e.List, s.now())
+	s.forgetGone()
+}
+
+// forgetGone drops what is kept of hosts that are no members any more, so that the
+// state stays as small as the fleet.
+func (s *state) forgetGone() {
+	for id := range s.loads {
+		if !s.members.Has(id) {
+			delete(s.loads, id)
+		}
+	}
+	for id, tracker := range s.trackers {
+		if !s.members.Has(id) && tracker.InFlight.Load() == 0 {
+			delete(s.trackers, id)
+		}
+	}
+	for id, known := range s.peers {
+		if !s.members.Has(id) && s.now().Sub(known.HeardAt) > peerKept {
+			delete(s.peers, id)
+		}
+	}
+}
+
+// HostsLeaving is news of reclaims, from the cloud API or a peer.
+type HostsLeaving struct {
+	// Hosts that are leaving.
+	Hosts []api.LeavingHost
+	// Source of the news.
+	Source string
+}
+
+func (e HostsLeaving) apply(s *state) {
+	for _, host := range e.Hosts {
+		if s.members.ApplyLeaving(host, s.now()) {
+			s.logger.Info().Str("host", host.HostID).Str("source", e.Source).Msg("host is leaving")
+		}
+	}
+}
+
+// LoadRead is a load report of an engine.
+type LoadRead struct {
+	// HostID of the engine.
+	HostID string
+	// Load that it reported.
+	Load api.EngineLoad
+}
+
+func (e LoadRead) apply(s *state) {
+	if !s.members.Has(e.HostID) {
+		return
+	}
+	s.loads[e.HostID] = e.Load
+	s.members.ApplySuccess(e.HostID, e.Load.Incarnation, s.now())
+}
+
+// ContactFailed is an upstream that could not be reached or broke off.
+type ContactFailed struct {
+	// HostID of the upstream.
+	HostID string
+	// Until is when it is tried like others again.
+	Until time.Time
+}
+
+func (e ContactFailed) apply(s *state) { s.members.ApplyFailure(e.HostID, s.now(), e.Until) }
+
+// ContactWorked is an upstream that answered.
+type ContactWorked struct {
+	// HostID of the upstream.
+	HostID string
+}
+
+func (e ContactWorked) apply(s *state) { s.members.ApplySuccess(e.HostID, "", s.now()) }
+
+// PeerHeard is a heartbeat of another node.
+type PeerHeard struct {
+	// Heartbeat of the peer.
+	Heartbeat api.Heartbeat
+	// At is when it came.
+	At time.Time
+}
+
+func (e PeerHeard) apply(s *state) {
+	s.peers[e.Heartbeat.NodeID] = Peer{Heartbeat: e.Heartbeat, HeardAt: e.At}
+	s.members.ApplySuccess(e.Heartbeat.NodeID, e.Heartbeat.Incarnation, e.At)
+	HostsLeaving{Hosts: e.Heartbeat.Leaving, Source: e.Heartbeat.NodeID}.apply(s)
+}
+
+// PeerFailed is a peer that could not be reached: it owns nothing until it is heard
+// of again.
+type PeerFailed struct {
+	// NodeID of the peer.
+	NodeID string
+}
+
+func (e PeerFailed) apply(s *state) {
+	if known, ok := s.peers[e.NodeID]; ok {
+		known.HeardAt = time.Time{}
+		s.peers[e.NodeID] = known
+	}
+}
--- a/control/loop.go
+++ b/control/loop.go
@@ -44,8 +44,8 @@
 	Fleet *routing.Fleet
 	// Peers by node id.
 	Peers map[string]Peer
-	// Leaving are the reclaim notices that peers should hear of.
-	Leaving []api.LeavingHost
+	// Notices are the reclaim notices that are known, in the order of their arrival.
+	Notices []membership.Notice
 }
 
 // Event changes the control state.
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -21,7 +21,7 @@
 		Members:   view,
 		Fleet:     s.fleet(view),
 		Peers:     maps.Clone(s.peers),
-		Leaving:   s.members.Leaving(),
+		Notices:   s.members.Notices(),
 	}
 }
 
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -18,7 +18,7 @@
 )
 
 // peerSilentAfter is the age of a heartbeat after which a peer owns nothing new.
-const peerSilentAfter = 3 * time.Second
+const peerSilentAfter = 10 * time.Second
 
 // source is an answer as it comes, from this node's journal or from the owner.
 type source interface {
--- a/node/node.go
+++ b/node/node.go
@@ -19,7 +19,6 @@
 	"github.com/persimmonline/persimmonline/gateway"
 	"github.com/persimmonline/persimmonline/httpserver"
 	"github.com/persimmonline/persimmonline/peer"
-	"github.com/persimmonline/persimmonline/platform"
 	"github.com/persimmonline/persimmonline/telemetry"
 	"github.com/persimmonline/persimmonline/upstream"
 )
@@ -38,6 +37,7 @@
 	feeds   *control.Feeds
 	pool    *upstream.Pool
 	peers   *peer.Client
+	beats   *heartbeats
 	gateway *gateway.Gateway
 
 	callerServer *httpserver.Server
@@ -66,12 +66,14 @@
 	n.logger = logger.With().Str("node", settings.NodeID).Str("incarnation", n.incarnation).Logger()
 	n.control = control.NewLoop(time.Now, n.logger, n.metrics)
 	n.peers = peer.NewClient(settings.PeerKey, n.pool)
+	n.beats = newHeartbeats(settings, n.metrics)
 	n.feeds = &control.Feeds{
 		Loop:       n.control,
-		Log:        platform.NewLogClient(settings.LogURL),
-		Hosts:      platform.NewHostsClient(settings.HostsURL),
-		Cloud:      platform.NewCloudClient(settings.CloudURL),
-		Pool:       n.pool,
+		Log:        n.logClient(),
+		Hosts:      n.hostsClient(),
+		Cloud:      n.cloudClient(),
+		Pool:       upstream.NewControlPool(settings.NodeID, n.metrics.ControlDial("load")),
+		HostID:     settings.HostID,
 		ConfigPoll: settings.ConfigPoll,
 		HostsPoll:  settings.HostsPoll,
 	}
@@ -163,6 +165,7 @@
 	n.background.Wait()
 	n.pool.Close()
 	n.feeds.Close()
+	n.beats.pool.Close()
 }
 
 func (n *Node) servers() []*httpserver.Server {
--- a/standin/deployment.go
+++ b/standin/deployment.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -95,6 +97,13 @@
 	return d.services[id]
 }
 
+// Upstreams returns the host ids of the upstreams that run, sorted.
+func (d *Deployment) Upstreams() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Sorted(maps.Keys(d.servers))
+}
+
 // Server returns the server of an upstream by host id; nil if there is none.
 func (d *Deployment) Server(id string) *Server {
 	d.mu.Lock()
--- a/standin/server.go
+++ b/standin/server.go
@@ -12,6 +12,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // readHeaderTimeout bounds the time a client has to send its headers.
@@ -154,6 +156,23 @@
 	_ = json.NewEncoder(w).Encode(value)
 }
 
+// writeTagged answers a read with an entity tag of what it is about, or says that the
+// client has it already.
+func writeTagged(w http.ResponseWriter, r *http.Request, subject, value any) {
+	encoded, err := json.Marshal(subject)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf("%q", fmt.Sprintf("%016x", xxhash.Sum64(encoded)))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	writeJSON(w, http.StatusOK, value)
+}
+
 func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
 	if err := json.NewDecoder(r.Body).Decode(into); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- /dev/null
+++ b/telemetry/conn.go
@@ -0,0 +1,62 @@
+package telemetry
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Directions of control traffic.
+const (
+	directionSent     = "sent"
+	directionReceived = "received"
+)
+
+// controlDialTimeout bounds the opening of a connection for control.
+const controlDialTimeout = 2 * time.Second
+
+// Dial opens a connection; it has the form of net.Dialer.DialContext.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// ControlDial returns a dialer whose connections count their bytes, headers included,
+// as control traffic of a kind.
+func (m *Metrics) ControlDial(kind string) Dial {
+	dialer := &net.Dialer{Timeout: controlDialTimeout}
+	sent := m.ControlBytes.WithLabelValues(directionSent, kind)
+	received := m.ControlBytes.WithLabelValues(directionReceived, kind)
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countingConn{Conn: conn, sent: sent, received: received}, nil
+	}
+}
+
+// CountControl counts the bytes of one request that was answered.
+func (m *Metrics) CountControl(kind string, received, sent int64) {
+	m.ControlBytes.WithLabelValues(directionReceived, kind).Add(float64(received))
+	m.ControlBytes.WithLabelValues(directionSent, kind).Add(float64(sent))
+}
+
+// countingConn counts the bytes of a connection.
+type countingConn struct {
+	net.Conn
+	sent, received prometheus.Counter
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(float64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent.Add(float64(n))
+	return n, err
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -15,6 +15,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"github.com/persimmonline/persimmonline/retry"
+	"github.com/persimmonline/persimmonline/telemetry"
 )
 
 const (
@@ -49,6 +50,7 @@
 // Pool holds the connections to all upstreams by address.
 type Pool struct {
 	owner string
+	dial  telemetry.Dial
 	mu    sync.Mutex
 	conns map[string]*Conn
 }
@@ -59,13 +61,19 @@
 	return &Pool{owner: owner, conns: map[string]*Conn{}}
 }
 
+// NewControlPool returns a pool for control traffic, with connections and breakers
+// apart from those of requests; dial counts its bytes.
+func NewControlPool(owner string, dial telemetry.Dial) *Pool {
+	return &Pool{owner: owner + " control", dial: dial, conns: map[string]*Conn{}}
+}
+
 // Get returns the connections to an address.
 func (p *Pool) Get(address string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conn, ok := p.conns[address]
 	if !ok {
-		conn = newConn(p.owner, address)
+		conn = newConn(p.owner, address, p.dial)
 		p.conns[address] = conn
 	}
 	return conn
@@ -99,9 +107,12 @@
 	service   httpc.Service
 }
 
-func newConn(owner, address string) *Conn {
+func newConn(owner, address string, dial telemetry.Dial) *Conn {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
+	if dial != nil {
+		transport.DialContext = dial
+	}
 	transport.DisableCompression = true
 	transport.MaxIdleConnsPerHost = idlePerUpstream
 	transport.IdleConnTimeout = idleTimeout
