--- a/control/feeds.go
+++ b/control/feeds.go
@@ -46,6 +46,7 @@
 	group.Go(func() { f.poll(ctx, f.listHosts) })
 	group.Go(func() { f.poll(ctx, f.listReclaims) })
 	group.Go(func() { f.watchUpstreams(ctx) })
+	group.Go(func() { f.followCaches(ctx) })
 	group.Wait()
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -29,6 +29,8 @@
 	// text is the prompt as engines compute on it.
 	text   []byte
 	blocks []uint64
+	// cached is the part of the prompt that the chosen upstream should hold, in tokens.
+	cached int
 }
 
 // readBody reads a request body of bounded size.
@@ -117,6 +119,9 @@
 	}
 }
 
+// tokens is the expected cost of the call, in prompt and answer tokens.
+func (c *call) tokens() int { return prompt.Tokens(c.text) + c.answerTokens() }
+
 // engineBody returns the body for an engine: the caller's, always streamed and with
 // usage, resumed after the tokens that the journal has.
 func (c *call) engineBody(resume *api.ChatResume) ([]byte, error) {
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -14,7 +14,6 @@
 	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/control"
 	"github.com/persimmonline/persimmonline/exchange"
-	"github.com/persimmonline/persimmonline/limit"
 	"github.com/persimmonline/persimmonline/prompt"
 	"github.com/persimmonline/persimmonline/quarantine"
 	"github.com/persimmonline/persimmonline/refusal"
@@ -49,11 +48,7 @@
 		return refusal.New(http.StatusUnprocessableEntity, refusal.CodePoison,
 			"this request crashed the upstreams that ran it and is not run again")
 	}
-	done, refused := g.admission.admit(ctx, limit.Ticket{
-		Workspace: c.workspace,
-		Priority:  c.priority,
-		Tokens:    float64(prompt.Tokens(c.text) + c.answerTokens()),
-	})
+	done, refused := g.admit(ctx, c)
 	if refused != nil {
 		return refused
 	}
@@ -110,27 +105,6 @@
 		"upstreams failed %d times", attempts).At("run", "", failed).After(jittered(noUpstreamRetry))
 }
 
-// pick routes one attempt.
-func (g *Gateway) pick(c *call, excluded map[string]bool) (*routing.Upstream, error) {
-	snapshot := g.Control.Snapshot()
-	weights := routing.Weights{Latency: 1}
-	if snapshot.Index != nil {
-		weights.Latency = snapshot.Index.Config.Policy.LatencyWeight
-		weights.Cost = snapshot.Index.Config.Policy.CostWeight
-	}
-	return routing.Pick(snapshot.Fleet, routing.Request{
-		Service:            c.service,
-		Blocks:             c.blocks,
-		PromptTokens:       prompt.Tokens(c.text),
-		AnswerTokens:       c.answerTokens(),
-		Priority:           c.priority,
-		DataCentre:         g.Settings.DataCentre,
-		AllowedDataCentres: c.route.DataCentres,
-		Excluded:           excluded,
-		Key:                prompt.PrefixKey(c.text),
-	}, weights, time.Now())
-}
-
 // attempt runs the call at one upstream, from where the journal ends.
 func (g *Gateway) attempt(ctx context.Context, c *call, journal *exchange.Exchange, chosen *routing.Upstream) (err error) {
 	ctx, span := otel.Tracer(tracerName).Start(ctx, "attempt")
@@ -147,8 +121,8 @@
 		}
 		span.End()
 	}()
-	chosen.Tracker.InFlight.Add(1)
-	defer chosen.Tracker.InFlight.Add(-1)
+	observed := g.observe(c, chosen)
+	defer observed.end()
 
 	body, err := c.engineBody(resumeFrom(journal))
 	if err != nil {
@@ -163,11 +137,11 @@
 		return err
 	}
 	defer stream.Close()
-	return g.copyStream(c, journal, stream, watchdog)
+	return g.copyStream(c, journal, stream, watchdog, observed)
 }
 
 // copyStream appends the chunks of an attempt to the journal until the answer is whole.
-func (g *Gateway) copyStream(c *call, journal *exchange.Exchange, stream *upstream.Stream, watchdog *time.Timer) error {
+func (g *Gateway) copyStream(c *call, journal *exchange.Exchange, stream *upstream.Stream, watchdog *time.Timer, observed *observation) error {
 	finished := false
 	last := time.Time{}
 	for {
@@ -182,6 +156,7 @@
 			return err
 		}
 		watchdog.Reset(nextChunkTimeout)
+		observed.chunk(chunk)
 		if now := time.Now(); last.IsZero() {
 			last = now
 		} else {
