--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -31,7 +31,7 @@
 		Members:   view,
 		Fleet:     s.fleet(view, now),
 		Peers:     maps.Clone(s.peers),
-		Leaving:   s.members.Leaving(),
+		Notices:   s.members.Notices(),
 	}
 }
 
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -11,7 +11,7 @@
 )
 
 // peerSilentAfter is the age of a heartbeat after which a peer owns nothing new.
-const peerSilentAfter = 3 * time.Second
+const peerSilentAfter = 10 * time.Second
 
 // owner returns the peer that owns the call; false means this node.
 func (g *Gateway) owner(c *call) (api.Heartbeat, bool) {
