Slopes: complete settings

Cause: the settings are checked whole now, and the bench left two out. Change: both are set. Measured: the bench starts its nodes again. Conclusion: none beyond it.

--- a/bench/slopes/nodes.go
+++ b/bench/slopes/nodes.go
@@ -15,6 +15,7 @@
 
 	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/node"
+	"github.com/persimmonline/persimmonline/telemetry"
 )
 
 const (
@@ -76,7 +77,7 @@
 		NodeID: id, DataCentre: dataCentre(i), Region: region,
 		CallerAddress: caller, AdminAddress: free, PeerAddress: free,
 		LogURL: c.LogURL, HostsURL: c.CloudURL, CloudURL: c.CloudURL,
-		PeerKey: peerKey, MaxBodyBytes: 4 << 20, MaxStreams: 4096,
+		PeerKey: peerKey, MaxBodyBytes: 4 << 20, MaxStreams: 4096, LogLevel: "error", TraceExporter: telemetry.ExporterNone,
 		ConfigPoll: 2 * time.Second, HostsPoll: time.Second, Heartbeat: time.Second,
 	}, zerolog.Nop())
 	if err != nil {
