--- a/node/node.go
+++ b/node/node.go
@@ -19,7 +19,6 @@
 	"github.com/persimmonline/persimmonline/gateway"
 	"github.com/persimmonline/persimmonline/httpserver"
 	"github.com/persimmonline/persimmonline/peer"
-	"github.com/persimmonline/persimmonline/platform"
 	"github.com/persimmonline/persimmonline/telemetry"
 	"github.com/persimmonline/persimmonline/upstream"
 )
@@ -38,8 +37,10 @@
 	feeds   *control.Feeds
 	pool    *upstream.Pool
 	peers   *peer.Client
+	beats   *heartbeats
 	gateway *gateway.Gateway
 	duties  *control.Duties
+	claims  *control.Claims
 
 	callerServer *httpserver.Server
 	adminServer  *httpserver.Server
@@ -67,22 +68,26 @@
 	n.logger = logger.With().Str("node", settings.NodeID).Str("incarnation", n.incarnation).Logger()
 	n.control = control.NewLoop(time.Now, n.logger, n.metrics)
 	n.peers = peer.NewClient(settings.PeerKey, n.pool)
+	n.beats = newHeartbeats(settings, n.metrics)
 	n.feeds = &control.Feeds{
 		Loop:       n.control,
-		Log:        platform.NewLogClient(settings.LogURL),
-		Hosts:      platform.NewHostsClient(settings.HostsURL),
-		Cloud:      platform.NewCloudClient(settings.CloudURL),
-		Pool:       n.pool,
+		Log:        n.logClient(),
+		Hosts:      n.hostsClient(),
+		Cloud:      n.cloudClient(),
+		Pool:       upstream.NewControlPool(settings.NodeID, n.metrics.ControlDial("load")),
+		HostID:     settings.HostID,
 		ConfigPoll: settings.ConfigPoll,
 		HostsPoll:  settings.HostsPoll,
 	}
 	n.duties = n.newDuties()
+	n.claims = control.NewClaims(n.feeds.Log, n.duties, n.logger)
 	n.gateway = gateway.New(gateway.Options{
 		Settings:    settings,
 		Incarnation: n.incarnation,
 		Control:     n.control,
 		Pool:        n.pool,
 		Peers:       n.peers,
+		Claims:      n.claims,
 		Logger:      n.logger,
 		Metrics:     n.metrics,
 	})
@@ -125,6 +130,7 @@
 	n.background.Go(func() { n.feeds.Run(ctx) })
 	n.background.Go(func() { n.sendHeartbeats(ctx) })
 	n.background.Go(func() { n.duties.Run(ctx) })
+	n.background.Go(func() { n.claims.Run(ctx) })
 	n.logger.Info().Str("callers", n.callerServer.Address()).Str("admin", n.adminServer.Address()).
 		Str("peers", n.peerServer.Address()).Msg("node started")
 	return nil
@@ -139,6 +145,7 @@
 	drainCtx, cancel := context.WithTimeout(ctx, n.settings.DrainTimeout)
 	defer cancel()
 	drained := n.gateway.Store().Wait(drainCtx)
+	n.handOver(drainCtx)
 	n.gateway.Store().Cancel()
 	stopCtx, cancelStop := context.WithTimeout(ctx, n.settings.DrainTimeout+stopMargin)
 	defer cancelStop()
@@ -149,6 +156,7 @@
 	for _, server := range n.servers() {
 		failures = append(failures, server.Shutdown(stopCtx))
 	}
+	n.settleCalls(stopCtx)
 	n.close()
 	n.logger.Info().Msg("node stopped")
 	return errors.Join(failures...)
@@ -156,6 +164,7 @@
 
 // Kill ends the node at once, as a crash would.
 func (n *Node) Kill() {
+	n.abortCalls()
 	n.gateway.Store().Cancel()
 	n.closeServers()
 	n.close()
@@ -166,6 +175,7 @@
 	n.background.Wait()
 	n.pool.Close()
 	n.feeds.Close()
+	n.beats.pool.Close()
 }
 
 func (n *Node) servers() []*httpserver.Server {
