routing: old reports give way to what the other nodes likely sent; prefill counts thrice

Cause: with reports 5 and 15 s old, five nodes crowded the cheap engines, each counting only its own work; caches were thrashed by prefixes that went wherever it was free. Change: as a report ages, the other nodes are taken to load an engine as this node does; a second of prefill is priced three times, for those behind it and the cache.

--- a/bench/policy/node.go
+++ b/bench/policy/node.go
@@ -83,7 +83,7 @@
 			}
 		}
 	}
-	n.fleet = routing.NewFleet(byService, n.prefixes, n.world.clock())
+	n.fleet = routing.NewFleet(byService, n.prefixes, len(n.world.nodes), n.world.clock())
 	n.told = n.owned
 	for _, name := range n.world.scenario.Mix.services {
 		n.queues[name].Resize(limit.NodeCapacity(slots[name], len(n.world.nodes), maxStreams))
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -16,6 +16,8 @@
 	// waveReclaimsPerHour is the rate at which the hosts of a data centre and machine
 	// class go while a reclaim wave runs through all of it.
 	waveReclaimsPerHour = 120
+	// peerSilentAfter is the age of a heartbeat after which a peer owns nothing new.
+	peerSilentAfter = 3 * time.Second
 	// defaultCacheTokens is the size of an engine's cache that it does not report.
 	defaultCacheTokens = 65536
 )
@@ -51,7 +53,26 @@
 		}
 	}
 	s.forgetHolders(view)
-	return routing.NewFleet(byService, s.prefixes, now)
+	return routing.NewFleet(byService, s.prefixes, liveNodes(s.peers, now), now)
+}
+
+// OwnsRequests says whether a peer may own new requests: it is ready and was heard
+// of lately.
+func (p Peer) OwnsRequests(now time.Time) bool {
+	return p.State == api.HeartbeatStateReady && now.Sub(p.HeardAt) < peerSilentAfter
+}
+
+// LiveNodes returns the number of nodes that take requests, this one included.
+func (s *Snapshot) LiveNodes(now time.Time) int { return liveNodes(s.Peers, now) }
+
+func liveNodes(peers map[string]Peer, now time.Time) int {
+	nodes := 1
+	for _, known := range peers {
+		if known.OwnsRequests(now) {
+			nodes++
+		}
+	}
+	return nodes
 }
 
 // pool is a set of hosts that are reclaimed together.
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -243,7 +243,7 @@
 		return
 	}
 	a.refreshed = now
-	nodes := liveNodes(snapshot, now)
+	nodes := snapshot.LiveNodes(now)
 	if snapshot.Index != a.index || nodes != a.nodes {
 		a.index, a.nodes = snapshot.Index, nodes
 		a.workspaces.Configure(now, limitsOf(snapshot.Index.Config), nodes)
@@ -258,17 +258,6 @@
 	}
 }
 
-// liveNodes returns the number of nodes that take requests, this one included.
-func liveNodes(snapshot *control.Snapshot, now time.Time) int {
-	nodes := 1
-	for _, known := range snapshot.Peers {
-		if ownsRequests(known, now) {
-			nodes++
-		}
-	}
-	return nodes
-}
-
 // limitsOf returns the limits by workspace.
 func limitsOf(configuration *api.Configuration) map[string]limit.Limits {
 	limits := make(map[string]limit.Limits, len(configuration.Workspaces))
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -10,16 +10,13 @@
 	"github.com/persimmonline/persimmonline/routing"
 )
 
-// peerSilentAfter is the age of a heartbeat after which a peer owns nothing new.
-const peerSilentAfter = 10 * time.Second
-
 // owner returns the peer that owns the call; false means this node.
 func (g *Gateway) owner(c *call) (api.Heartbeat, bool) {
 	snapshot := g.Control.Snapshot()
 	members := []routing.Member{{ID: g.Settings.NodeID, InFlight: g.store.InFlight()}}
 	now := time.Now()
 	for id, known := range snapshot.Peers {
-		if ownsRequests(known, now) {
+		if known.OwnsRequests(now) {
 			members = append(members, routing.Member{ID: id, InFlight: known.InFlight})
 		}
 	}
@@ -31,11 +28,6 @@
 	return snapshot.Peers[owner].Heartbeat, true
 }
 
-// ownsRequests says whether a peer may own new requests.
-func ownsRequests(known control.Peer, now time.Time) bool {
-	return known.State == api.HeartbeatStateReady && now.Sub(known.HeardAt) < peerSilentAfter
-}
-
 // pick routes one attempt.
 func (g *Gateway) pick(c *call, excluded map[string]bool) (*routing.Upstream, error) {
 	choice, err := g.choose(c, excluded)
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -22,7 +22,7 @@
 	// maxFlows bounds the flows that are remembered while they have no request waiting.
 	maxFlows = 1024
 	// comeBackShare is the share of the slots that is left to callers that come back.
-	comeBackShare = 0.8
+	comeBackShare = 0.5
 	// mostComeBack is the longest time after which a refused caller is asked back.
 	mostComeBack = 20 * time.Second
 	// openShare is the share of the free queue that any workspace may take beyond its
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -23,7 +23,7 @@
 	// fleet's mean, so that a recovered engine gets work again.
 	forgetAfter = 20 * time.Second
 	// staleAfter is the time constant after which a load report counts less than the
-	// usual load of the upstream.
+	// guess that the other nodes load the upstream as this one does.
 	staleAfter = 3 * time.Second
 )
 
@@ -38,11 +38,15 @@
 	otherQueued  float64
 	fleetStep    float64
 	fleetRunning float64
+	// mirror is the number of nodes that are taken to load the upstream as this one
+	// does, because its report is old.
+	mirror  float64
+	ownMean float64
 }
 
 // NewFleet indexes upstreams by service and estimates their speed and the load that
-// other nodes put on them. The upstreams must not be changed afterwards.
-func NewFleet(byService map[string][]*Upstream, prefixes *Prefixes, now time.Time) *Fleet {
+// the other nodes put on them; nodes is the number of all, this one included. The upstreams must not be changed afterwards.
+func NewFleet(byService map[string][]*Upstream, prefixes *Prefixes, nodes int, now time.Time) *Fleet {
 	fleet := &Fleet{ByService: byService, Prefixes: prefixes, byHolder: map[Holder]*Upstream{}}
 	var all []*Upstream
 	seen := map[*Upstream]bool{}
@@ -58,7 +62,7 @@
 			}
 		}
 	}
-	estimateAll(all, now)
+	estimateAll(all, nodes, now)
 	return fleet
 }
 
@@ -86,7 +90,7 @@
 	return math.Exp(g.sum / g.count)
 }
 
-func estimateAll(upstreams []*Upstream, now time.Time) {
+func estimateAll(upstreams []*Upstream, nodes int, now time.Time) {
 	var fleet means
 	var running, own, reports float64
 	for _, upstream := range upstreams {
@@ -115,9 +119,10 @@
 		}
 		state.fleetRunning = min((running+own)/reports, state.slots-1)
 		fresh := math.Exp(-now.Sub(time.UnixMilli(upstream.Load.AtMS)).Seconds() / staleAfter.Seconds())
-		usualRunning, usualQueued := upstream.Tracker.noteOthers(upstream.Load.AtMS, state.otherRunning, state.otherQueued)
-		state.otherRunning = fresh*state.otherRunning + (1-fresh)*usualRunning
-		state.otherQueued = fresh*state.otherQueued + (1-fresh)*usualQueued
+		state.otherRunning *= fresh
+		state.otherQueued *= fresh
+		state.mirror = (1 - fresh) * float64(max(0, nodes-1))
+		state.ownMean = own / reports
 	}
 }
 
--- a/routing/route_test.go
+++ b/routing/route_test.go
@@ -29,7 +29,7 @@
 }
 
 func fleetOf(prefixes *Prefixes, now time.Time, upstreams ...*Upstream) *Fleet {
-	return NewFleet(map[string][]*Upstream{service: upstreams}, prefixes, now)
+	return NewFleet(map[string][]*Upstream{service: upstreams}, prefixes, 1, now)
 }
 
 func choose(t *testing.T, fleet *Fleet, request Request, now time.Time) Choice {
@@ -74,6 +74,24 @@
 	require.Equal(t, "b", choose(t, fleetOf(nil, now, old, idle), Request{AnswerTokens: 10}, now).Upstream.ID)
 }
 
+func TestOldReportIsReplacedByWhatOtherNodesLikelySent(t *testing.T) {
+	cheap, other := engine("a", nil), engine("b", nil)
+	other.PricePerSecond *= 20
+	for range 3 {
+		cheap.Tracker.Begin(epoch, 0, 1, 0)
+	}
+	now := epoch.Add(15 * time.Second)
+	upstreams := map[string][]*Upstream{service: {cheap, other}}
+	request := Request{AnswerTokens: 100}
+	alone := choose(t, NewFleet(upstreams, nil, 1, epoch), request, epoch)
+	require.Equal(t, "a", alone.Upstream.ID)
+	for _, upstream := range upstreams[service] {
+		upstream.Tracker.oldest.Store(0)
+	}
+	crowded := choose(t, NewFleet(upstreams, nil, 5, now), request, now)
+	require.Equal(t, "b", crowded.Upstream.ID)
+}
+
 func TestOwnWorkInAReportIsNotCountedTwice(t *testing.T) {
 	upstream := engine("a", nil)
 	var sent []*Attempt
--- a/routing/score.go
+++ b/routing/score.go
@@ -15,6 +15,9 @@
 	resumeSeconds = 1.0
 	// secondsPerHour turns reclaims per hour into reclaims per second.
 	secondsPerHour = 3600.0
+	// prefillExternality counts a second of prefill more than once, since it also delays
+	// those that come behind and drives other prefixes out of the cache.
+	prefillExternality = 3
 	// spreadSeconds is the preference of a prefix for one engine among equals.
 	spreadSeconds = 0.01
 	// overdueFactor is how many times its forecast an attempt may take before its
@@ -60,7 +63,7 @@
 
 func pricePrefix(candidate *Upstream, request *Request, forecast Forecast, weights Weights) float64 {
 	preference := float64(mix(request.Key, candidate.hash)>>32) / (1 << 32)
-	return weights.Latency * (forecast.Prefill + spreadSeconds*preference)
+	return weights.Latency * (prefillExternality*forecast.Prefill + spreadSeconds*preference)
 }
 
 // priceDecode prices the time by which the answer takes longer than the fleet's
@@ -98,7 +101,8 @@
 func (r *round) forecast(candidate *Upstream) Forecast {
 	state := &candidate.state
 	request := r.request
-	running := state.otherRunning + float64(candidate.Tracker.InFlight.Load())
+	own := float64(candidate.Tracker.InFlight.Load())
+	running := own + state.otherRunning + state.mirror*(own+state.ownMean)/2
 	forecast := Forecast{CachedTokens: r.cached(candidate), Running: min(running, state.slots-1)}
 	if uncached := request.PromptTokens - forecast.CachedTokens; uncached > 0 {
 		forecast.Prefill = float64(uncached) / state.rate
@@ -119,7 +123,8 @@
 	if due > 0 {
 		share = float64(dueAhead) / float64(due)
 	}
-	queue := (share*state.otherQueued + float64(tracker.dueTokens[priority].Load())) / state.rate
+	own := float64(tracker.dueTokens[priority].Load())
+	queue := (share*state.otherQueued + own + state.mirror*own/2) / state.rate
 	if excess := running + 1 - state.slots; excess > 0 {
 		ahead := 1 + share*(excess-1)
 		queue += max(0, ahead) * state.hold / state.slots
--- a/routing/tracker.go
+++ b/routing/tracker.go
@@ -39,14 +39,6 @@
 	rate    learned
 	step    learned
 	hold    learned
-	others  usual
-}
-
-// usual is the moving average of the load that others put on an upstream.
-type usual struct {
-	reportMS int64
-	running  learned
-	queued   learned
 }
 
 // mark is the count at the end of one step of the history.
@@ -183,20 +175,6 @@
 	return best.inFlight, best.pending
 }
 
-// noteOthers takes the load of others from a report, once for each report, and
-// returns the moving averages.
-func (t *Tracker) noteOthers(reportMS int64, running, queued float64) (usualRunning, usualQueued float64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if reportMS > t.others.reportMS {
-		t.others.reportMS = reportMS
-		when := time.UnixMilli(reportMS)
-		t.others.running.observe(running, when)
-		t.others.queued.observe(queued, when)
-	}
-	return t.others.running.value, t.others.queued.value
-}
-
 // speeds returns the learned prefill rate in tokens per second, decode step in
 // seconds and time that an answer holds a slot in seconds.
 func (t *Tracker) speeds() (rate, step, hold learned) {
