routing: make the test of old reports separate the two engines by price

Change: its price is forty times the other's; the asserts are as they were. Conclusion: the test holds what it names.

--- a/routing/route_test.go
+++ b/routing/route_test.go
@@ -76,7 +76,7 @@
 
 func TestOldReportIsReplacedByWhatOtherNodesLikelySent(t *testing.T) {
 	cheap, other := engine("a", nil), engine("b", nil)
-	other.PricePerSecond *= 20
+	other.PricePerSecond *= 40
 	for range 3 {
 		cheap.Tracker.Begin(epoch, 0, 1, 0)
 	}
