routing: weigh crowding and prefill for those beside and behind; tighter node capacity

Cause: under overload engines idled beside full ones, and caches were thrashed. Change: crowding 0.06 and prefill counted four times in the price of an attempt; a node may go 1.5 times above its part of the slots; owners within 2 requests of the bound; refused callers come back within 10 s. The test of old reports has more work on the cheap engine, since crowding is priced higher; its asserts are as they were.

--- a/limit/budget.go
+++ b/limit/budget.go
@@ -11,7 +11,7 @@
 	leastWaitShare = 0.25
 	// overcommit is how far above its part of the upstreams' slots a node may go,
 	// since owners are not loaded alike.
-	overcommit = 2
+	overcommit = 1.5
 	// answerCost is the cost of an answer token in prompt tokens: a decode step serves
 	// one token of each request in the batch, a prefill computes many at once.
 	answerCost = 8
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -24,7 +24,7 @@
 	// comeBackShare is the share of the slots that is left to callers that come back.
 	comeBackShare = 0.5
 	// mostComeBack is the longest time after which a refused caller is asked back.
-	mostComeBack = 20 * time.Second
+	mostComeBack = 10 * time.Second
 	// openShare is the share of the free queue that any workspace may take beyond its
 	// own part.
 	openShare = 0.5
--- a/routing/owner.go
+++ b/routing/owner.go
@@ -10,7 +10,7 @@
 	// ownerBound is how far above the mean an owner's load may be, as a factor.
 	ownerBound = 1.25
 	// ownerSlack is the number of requests by which any owner may be above the bound.
-	ownerSlack = 4
+	ownerSlack = 2
 )
 
 // Member is a node that may own requests.
--- a/routing/score.go
+++ b/routing/score.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// batchSlowdown is how much each running request slows a decode step.
-	batchSlowdown = 0.02
+	// crowding prices each running request beside, as a share of an answer's usual decode:
+	// both go slower, and the next request finds less room.
+	crowding = 0.06
 	// remoteSeconds is the wait that another data centre adds.
 	remoteSeconds = 0.001
 	// resumeSeconds is the pause of an answer that moves to another engine.
@@ -17,7 +18,7 @@
 	secondsPerHour = 3600.0
 	// prefillExternality counts a second of prefill more than once, since it also delays
 	// those that come behind and drives other prefixes out of the cache.
-	prefillExternality = 3
+	prefillExternality = 4
 	// spreadSeconds is the preference of a prefix for one engine among equals.
 	spreadSeconds = 0.01
 	// overdueFactor is how many times its forecast an attempt may take before its
@@ -70,7 +71,7 @@
 // usual, and by which it slows those that run beside it.
 func priceDecode(candidate *Upstream, request *Request, forecast Forecast, weights Weights) float64 {
 	usual := float64(request.AnswerTokens) * candidate.state.fleetStep
-	return weights.Latency * (max(0, forecast.Decode-usual) + batchSlowdown*forecast.Running*usual)
+	return weights.Latency * (max(0, forecast.Decode-usual) + crowding*forecast.Running*usual)
 }
 
 // priceReclaim prices the chance that the host goes before the answer is whole: the
