Makefile: schemas by their files; targets for slopes and the capacity page

Cause: every new schema touched one line of the Makefile, and merges met there. Change: the list is the files of schema/; make slopes and make page. Measured: make generated passes. Conclusion: none beyond it.

--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,9 @@
 
 GO      ?= go
 LINT    := $(GO) tool -modfile=tools/go.mod golangci-lint
-SCHEMAS := settings config records platform engine chat peer admin deployment slopes operations
+SCHEMAS := $(patsubst schema/%.yaml,%,$(wildcard schema/*.yaml))
 
-.PHONY: check fmt lint generate generated vet test bench
+.PHONY: check fmt lint generate generated vet test bench slopes page
 
 check: lint generated vet test ## Everything that CI checks.
 
@@ -30,3 +30,10 @@
 bench: ## Measures the policies and the cost of a decision against their targets.
 	$(GO) test -count=1 -v -run 'TestGoals' ./bench/policy
 	$(GO) test -run '^$$' -bench Decision ./routing
+
+slopes: ## Measures what control costs a node against the sizes that grow; some minutes.
+	./bench/slopes/run.sh docs/capacity/slopes.json
+	$(MAKE) page
+
+page: ## Writes the measured slopes into the capacity page.
+	$(GO) run ./bench/slopes page
