--- a/api/engine_gen.go
+++ b/api/engine_gen.go
@@ -31,6 +31,13 @@
 	NextSeq int64 `json:"next_seq"`
 }
 
+// CancelRequest ends a running request whose connection may be silent; an unknown
+// request is no error.
+type CancelRequest struct {
+	// RequestID of the request.
+	RequestID string `json:"request_id"`
+}
+
 // EngineLoad is an engine's report of its load; it lags.
 type EngineLoad struct {
 	// AtMS is when the report was true, Unix milliseconds.
--- a/api/peer_gen.go
+++ b/api/peer_gen.go
@@ -37,8 +37,15 @@
 	// PeerAddress of the sender.
 	PeerAddress string `json:"peer_address"`
 
+	// Reserved are hosts of upstreams on which the sender runs a suspected request
+	// alone.
+	Reserved []string `json:"reserved,omitempty,omitzero"`
+
 	// State of the sender.
 	State HeartbeatState `json:"state"`
+
+	// Suspicions are the newest requests that crashed upstreams; at most 64.
+	Suspicions []Suspicion `json:"suspicions,omitempty,omitzero"`
 }
 
 type HeartbeatState string
@@ -59,11 +66,26 @@
 	ReclaimAtMS int64 `json:"reclaim_at_ms"`
 }
 
+// PeerAttach asks the holder of a request for its answer.
+type PeerAttach struct {
+	// From is the index of the first chunk that is asked for.
+	From int `json:"from"`
+
+	// RequestID names the request.
+	RequestID string `json:"request_id"`
+
+	// Workspace of the caller; another workspace's request is unknown.
+	Workspace string `json:"workspace"`
+}
+
 // PeerChat hands an accepted request to its owner.
 type PeerChat struct {
 	// Body of the caller's request.
 	Body json.RawMessage `json:"body"`
 
+	// DeadlineMS is when the caller gives up, Unix milliseconds; 0 means never.
+	DeadlineMS int64 `json:"deadline_ms,omitempty,omitzero"`
+
 	// Priority of the route.
 	Priority int `json:"priority"`
 
@@ -83,7 +105,8 @@
 	Data json.RawMessage `json:"data"`
 }
 
-// PeerEvent is one line of the owner's answer; exactly one field is set.
+// PeerEvent is one line of the owner's answer; at most one field is set, none is a
+// keepalive.
 type PeerEvent struct {
 	// Chunk of the answer.
 	Chunk *PeerChunk `json:"chunk,omitempty,omitzero"`
@@ -91,10 +114,49 @@
 	// Done ends a whole answer.
 	Done bool `json:"done,omitempty,omitzero"`
 
+	// Moved ends an answer that goes on at the successor.
+	Moved *PeerMoved `json:"moved,omitempty,omitzero"`
+
+	// Opened starts an answer.
+	Opened *PeerOpened `json:"opened,omitempty,omitzero"`
+
 	// Refused ends an answer that is not whole.
 	Refused *PeerRefusal `json:"refused,omitempty,omitzero"`
 }
 
+// PeerHandover gives an unfinished request to the successor of its holder.
+type PeerHandover struct {
+	// Chunks of the answer so far.
+	Chunks []PeerChunk `json:"chunks"`
+
+	// EngineAddress is the IP:port of the engine that ran the request last.
+	EngineAddress string `json:"engine_address,omitempty,omitzero"`
+
+	// Request as it was accepted.
+	Request PeerChat `json:"request"`
+}
+
+// PeerMoved names the node to which a request was handed over.
+type PeerMoved struct {
+	// Address is the peer address of the successor, IP:port.
+	Address string `json:"address"`
+
+	// NodeID of the successor.
+	NodeID string `json:"node_id"`
+}
+
+// PeerOpened says how the caller asked for the answer.
+type PeerOpened struct {
+	// IncludeUsage says that the caller asked for usage in the stream.
+	IncludeUsage bool `json:"include_usage"`
+
+	// Service that answers.
+	Service string `json:"service"`
+
+	// Stream says that the caller asked for server-sent events.
+	Stream bool `json:"stream"`
+}
+
 // PeerRefusal is a refusal as one node tells it to another.
 type PeerRefusal struct {
 	// Code is the cause.
@@ -115,3 +177,16 @@
 	// Status is the HTTP status.
 	Status int `json:"status"`
 }
+
+// Suspicion is a request that upstreams died of.
+type Suspicion struct {
+	// AtMS is when the last one died or the request was cleared, Unix milliseconds.
+	AtMS int64 `json:"at_ms"`
+
+	// Fingerprint of the service and the prompt, in hex.
+	Fingerprint string `json:"fingerprint"`
+
+	// Upstreams that died while they ran it, as host/incarnation; none means that it
+	// was cleared.
+	Upstreams []string `json:"upstreams"`
+}
--- a/cmd/persimmonline/node.go
+++ b/cmd/persimmonline/node.go
@@ -38,7 +38,10 @@
 	if err := started.Start(ctx); err != nil {
 		return err
 	}
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-started.Reclaimed():
+	}
 	return started.Stop(context.WithoutCancel(ctx))
 }
 
--- /dev/null
+++ b/e2e/e2e_test.go
@@ -0,0 +1,279 @@
+package e2e_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/demo"
+	"github.com/persimmonline/persimmonline/examples"
+	"github.com/persimmonline/persimmonline/gateway"
+	"github.com/persimmonline/persimmonline/node"
+	"github.com/persimmonline/persimmonline/prompt"
+	"github.com/persimmonline/persimmonline/refusal"
+	"github.com/persimmonline/persimmonline/standin"
+	"github.com/persimmonline/persimmonline/telemetry"
+)
+
+const (
+	model     = "review"
+	workspace = "incident-review"
+	// patience is how long a condition may take to hold.
+	patience = 30 * time.Second
+)
+
+func TestMain(m *testing.M) {
+	telemetry.BridgeLogx(zerolog.Nop())
+	os.Exit(m.Run())
+}
+
+// start starts a deployment whose engines take stepMS for a token.
+func start(t *testing.T, stepMS float64, adjust func(*api.Settings)) *demo.Cluster {
+	t.Helper()
+	deployment, err := examples.Load(examples.Falaj)
+	require.NoError(t, err)
+	for i := range deployment.Engines {
+		deployment.Engines[i].StepMS = stepMS
+	}
+	logger := zerolog.Nop()
+	if os.Getenv("E2E_LOG") != "" {
+		logger = zerolog.New(zerolog.NewTestWriter(t))
+	}
+	cluster, err := demo.Start(t.Context(), demo.Options{
+		Deployment: deployment,
+		Logger:     logger,
+		Adjust: func(s *api.Settings) {
+			s.ReadinessGrace = 10 * time.Millisecond
+			if adjust != nil {
+				adjust(s)
+			}
+		},
+	})
+	require.NoError(t, err)
+	t.Cleanup(cluster.Kill)
+	return cluster
+}
+
+// longPrompt returns a prompt of some thousand tokens whose answer is long.
+func longPrompt(t *testing.T, name string) string {
+	t.Helper()
+	for i := range 1000 {
+		text := strings.Repeat(fmt.Sprintf("%s %d rake log. ", name, i), 300)
+		if count, _ := standin.AnswerTokens(promptText(t, text), 0); count > 55 {
+			return text
+		}
+	}
+	t.Fatal("no prompt has a long answer")
+	return ""
+}
+
+func promptText(t *testing.T, text string) []byte {
+	t.Helper()
+	content, err := json.Marshal(text)
+	require.NoError(t, err)
+	return prompt.Text([]api.ChatMessage{{Role: "user", Content: content}})
+}
+
+// stream is an answer as one caller reads it.
+type stream struct {
+	t        *testing.T
+	response *http.Response
+	lines    *bufio.Scanner
+	id       string
+	content  strings.Builder
+	tokens   int
+	lastID   string
+	usage    *api.ChatUsage
+	failed   *api.ErrorDetail
+	whole    bool
+}
+
+func open(t *testing.T, cluster *demo.Cluster, at int, text string) *stream {
+	t.Helper()
+	return send(t, cluster, at, http.MethodPost, "/v1/chat/completions", chatBody(t, text), "", workspace)
+}
+
+func chatBody(t *testing.T, text string) string {
+	t.Helper()
+	body, err := json.Marshal(map[string]any{
+		"model": model, "stream": true, "stream_options": map[string]any{"include_usage": true},
+		"messages": []map[string]string{{"role": "user", "content": text}},
+	})
+	require.NoError(t, err)
+	return string(body)
+}
+
+// otherOf returns another workspace of the deployment.
+func otherOf(t *testing.T, cluster *demo.Cluster) string {
+	t.Helper()
+	for name := range cluster.Announce().APIKeys {
+		if name != workspace {
+			return name
+		}
+	}
+	t.Fatal("the deployment has one workspace")
+	return ""
+}
+
+func send(t *testing.T, cluster *demo.Cluster, at int, method, path, body, lastID, workspace string) *stream {
+	t.Helper()
+	return sendWithin(t, cluster, at, method, path, body, lastID, workspace, "")
+}
+
+func sendWithin(t *testing.T, cluster *demo.Cluster, at int, method, path, body, lastID, workspace, timeoutMS string) *stream {
+	t.Helper()
+	announced := cluster.Announce()
+	request, err := http.NewRequestWithContext(t.Context(), method, announced.Callers[at]+path, strings.NewReader(body))
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+announced.APIKeys[workspace])
+	if lastID != "" {
+		request.Header.Set("Last-Event-ID", lastID)
+	}
+	if timeoutMS != "" {
+		request.Header.Set(gateway.HeaderTimeout, timeoutMS)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = response.Body.Close() })
+	return &stream{t: t, response: response, lines: bufio.NewScanner(response.Body), id: response.Header.Get(refusal.HeaderRequestID)}
+}
+
+// read reads until the answer has a number of tokens, or ends.
+func (s *stream) read(tokens int) {
+	s.t.Helper()
+	event := ""
+	for s.tokens < tokens && s.lines.Scan() {
+		field, value, _ := strings.Cut(s.lines.Text(), ": ")
+		switch field {
+		case "event":
+			event = value
+		case "id":
+			s.lastID = value
+		case "data":
+			s.take(event, value)
+			event = ""
+		}
+	}
+}
+
+func (s *stream) take(event, data string) {
+	s.t.Helper()
+	if data == "[DONE]" {
+		s.whole = true
+		return
+	}
+	if event == "error" {
+		var failed api.ErrorResponse
+		require.NoError(s.t, json.Unmarshal([]byte(data), &failed))
+		s.failed = &failed.Error
+		return
+	}
+	var chunk api.ChatChunk
+	require.NoError(s.t, json.Unmarshal([]byte(data), &chunk))
+	s.tokens += chunk.TokenCount
+	if chunk.Usage != nil {
+		s.usage = chunk.Usage
+	}
+	for _, choice := range chunk.Choices {
+		s.content.WriteString(choice.Delta.Content)
+	}
+}
+
+// requireWhole reads to the end and checks the whole answer and its usage.
+func (s *stream) requireWhole(text string) {
+	s.t.Helper()
+	s.read(1 << 20)
+	require.Equal(s.t, http.StatusOK, s.response.StatusCode)
+	require.Nil(s.t, s.failed)
+	raw := promptText(s.t, text)
+	require.Equal(s.t, standin.Answer(raw, 0), s.content.String())
+	require.True(s.t, s.whole)
+	count, _ := standin.AnswerTokens(raw, 0)
+	require.NotNil(s.t, s.usage)
+	require.Equal(s.t, prompt.Tokens(raw), s.usage.PromptTokens)
+	require.Equal(s.t, count, s.usage.CompletionTokens)
+	require.Equal(s.t, prompt.Tokens(raw)+count, s.usage.TotalTokens)
+}
+
+// engineOf returns the host of the only engine that runs anything.
+func engineOf(t *testing.T, cluster *demo.Cluster) string {
+	t.Helper()
+	busy := busyEngines(cluster)
+	require.Len(t, busy, 1)
+	return busy[0]
+}
+
+func busyEngines(cluster *demo.Cluster) []string {
+	var busy []string
+	for i := range 20 {
+		id := fmt.Sprintf("engine-%02d", i+1)
+		if engine := cluster.Standins.Engine(id); engine != nil && engine.Running() > 0 {
+			busy = append(busy, id)
+		}
+	}
+	return busy
+}
+
+// counted sums a metric over all nodes, by the value of its label.
+func counted(t *testing.T, cluster *demo.Cluster, name, value string) float64 {
+	t.Helper()
+	sum := 0.0
+	for _, n := range cluster.Nodes {
+		families, err := n.Metrics().Registry().Gather()
+		require.NoError(t, err)
+		for _, family := range families {
+			if family.GetName() != "persimmonline_"+name {
+				continue
+			}
+			for _, metric := range family.GetMetric() {
+				for _, label := range metric.GetLabel() {
+					if label.GetValue() == value {
+						sum += metric.GetCounter().GetValue()
+					}
+				}
+			}
+		}
+	}
+	return sum
+}
+
+// holderOf returns the index of the node that runs a request.
+func holderOf(t *testing.T, cluster *demo.Cluster, requestID string) int {
+	t.Helper()
+	for i, n := range cluster.Nodes {
+		if strings.Contains(requestID, "."+n.Incarnation()+".") {
+			return i
+		}
+	}
+	t.Fatalf("no node holds %s", requestID)
+	return 0
+}
+
+// openElsewhere opens a stream at a node that is not the owner of the request.
+func openElsewhere(t *testing.T, cluster *demo.Cluster, text string) (*stream, int) {
+	t.Helper()
+	first := open(t, cluster, 0, text)
+	if owner := holderOf(t, cluster, first.id); owner != 0 {
+		return first, 0
+	}
+	_ = first.response.Body.Close()
+	return open(t, cluster, 1, text), 1
+}
+
+func stop(t *testing.T, n *node.Node) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	return n.Stop(ctx)
+}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -1,6 +1,6 @@
 // Package exchange holds the journal of each accepted model request: every chunk of
 // its answer by token offset. The caller's connection only reads the journal, so a
-// caller that lost its connection can re-attach, and a late chunk of an abandoned
+// caller that lost its connection can re-attach, and a late chunk of a superseded
 // attempt can't reach anyone.
 package exchange
 
@@ -17,6 +17,9 @@
 // ErrUnknown says that no exchange has the id.
 var ErrUnknown = errors.New("unknown request id")
 
+// ErrUnread is why an exchange is canceled that nobody reads.
+var ErrUnread = errors.New("nobody reads the answer any more")
+
 // Exchange is the journal of one accepted request.
 type Exchange struct {
 	// ID of the request; it names its holder.
@@ -24,32 +27,80 @@
 	// Workspace of the caller; nobody else may attach.
 	Workspace string
 
-	mu      sync.Mutex
-	chunks  []api.ChatChunk
-	tokens  int
-	done    bool
-	refused *refusal.Refusal
-	changed chan struct{}
-	cancel  context.CancelFunc
-	readers int
-	idle    *time.Timer
-}
-
-// Append adds a chunk whose first token has the given offset. A chunk that does not
-// start where the journal ends is a duplicate or a late one and is dropped; the
-// return value says whether it was taken.
-func (e *Exchange) Append(chunk api.ChatChunk) bool {
+	mu       sync.Mutex
+	opened   *api.PeerOpened
+	chunks   []api.ChatChunk
+	tokens   int
+	attempt  int
+	finished bool
+	usage    bool
+	done     bool
+	refused  *refusal.Refusal
+	moved    *api.PeerMoved
+	changed  chan struct{}
+	cancel   context.CancelCauseFunc
+	readers  int
+	idle     *time.Timer
+}
+
+// New returns an empty journal; cancel ends the work on it.
+func New(id, workspace string, cancel context.CancelCauseFunc) *Exchange {
+	return &Exchange{ID: id, Workspace: workspace, changed: make(chan struct{}), cancel: cancel}
+}
+
+// Begin starts an attempt and returns its number. Chunks of earlier attempts are
+// dropped from now on.
+func (e *Exchange) Begin() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.done || chunk.TokenOffset != e.tokens {
+	e.attempt++
+	return e.attempt
+}
+
+// Append adds a chunk of an attempt. It is dropped when the attempt is superseded,
+// when its first token is not the one that the journal lacks, or when it repeats the
+// end of the answer. The return value says whether it was taken.
+func (e *Exchange) Append(attempt int, chunk api.ChatChunk) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.done || attempt != e.attempt || chunk.TokenOffset != e.tokens {
 		return false
 	}
-	e.chunks = append(e.chunks, chunk)
-	e.tokens += chunk.TokenCount
+	if len(chunk.Choices) > 0 && e.finished {
+		return false
+	}
+	if len(chunk.Choices) == 0 && e.usage {
+		return false
+	}
+	e.take(chunk)
 	e.signal()
 	return true
 }
 
+// Seed adds the chunks of another holder's journal that this one lacks, and
+// supersedes the attempt under way.
+func (e *Exchange) Seed(chunks []api.ChatChunk) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.attempt++
+	if e.done || len(chunks) <= len(e.chunks) {
+		return
+	}
+	for _, chunk := range chunks[len(e.chunks):] {
+		e.take(chunk)
+	}
+	e.signal()
+}
+
+func (e *Exchange) take(chunk api.ChatChunk) {
+	e.chunks = append(e.chunks, chunk)
+	e.tokens += chunk.TokenCount
+	e.usage = e.usage || chunk.Usage != nil
+	for _, choice := range chunk.Choices {
+		e.finished = e.finished || choice.FinishReason != nil
+	}
+}
+
 // Finish ends the exchange; refused is nil for a whole answer. Only the first call counts.
 func (e *Exchange) Finish(refused *refusal.Refusal) {
 	e.mu.Lock()
@@ -62,8 +113,40 @@
 	e.signal()
 }
 
-// Tokens returns the number of answer tokens in the journal, and their text.
-func (e *Exchange) Tokens() (int, string) {
+// Open records how the caller asked for the answer.
+func (e *Exchange) Open(opened api.PeerOpened) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.opened == nil {
+		e.opened = &opened
+		e.signal()
+	}
+}
+
+// Move tells readers that are nodes to go on at the successor.
+func (e *Exchange) Move(to api.PeerMoved) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.moved = &to
+	e.signal()
+}
+
+// Progress is how far an answer got.
+type Progress struct {
+	// Chunks in the journal.
+	Chunks int
+	// Tokens of the answer in the journal.
+	Tokens int
+	// Text of those tokens.
+	Text string
+	// Finished says that the answer has its finish reason.
+	Finished bool
+	// Usage says that the usage is in the journal.
+	Usage bool
+}
+
+// Progress returns how far the answer got.
+func (e *Exchange) Progress() Progress {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var text []byte
@@ -72,7 +155,21 @@
 			text = append(text, choice.Delta.Content...)
 		}
 	}
-	return e.tokens, string(text)
+	return Progress{Chunks: len(e.chunks), Tokens: e.tokens, Text: string(text), Finished: e.finished, Usage: e.usage}
+}
+
+// Tokens returns the number of answer tokens in the journal.
+func (e *Exchange) Tokens() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.tokens
+}
+
+// Chunks returns the chunks so far.
+func (e *Exchange) Chunks() []api.ChatChunk {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.chunks[:len(e.chunks):len(e.chunks)]
 }
 
 // Page is a part of a journal.
@@ -106,6 +203,38 @@
 	}
 }
 
+// Opened waits until it is known how the caller asked, or the exchange is done. It
+// returns nil when the exchange ended before.
+func (e *Exchange) Opened(ctx context.Context) (*api.PeerOpened, error) {
+	for {
+		e.mu.Lock()
+		opened, done, changed := e.opened, e.done, e.changed
+		e.mu.Unlock()
+		if opened != nil || done {
+			return opened, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// OpenedNow returns what is known now of how the caller asked; nil when nothing is.
+func (e *Exchange) OpenedNow() *api.PeerOpened {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.opened
+}
+
+// Moved returns where the exchange went, or nil.
+func (e *Exchange) Moved() *api.PeerMoved {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.moved
+}
+
 func (e *Exchange) signal() {
 	close(e.changed)
 	e.changed = make(chan struct{})
@@ -128,98 +257,13 @@
 	defer e.mu.Unlock()
 	e.readers--
 	if e.readers == 0 && !e.done {
-		e.idle = time.AfterFunc(grace, e.cancel)
+		e.idle = time.AfterFunc(grace, func() { e.cancel(ErrUnread) })
 	}
 }
 
-// Store holds the exchanges of one node.
-type Store struct {
-	mu        sync.Mutex
-	byID      map[string]*Exchange
-	retention time.Duration
-	closed    bool
-	running   sync.WaitGroup
-	inFlight  int
-}
-
-// NewStore returns a store that keeps a finished exchange for the retention.
-func NewStore(retention time.Duration) *Store {
-	return &Store{byID: map[string]*Exchange{}, retention: retention}
-}
-
-// Start opens an exchange and runs it in a goroutine of its own.
-func (s *Store) Start(ctx context.Context, id, workspace string, run func(context.Context, *Exchange)) *Exchange {
-	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	opened := &Exchange{ID: id, Workspace: workspace, changed: make(chan struct{}), cancel: cancel}
-	s.mu.Lock()
-	s.byID[id] = opened
-	s.inFlight++
-	s.mu.Unlock()
-	s.running.Add(1)
-	go func() {
-		defer s.running.Done()
-		defer cancel()
-		run(runCtx, opened)
-		s.finished(opened)
-	}()
-	return opened
-}
-
-func (s *Store) finished(e *Exchange) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.inFlight--
-	if s.closed {
-		delete(s.byID, e.ID)
-		return
-	}
-	time.AfterFunc(s.retention, func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.byID, e.ID)
-	})
-}
-
-// Get returns an exchange of the workspace, or ErrUnknown. An exchange of another
-// workspace is unknown too.
-func (s *Store) Get(id, workspace string) (*Exchange, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	found, ok := s.byID[id]
-	if !ok || found.Workspace != workspace {
-		return nil, ErrUnknown
-	}
-	return found, nil
-}
-
-// InFlight returns the number of exchanges that run.
-func (s *Store) InFlight() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.inFlight
-}
-
-// Wait returns when all exchanges have ended or ctx ends.
-func (s *Store) Wait(ctx context.Context) error {
-	ended := make(chan struct{})
-	go func() {
-		s.running.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// Cancel cancels all exchanges that run and keeps no finished one any longer.
-func (s *Store) Cancel() {
-	s.mu.Lock()
-	s.closed = true
-	for _, e := range s.byID {
-		e.cancel()
-	}
-	s.mu.Unlock()
+// Readers returns the number of readers.
+func (e *Exchange) Readers() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.readers
 }
--- /dev/null
+++ b/exchange/store.go
@@ -0,0 +1,105 @@
+package exchange
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Store holds the exchanges of one node.
+type Store struct {
+	mu        sync.Mutex
+	byID      map[string]*Exchange
+	retention time.Duration
+	closed    bool
+	running   sync.WaitGroup
+	inFlight  int
+}
+
+// NewStore returns a store that keeps a finished exchange for the retention.
+func NewStore(retention time.Duration) *Store {
+	return &Store{byID: map[string]*Exchange{}, retention: retention}
+}
+
+// Start opens an exchange and runs it in a goroutine of its own. An id that is known
+// already is not run again; the second value says whether the exchange is new.
+func (s *Store) Start(ctx context.Context, id, workspace string, run func(context.Context, *Exchange)) (*Exchange, bool) {
+	runCtx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	opened := New(id, workspace, cancel)
+	s.mu.Lock()
+	if known, ok := s.byID[id]; ok {
+		s.mu.Unlock()
+		cancel(nil)
+		return known, false
+	}
+	s.byID[id] = opened
+	s.inFlight++
+	s.running.Add(1)
+	s.mu.Unlock()
+	go func() {
+		defer s.running.Done()
+		defer cancel(nil)
+		run(runCtx, opened)
+		s.finished(opened)
+	}()
+	return opened, true
+}
+
+func (s *Store) finished(e *Exchange) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight--
+	if s.closed {
+		delete(s.byID, e.ID)
+		return
+	}
+	time.AfterFunc(s.retention, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.byID, e.ID)
+	})
+}
+
+// Get returns an exchange of the workspace, or ErrUnknown. An exchange of another
+// workspace is unknown too.
+func (s *Store) Get(id, workspace string) (*Exchange, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found, ok := s.byID[id]
+	if !ok || found.Workspace != workspace {
+		return nil, ErrUnknown
+	}
+	return found, nil
+}
+
+// InFlight returns the number of exchanges that run.
+func (s *Store) InFlight() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inFlight
+}
+
+// Wait returns when all exchanges have ended or ctx ends.
+func (s *Store) Wait(ctx context.Context) error {
+	ended := make(chan struct{})
+	go func() {
+		s.running.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Cancel cancels all exchanges that run and keeps no finished one any longer.
+func (s *Store) Cancel() {
+	s.mu.Lock()
+	s.closed = true
+	for _, e := range s.byID {
+		e.cancel(context.Canceled)
+	}
+	s.mu.Unlock()
+}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/exchange"
 	"github.com/persimmonline/persimmonline/refusal"
 )
 
@@ -19,33 +20,43 @@
 	resultCut      = "cut"
 )
 
-// writeStream sends an answer as server-sent events. A refusal before the first
+// source is an answer as it comes.
+type source interface {
+	Next(ctx context.Context, from int) (exchange.Page, error)
+}
+
+// writeStream sends an answer from a chunk on as server-sent events, whose ids are the
+// indexes of the chunks in the journal. A refusal before the first
 // chunk is a plain error answer; a later one is an error event without [DONE], so
 // that no client takes the answer for whole.
-func (g *Gateway) writeStream(ctx context.Context, w http.ResponseWriter, c *call, answer source) {
+func (g *Gateway) writeStream(ctx context.Context, w http.ResponseWriter, c *call, answer source, from int) {
 	controller := http.NewResponseController(w)
 	started := time.Now()
-	sent := 0
+	sent := from
+	begun := false
 	for {
 		page, err := answer.Next(ctx, sent)
 		if err != nil {
-			g.endStream(ctx, w, c, sent, err)
+			g.endStream(ctx, w, c, begun, err)
 			return
 		}
-		if sent == 0 && len(page.Chunks) > 0 {
+		if !begun && (len(page.Chunks) > 0 || page.Done && page.Refused == nil) {
+			begun = true
 			w.Header().Set("Content-Type", "text/event-stream")
 			w.Header().Set("Cache-Control", "no-cache")
-			g.Metrics.FirstToken.WithLabelValues(c.service).Observe(time.Since(started).Seconds())
+			if from == 0 {
+				g.Metrics.FirstToken.WithLabelValues(c.service).Observe(time.Since(started).Seconds())
+			}
 		}
 		for _, chunk := range page.Chunks {
 			if err := writeEvent(w, c, chunk, sent); err != nil {
-				g.endStream(ctx, w, c, sent, err)
+				g.endStream(ctx, w, c, begun, err)
 				return
 			}
 			sent++
 		}
 		if page.Done {
-			g.finishStream(w, c, sent, page.Refused)
+			g.finishStream(w, c, begun, page.Refused)
 			return
 		}
 		_ = controller.Flush()
@@ -68,28 +79,28 @@
 	return err
 }
 
-func (g *Gateway) finishStream(w http.ResponseWriter, c *call, sent int, refused *refusal.Refusal) {
+func (g *Gateway) finishStream(w http.ResponseWriter, c *call, begun bool, refused *refusal.Refusal) {
 	if refused == nil {
 		_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 		g.countResult(c, resultAnswered)
 		return
 	}
-	g.refuseStream(w, c, sent, refused)
+	g.refuseStream(w, c, begun, refused)
 }
 
 // endStream ends a stream whose source failed or whose caller left.
-func (g *Gateway) endStream(ctx context.Context, w http.ResponseWriter, c *call, sent int, err error) {
+func (g *Gateway) endStream(ctx context.Context, w http.ResponseWriter, c *call, begun bool, err error) {
 	if ctx.Err() != nil {
 		g.countResult(c, resultCut)
 		return
 	}
-	g.refuseStream(w, c, sent, refusal.New(http.StatusBadGateway, refusal.CodeUpstreamFailed,
+	g.refuseStream(w, c, begun, refusal.New(http.StatusBadGateway, refusal.CodeUpstreamFailed,
 		"the answer broke off").Unknown().At("read answer", "", err))
 }
 
-func (g *Gateway) refuseStream(w http.ResponseWriter, c *call, sent int, refused *refusal.Refusal) {
+func (g *Gateway) refuseStream(w http.ResponseWriter, c *call, begun bool, refused *refusal.Refusal) {
 	g.countResult(c, resultRefused)
-	if sent == 0 {
+	if !begun {
 		g.refuse(w, c.id, refused)
 		return
 	}
@@ -106,7 +117,7 @@
 	for {
 		page, err := answer.Next(ctx, read)
 		if err != nil {
-			g.endStream(ctx, w, c, 0, err)
+			g.endStream(ctx, w, c, false, err)
 			return
 		}
 		if read == 0 && len(page.Chunks) > 0 {
@@ -120,7 +131,7 @@
 			continue
 		}
 		if page.Refused != nil {
-			g.refuseStream(w, c, 0, page.Refused)
+			g.refuseStream(w, c, false, page.Refused)
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,257 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/exchange"
+	"github.com/persimmonline/persimmonline/prompt"
+	"github.com/persimmonline/persimmonline/retry"
+	"github.com/persimmonline/persimmonline/upstream"
+)
+
+// Causes of a further attempt, in metrics.
+const (
+	causeNotSent    = "not_sent"
+	causeBroken     = "broken"
+	causeSilent     = "silent"
+	causeCrash      = "crash"
+	causeLost       = "lost"
+	causeReclaim    = "reclaim"
+	causeRejected   = "rejected"
+	causeHandover   = "handover"
+	causeHolderLost = "holder_lost"
+)
+
+// failure is a failed attempt.
+type failure struct {
+	// cause names the failure.
+	cause string
+	// sent says how far the attempt got.
+	sent retry.Sent
+	// kv is the exported KV cache; nil when there is none.
+	kv *api.KVImport
+	// err is what was seen.
+	err error
+}
+
+// attempt is one run of a call at one upstream.
+type attempt struct {
+	state    *runState
+	chosen   *choice
+	number   int
+	started  time.Time
+	way      retry.Way
+	offset   int
+	progress bool
+	usage    *api.ChatUsage
+	cancel   context.CancelCauseFunc
+	watchdog *watchdog
+
+	mu sync.Mutex
+	// kv is what was exported before the upstream left.
+	kv *api.KVImport
+}
+
+// attempt runs the call at one upstream, from where the journal ends.
+func (g *Gateway) attempt(ctx context.Context, s *runState, chosen *choice) *failure {
+	ctx, span := otel.Tracer(tracerName).Start(ctx, "attempt")
+	defer span.End()
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	a := &attempt{
+		state:   s,
+		chosen:  chosen,
+		number:  s.flight.journal.Begin(),
+		started: time.Now(),
+		cancel:  cancel,
+	}
+	chosen.Tracker.InFlight.Add(1)
+	defer chosen.Tracker.InFlight.Add(-1)
+	g.running.Store(a, attemptCtx)
+	defer g.running.Delete(a)
+	s.flight.ranAt(chosen.Address)
+
+	err := g.runAttempt(attemptCtx, a)
+	g.account(a)
+	if err == nil {
+		g.endAttempt(span, a, resultAnswered, nil)
+		return nil
+	}
+	failed := g.examine(ctx, a, context.Cause(attemptCtx), err)
+	g.endAttempt(span, a, failed.cause, err)
+	return failed
+}
+
+// runAttempt starts the stream and copies it into the journal.
+func (g *Gateway) runAttempt(ctx context.Context, a *attempt) error {
+	c := a.state.call
+	body, err := c.engineBody(g.resume(a))
+	if err != nil {
+		return err
+	}
+	a.watchdog = newWatchdog(a.cancel, deadlines(prompt.Tokens(c.text), a.state.silences))
+	defer a.watchdog.stop()
+	stream, err := g.Pool.Get(a.chosen.Address).Chat(ctx, c.id, c.priority, body)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	a.watchdog.enter(stageFirstChunk)
+	return g.copyStream(a, stream)
+}
+
+// copyStream appends the chunks of an attempt to the journal until the answer is whole.
+func (g *Gateway) copyStream(a *attempt, stream *upstream.Stream) error {
+	c, journal := a.state.call, a.state.flight.journal
+	var last time.Time
+	for {
+		chunk, err := stream.Next()
+		if err != nil && journal.Progress().Finished {
+			g.completeUsage(a, journal)
+			return nil
+		}
+		if errors.Is(err, io.EOF) {
+			return &upstream.Error{Step: "read chat stream", Peer: a.chosen.Address, Sent: retry.MaybeSent, Err: upstream.ErrBroken}
+		}
+		if err != nil {
+			return err
+		}
+		a.watchdog.enter(stageNextChunk)
+		now := time.Now()
+		if !last.IsZero() {
+			g.Metrics.BetweenTokens.WithLabelValues(c.service).Observe(now.Sub(last).Seconds())
+		}
+		last = now
+		g.takeChunk(a, journal, chunk)
+	}
+}
+
+// takeChunk appends one chunk, with the ids and the usage that the caller sees.
+func (g *Gateway) takeChunk(a *attempt, journal *exchange.Exchange, chunk api.ChatChunk) {
+	chunk.ID = answerID(a.state.call.id)
+	chunk.Model = a.state.call.service
+	if chunk.Usage != nil {
+		reported := *chunk.Usage
+		a.usage = &reported
+		chunk.Usage = wholeUsage(reported, journal.Tokens())
+	}
+	taken := journal.Append(a.number, chunk)
+	a.progress = a.progress || (taken && chunk.TokenCount > 0)
+	if a.chosen.alone && journal.Tokens() >= a.offset+aloneTokens {
+		a.chosen.release()
+	}
+}
+
+// endAttempt counts an attempt and ends its span.
+func (g *Gateway) endAttempt(span trace.Span, a *attempt, result string, err error) {
+	took := time.Since(a.started)
+	counted := resultAnswered
+	if err != nil {
+		counted = "failed"
+		span.SetStatus(codes.Error, err.Error())
+	}
+	span.SetAttributes(
+		attribute.String("request.id", a.state.call.id),
+		attribute.String("peer.id", a.chosen.ID),
+		attribute.String("peer.data_centre", a.chosen.DataCentre),
+		attribute.String("step", a.way.String()),
+		attribute.Int("token_offset", a.offset),
+		attribute.Bool("alone", a.chosen.alone),
+		attribute.String("result", result),
+	)
+	g.Metrics.Attempts.WithLabelValues(a.state.call.service, counted).Inc()
+	g.Metrics.Cost.WithLabelValues(a.state.call.workspace).Add(a.chosen.PricePerSecond * took.Seconds())
+}
+
+func (a *attempt) setKV(kv *api.KVImport) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.kv = kv
+}
+
+func (a *attempt) exportedKV() *api.KVImport {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.kv
+}
+
+// examine finds out why an attempt failed, and saves what it computed.
+func (g *Gateway) examine(ctx context.Context, a *attempt, cause, err error) *failure {
+	failed := &failure{err: err, sent: sentOf(err)}
+	var known *upstream.Error
+	_ = errors.As(err, &known)
+	switch {
+	case ctx.Err() != nil:
+		failed.cause = causeBroken
+	case errors.Is(cause, errMoved):
+		failed.cause, failed.kv = causeReclaim, a.exportedKV()
+	case errors.Is(cause, errSilent):
+		g.examineSilence(ctx, a, failed)
+	case known != nil && rejects(known.Status):
+		failed.cause = causeRejected
+	case failed.sent == retry.NotSent:
+		failed.cause = causeNotSent
+	default:
+		g.examineBreak(ctx, a, failed)
+	}
+	return failed
+}
+
+// rejects says whether an engine's status means that the request itself is at fault.
+func rejects(status int) bool {
+	return status == http.StatusBadRequest || status == http.StatusRequestEntityTooLarge || status == http.StatusUnprocessableEntity
+}
+
+// examineSilence probes the upstream on a new connection. If it is alive, only the
+// connection was silent: the old stream is canceled there and goes on there.
+func (g *Gateway) examineSilence(ctx context.Context, a *attempt, failed *failure) {
+	if g.probe(ctx, a.chosen) != upstreamAlive {
+		failed.cause = causeLost
+		return
+	}
+	failed.cause = causeSilent
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if err := g.Pool.Get(a.chosen.Address).Cancel(ctx, a.state.call.id); err != nil {
+		g.Logger.Warn().Err(err).Str("request", a.state.call.id).Msg("old stream not canceled by its engine")
+	}
+	failed.kv = g.exportKV(ctx, a.chosen.Address, a.state.call.id)
+}
+
+// examineBreak tells a broken connection from an upstream that died.
+func (g *Gateway) examineBreak(ctx context.Context, a *attempt, failed *failure) {
+	switch g.probe(ctx, a.chosen) {
+	case upstreamAlive:
+		failed.cause = causeBroken
+		failed.kv = g.exportKV(ctx, a.chosen.Address, a.state.call.id)
+	case upstreamDied:
+		failed.cause = causeCrash
+		if g.leaving(a.chosen.ID) {
+			failed.cause = causeReclaim
+			return
+		}
+		g.noteCrash(a)
+	default:
+		failed.cause = causeLost
+	}
+}
+
+// sentOf says how far a failed attempt got; an unknown error may have run.
+func sentOf(err error) retry.Sent {
+	var known *upstream.Error
+	if errors.As(err, &known) {
+		return known.Sent
+	}
+	return retry.MaybeSent
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+	"time"
 
 	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/config"
@@ -24,6 +26,10 @@
 	priority  int
 	route     api.Route
 	request   api.ChatRequest
+	// body as the caller sent it.
+	body []byte
+	// deadline after which the caller does not wait; zero means none.
+	deadline time.Time
 	// fields is the body as the caller sent it, so that unknown fields pass through.
 	fields map[string]json.RawMessage
 	// text is the prompt as engines compute on it.
@@ -31,6 +37,22 @@
 	blocks []uint64
 }
 
+// HeaderTimeout bounds a request, in milliseconds from its arrival.
+const HeaderTimeout = "X-Persimmon-Timeout-Ms"
+
+// readDeadline returns when the caller gives up; zero when it did not say.
+func readDeadline(r *http.Request, now time.Time) (time.Time, *refusal.Refusal) {
+	text := r.Header.Get(HeaderTimeout)
+	if text == "" {
+		return time.Time{}, nil
+	}
+	timeout, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || timeout <= 0 {
+		return time.Time{}, refusal.Field(HeaderTimeout, "%s must be a number of milliseconds above 0", HeaderTimeout)
+	}
+	return now.Add(time.Duration(timeout) * time.Millisecond), nil
+}
+
 // readBody reads a request body of bounded size.
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *refusal.Refusal) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.Settings.MaxBodyBytes))
@@ -47,7 +69,7 @@
 
 // newCall decodes and checks a chat request of a workspace.
 func newCall(index *config.Index, workspace string, body []byte) (*call, *refusal.Refusal) {
-	c := &call{workspace: workspace}
+	c := &call{workspace: workspace, body: body}
 	if err := json.Unmarshal(body, &c.fields); err != nil {
 		return nil, refusal.New(http.StatusBadRequest, refusal.CodeInvalidJSON, "the body is not a JSON object: %v", err)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -16,7 +17,6 @@
 	"github.com/persimmonline/persimmonline/control"
 	"github.com/persimmonline/persimmonline/exchange"
 	"github.com/persimmonline/persimmonline/peer"
-	"github.com/persimmonline/persimmonline/quarantine"
 	"github.com/persimmonline/persimmonline/refusal"
 	"github.com/persimmonline/persimmonline/retry"
 	"github.com/persimmonline/persimmonline/telemetry"
@@ -59,10 +59,16 @@
 	store     *exchange.Store
 	admission *admission
 
-	mu         sync.Mutex
-	budget     *retry.Budget
-	quarantine *quarantine.Table
-	refusals   map[refusalKey]int64
+	// flights by request id, as *flight.
+	flights sync.Map
+	// running attempts, *attempt to its context.
+	running  sync.Map
+	suspects *suspects
+	draining atomic.Bool
+
+	mu       sync.Mutex
+	budget   *retry.Budget
+	refusals map[refusalKey]int64
 }
 
 type refusalKey struct {
@@ -73,12 +79,12 @@
 func New(options Options) *Gateway {
 	slots := options.Settings.MaxStreams
 	return &Gateway{
-		Options:    options,
-		store:      exchange.NewStore(journalRetention),
-		admission:  newAdmission(slots, slots*queueFactor),
-		budget:     retry.NewBudget(defaultRetryRatio, retryReserve),
-		quarantine: quarantine.NewTable(),
-		refusals:   map[refusalKey]int64{},
+		Options:   options,
+		store:     exchange.NewStore(journalRetention),
+		admission: newAdmission(slots, slots*queueFactor),
+		budget:    retry.NewBudget(defaultRetryRatio, retryReserve),
+		suspects:  newSuspects(),
+		refusals:  map[refusalKey]int64{},
 	}
 }
 
@@ -86,6 +92,7 @@
 func (g *Gateway) Routes() []rest.Route {
 	return []rest.Route{
 		{Method: http.MethodPost, Path: "/v1/chat/completions", Handler: g.authenticated(g.chat)},
+		{Method: http.MethodGet, Path: "/v1/requests/{id}", Handler: g.authenticated(g.reattach)},
 		{Method: http.MethodGet, Path: "/v1/models", Handler: g.authenticated(g.models)},
 		{Path: "/services/{service}/{path...}", Handler: g.authenticated(g.service)},
 	}
@@ -95,6 +102,8 @@
 func (g *Gateway) PeerRoutes() []rest.Route {
 	return []rest.Route{
 		{Method: http.MethodPost, Path: peer.PathChat, Handler: peer.Authenticate(g.Settings.PeerKey, g.peerChat)},
+		{Method: http.MethodPost, Path: peer.PathExchange, Handler: peer.Authenticate(g.Settings.PeerKey, g.peerExchange)},
+		{Method: http.MethodPost, Path: peer.PathHandover, Handler: peer.Authenticate(g.Settings.PeerKey, g.peerHandover)},
 	}
 }
 
--- /dev/null
+++ b/gateway/handover.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/control"
+	"github.com/persimmonline/persimmonline/peer"
+	"github.com/persimmonline/persimmonline/refusal"
+	"github.com/persimmonline/persimmonline/routing"
+)
+
+const (
+	// handoverTries is the number of successors that are asked.
+	handoverTries = 3
+	// drainPoll is the time between two looks at what is left.
+	drainPoll = 20 * time.Millisecond
+)
+
+// errNoSuccessor says that no other node is ready.
+var errNoSuccessor = errors.New("no other node is ready")
+
+// Drain makes this node own nothing new; its callers are served by other nodes
+// through it.
+func (g *Gateway) Drain() { g.draining.Store(true) }
+
+// HandOver gives every request that runs here to its successor, and relays the
+// answers to the callers of this node until they are served or ctx ends. Callers that
+// are left get an error event that says how to go on. It returns an error if no
+// successor took a request.
+func (g *Gateway) HandOver(ctx context.Context) error {
+	g.flights.Range(func(_, value any) bool {
+		value.(*flight).stopRunning(errHandOver)
+		return true
+	})
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for g.waitsForCallers() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return g.endRelays()
+}
+
+// waitsForCallers says whether a request still runs here, or a caller still reads an
+// answer that is relayed.
+func (g *Gateway) waitsForCallers() bool {
+	waits := false
+	g.flights.Range(func(_, value any) bool {
+		f := value.(*flight)
+		waits = waits || !f.relays() || f.journal.Readers() > 0
+		return !waits
+	})
+	return waits
+}
+
+// endRelays ends what is left. A relayed request is not lost: its holder goes on.
+func (g *Gateway) endRelays() error {
+	cut := 0
+	g.flights.Range(func(_, value any) bool {
+		f := value.(*flight)
+		if !f.relays() {
+			cut++
+		}
+		f.journal.Finish(refusal.New(http.StatusServiceUnavailable, refusal.CodeDraining,
+			"this node stops; the request goes on: get /v1/requests/%s at any node with the Last-Event-ID", f.journal.ID).
+			Unknown().After(jittered(noUpstreamRetry)))
+		return true
+	})
+	if cut > 0 {
+		return fmt.Errorf("hand over: %d requests were cut off", cut)
+	}
+	return nil
+}
+
+// handOver gives a request to the first successor that takes it.
+func (g *Gateway) handOver(ctx context.Context, f *flight) (api.PeerMoved, error) {
+	handover := api.PeerHandover{Request: f.callNow().peerChat(), EngineAddress: f.lastEngine(), Chunks: []api.PeerChunk{}}
+	for _, chunk := range f.journal.Chunks() {
+		encoded, err := peer.EncodeChunk(chunk)
+		if err != nil {
+			return api.PeerMoved{}, err
+		}
+		handover.Chunks = append(handover.Chunks, encoded)
+	}
+	failure := errNoSuccessor
+	for i, successor := range g.successors(f.journal.ID) {
+		if i >= handoverTries {
+			break
+		}
+		err := g.Peers.Handover(ctx, successor.PeerAddress, handover)
+		if err == nil {
+			g.Logger.Info().Str("request", f.journal.ID).Str("successor", successor.NodeID).Msg("request handed over")
+			return api.PeerMoved{NodeID: successor.NodeID, Address: successor.PeerAddress}, nil
+		}
+		g.Logger.Warn().Err(err).Str("request", f.journal.ID).Str("successor", successor.NodeID).Msg("successor did not take the request")
+		failure = err
+	}
+	return api.PeerMoved{}, failure
+}
+
+// successors returns the ready nodes in the order in which they follow on this node
+// as holders of a request: all nodes that see the same peers agree on it.
+func (g *Gateway) successors(requestID string) []control.Peer {
+	now := time.Now()
+	ready := map[string]control.Peer{}
+	for id, known := range g.Control.Snapshot().Peers {
+		if known.State == api.HeartbeatStateReady && now.Sub(known.HeardAt) < peerSilentAfter {
+			ready[id] = known
+		}
+	}
+	key := xxhash.Sum64String(requestID)
+	order := make([]control.Peer, 0, len(ready))
+	for len(ready) > 0 && len(order) < maxAsked {
+		ids := make([]string, 0, len(ready))
+		for id := range ready {
+			ids = append(ids, id)
+		}
+		slices.Sort(ids)
+		next := routing.Owner(key, ids)
+		order = append(order, ready[next])
+		delete(ready, next)
+	}
+	return order
+}
+
+// anyReady returns a ready peer for new work that this node would own.
+func (g *Gateway) anyReady() (api.Heartbeat, bool) {
+	ready := g.successors(g.newRequestID("", ""))
+	if len(ready) == 0 {
+		return api.Heartbeat{}, false
+	}
+	return ready[0].Heartbeat, true
+}
--- /dev/null
+++ b/gateway/relay.go
@@ -0,0 +1,145 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/peer"
+	"github.com/persimmonline/persimmonline/refusal"
+	"github.com/persimmonline/persimmonline/upstream"
+)
+
+// maxReattach is how often a relay attaches again without any progress before its
+// holder is taken for lost.
+const maxReattach = 2
+
+// errHolderUnknown says that the holder does not know the request.
+var errHolderUnknown = errors.New("the holder does not know the request")
+
+// relay copies the answer from the node that runs the request. When that node is
+// lost, the flight runs here if the request is known here. The second value says
+// whether the answer has ended.
+func (g *Gateway) relay(ctx context.Context, f *flight, holder *api.PeerMoved) (*refusal.Refusal, bool) {
+	var lost error
+	for failures := 0; failures <= maxReattach; failures++ {
+		before := f.journal.Progress().Chunks
+		last, err := g.relayOnce(ctx, f, holder)
+		if ctx.Err() != nil {
+			return givenUp(ctx), false
+		}
+		if err == nil && last.Moved != nil && last.Moved.NodeID != g.Settings.NodeID {
+			f.follow(*last.Moved, false)
+			return nil, false
+		}
+		if err == nil && last.Moved == nil && !holderEnded(last.Refused) {
+			return last.Refused, true
+		}
+		lost = errors.Join(err, errOf(last.Refused))
+		if err == nil || errors.Is(err, errHolderUnknown) {
+			break
+		}
+		g.Peers.Retire(holder.Address)
+		if f.journal.Progress().Chunks > before {
+			failures = 0
+		}
+	}
+	g.Logger.Warn().Err(lost).Str("request", f.journal.ID).Str("peer", holder.NodeID).Msg("holder of the request is lost")
+	if f.takeOver() {
+		g.Metrics.Retries.WithLabelValues(f.callNow().service, causeHolderLost).Inc()
+		return nil, false
+	}
+	return refusal.New(http.StatusBadGateway, refusal.CodeUpstreamFailed,
+		"the node that runs the request can't be reached; ask again with the same request id").
+		Unknown().At("relay answer", holder.NodeID, lost).After(jittered(noUpstreamRetry)), true
+}
+
+// errOf returns a refusal as an error; nil when there is none.
+func errOf(refused *refusal.Refusal) error {
+	if refused == nil {
+		return nil
+	}
+	return refused
+}
+
+// holderEnded says whether a holder gave the request up because it itself ended, not
+// because of the request.
+func holderEnded(refused *refusal.Refusal) bool {
+	return refused != nil && (refused.Code == refusal.CodeCanceled || refused.Code == refusal.CodeDraining)
+}
+
+// relayOnce copies the answer over one connection and returns its last event.
+func (g *Gateway) relayOnce(ctx context.Context, f *flight, holder *api.PeerMoved) (last peer.Event, err error) {
+	ctx, span := otel.Tracer(tracerName).Start(ctx, "relay")
+	span.SetAttributes(attribute.String("request.id", f.journal.ID), attribute.String("peer.id", holder.NodeID))
+	defer func() {
+		span.SetAttributes(attribute.String("result", relayResult(last, err)))
+		if err != nil {
+			span.SetStatus(codes.Error, err.Error())
+		}
+		span.End()
+	}()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(peer.SilentAfter, func() { cancel(errSilent) })
+	defer watchdog.Stop()
+	answer, err := g.openAnswer(ctx, f, holder)
+	if err != nil {
+		return last, err
+	}
+	defer answer.Close()
+	attempt := f.journal.Begin()
+	for {
+		event, err := answer.Next()
+		if err != nil {
+			return last, err
+		}
+		watchdog.Reset(peer.SilentAfter)
+		if event.Opened != nil {
+			f.journal.Open(*event.Opened)
+		}
+		if event.Chunk != nil {
+			f.journal.Append(attempt, *event.Chunk)
+		}
+		if event.Done || event.Refused != nil || event.Moved != nil {
+			return event, nil
+		}
+	}
+}
+
+// openAnswer gives the request to its holder, or attaches where the journal ends when
+// the holder has it already.
+func (g *Gateway) openAnswer(ctx context.Context, f *flight, holder *api.PeerMoved) (*peer.Answer, error) {
+	if f.takeHandOff() {
+		return g.Peers.Chat(ctx, holder.Address, f.callNow().peerChat())
+	}
+	answer, err := g.Peers.Attach(ctx, holder.Address, api.PeerAttach{
+		RequestID: f.journal.ID,
+		Workspace: f.journal.Workspace,
+		From:      f.journal.Progress().Chunks,
+	})
+	var failed *upstream.Error
+	if errors.As(err, &failed) && failed.Status == http.StatusNotFound {
+		return nil, errHolderUnknown
+	}
+	return answer, err
+}
+
+func relayResult(last peer.Event, err error) string {
+	switch {
+	case err != nil:
+		return "failed"
+	case last.Moved != nil:
+		return "moved"
+	case last.Refused != nil:
+		return resultRefused
+	default:
+		return resultAnswered
+	}
+}
--- /dev/null
+++ b/gateway/resume.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/exchange"
+	"github.com/persimmonline/persimmonline/prompt"
+	"github.com/persimmonline/persimmonline/retry"
+)
+
+// resume returns where an attempt goes on; nil for the start. It picks the cheapest
+// way and drops an exported KV cache that does not pay.
+func (g *Gateway) resume(a *attempt) *api.ChatResume {
+	progress := a.state.flight.journal.Progress()
+	a.offset = progress.Tokens
+	kv := a.state.kv
+	if progress.Tokens == 0 && kv == nil {
+		return nil
+	}
+	a.way = retry.CheapestWay(retry.Resume{
+		PromptTokens: prompt.Tokens(a.state.call.text),
+		AnswerTokens: progress.Tokens,
+		KVAvailable:  kv != nil,
+	})
+	if a.way != retry.FromKV {
+		kv = nil
+		a.state.kv = nil
+	}
+	if progress.Tokens == 0 && kv == nil {
+		return nil
+	}
+	return &api.ChatResume{Offset: progress.Tokens, Text: progress.Text, KV: kv}
+}
+
+// exportKV asks an engine for the KV cache of a request; nil when it has none.
+func (g *Gateway) exportKV(ctx context.Context, address, requestID string) *api.KVImport {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	state, err := g.Pool.Get(address).ExportKV(ctx, requestID)
+	if err != nil {
+		g.Logger.Debug().Err(err).Str("request", requestID).Msg("KV cache not exported")
+		return nil
+	}
+	return &api.KVImport{Tokens: state.Tokens, Data: state.Data}
+}
+
+// account counts the tokens that an attempt computed again, or for the first time.
+func (g *Gateway) account(a *attempt) {
+	if a.usage == nil && !a.progress {
+		return
+	}
+	promptTokens := prompt.Tokens(a.state.call.text)
+	cached := 0
+	if a.usage != nil {
+		promptTokens = a.usage.PromptTokens
+		if a.usage.PromptTokensDetails != nil {
+			cached = a.usage.PromptTokensDetails.CachedTokens
+		}
+	}
+	if a.state.cause == "" || a.state.cause == causeNotSent {
+		g.Metrics.CacheMissedTokens.WithLabelValues(a.state.call.service).Add(float64(max(0, promptTokens-cached)))
+		return
+	}
+	g.Metrics.RecomputedTokens.WithLabelValues(a.state.cause).Add(float64(recomputed(a, promptTokens, cached)))
+}
+
+// recomputed returns how many tokens of the prompt and of the answer so far a further
+// attempt computed again.
+func recomputed(a *attempt, promptTokens, cached int) int {
+	if a.state.kv != nil {
+		return max(0, promptTokens+a.offset-max(a.state.kv.Tokens, cached))
+	}
+	return max(0, promptTokens-cached) + a.offset
+}
+
+// wholeUsage returns the usage of the whole answer. An engine that went on from a
+// resume may have counted only its own part.
+func wholeUsage(reported api.ChatUsage, answerTokens int) *api.ChatUsage {
+	if answerTokens > 0 {
+		reported.CompletionTokens = answerTokens
+	}
+	reported.TotalTokens = reported.PromptTokens + reported.CompletionTokens
+	return &reported
+}
+
+// completeUsage adds the usage to an answer whose stream broke between its last token
+// and its usage, from what this node counted.
+func (g *Gateway) completeUsage(a *attempt, journal *exchange.Exchange) {
+	progress := journal.Progress()
+	if progress.Usage {
+		return
+	}
+	promptTokens := prompt.Tokens(a.state.call.text)
+	journal.Append(a.number, api.ChatChunk{
+		ID:          answerID(a.state.call.id),
+		Object:      "chat.completion.chunk",
+		Created:     time.Now().Unix(),
+		Model:       a.state.call.service,
+		Choices:     []api.ChatChunkChoice{},
+		Usage:       wholeUsage(api.ChatUsage{PromptTokens: promptTokens}, progress.Tokens),
+		TokenOffset: progress.Tokens,
+	})
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -3,33 +3,21 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
-	"go.opentelemetry.io/otel"
-	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/codes"
-
 	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/control"
-	"github.com/persimmonline/persimmonline/exchange"
 	"github.com/persimmonline/persimmonline/limit"
 	"github.com/persimmonline/persimmonline/prompt"
-	"github.com/persimmonline/persimmonline/quarantine"
 	"github.com/persimmonline/persimmonline/refusal"
 	"github.com/persimmonline/persimmonline/retry"
 	"github.com/persimmonline/persimmonline/routing"
-	"github.com/persimmonline/persimmonline/upstream"
 )
 
 const (
 	// defaultRetryRatio bounds retries until the configuration says otherwise.
 	defaultRetryRatio = 0.2
-	// firstChunkTimeout bounds the wait for the first chunk of an attempt.
-	firstChunkTimeout = 20 * time.Second
-	// nextChunkTimeout bounds the wait for each further chunk.
-	nextChunkTimeout = 5 * time.Second
 	// suspectFor is how long an upstream that failed is avoided.
 	suspectFor = 3 * time.Second
 	// noUpstreamRetry is when to ask again when no upstream was there.
@@ -39,195 +27,164 @@
 // tracerName names the spans of this package.
 const tracerName = "persimmonline/gateway"
 
-// errSilent says that an upstream sent nothing within its progress deadline.
-var errSilent = errors.New("no progress within the deadline")
-
-// run answers a call into its journal; nil means a whole answer.
-func (g *Gateway) run(ctx context.Context, c *call, journal *exchange.Exchange) *refusal.Refusal {
-	fingerprint := prompt.Fingerprint(c.text)
-	if g.verdict(fingerprint) == quarantine.Refuse {
-		return refusal.New(http.StatusUnprocessableEntity, refusal.CodePoison,
-			"this request crashed the upstreams that ran it and is not run again")
-	}
-	done, refused := g.admission.admit(ctx, limit.Ticket{
-		Workspace: c.workspace,
-		Priority:  c.priority,
-		Tokens:    float64(prompt.Tokens(c.text) + c.answerTokens()),
-	})
-	if refused != nil {
-		return refused
-	}
-	defer done()
-	g.Metrics.InFlight.Inc()
-	defer g.Metrics.InFlight.Dec()
-	return g.attempts(ctx, c, journal, fingerprint)
+// runState is what the attempts of one request have in common.
+type runState struct {
+	flight   *flight
+	call     *call
+	excluded map[string]bool
+	// attempts counts failures that took from the retry budget.
+	attempts int
+	// silences counts connections that went silent.
+	silences int
+	// cause of the last failure; empty before the first.
+	cause string
+	// sameAgain is the upstream on which to go on, when only the connection failed.
+	sameAgain *routing.Upstream
+	// kv is the KV cache of the last attempt, if it could be exported.
+	kv *api.KVImport
+	// alonePending is reserved for the request and not idle yet.
+	alonePending *routing.Upstream
+	// ran says whether any attempt may have run.
+	ran refusal.Ran
 }
 
-// attempts tries upstreams until the answer is whole or no further try is allowed.
-func (g *Gateway) attempts(ctx context.Context, c *call, journal *exchange.Exchange, fingerprint uint64) *refusal.Refusal {
-	excluded := map[string]bool{}
-	ran := refusal.RanNo
-	g.countRequest()
-	for attempts := 1; ; attempts++ {
-		chosen, err := g.pick(c, excluded)
-		if err != nil {
-			r := refusal.New(http.StatusServiceUnavailable, refusal.CodeNoUpstream,
-				"no upstream can take the request now").At("route", "", err).After(jittered(noUpstreamRetry))
-			r.Ran = ran
-			return r
-		}
-		failed := g.attempt(ctx, c, journal, chosen)
-		if failed == nil {
-			return nil
-		}
-		excluded[chosen.ID] = true
-		sent := sentOf(failed)
-		if sent == retry.MaybeSent {
-			ran = refusal.RanUnknown
-			g.noteBreak(ctx, failed, fingerprint)
-		}
-		g.Control.Offer(control.ContactFailed{HostID: chosen.ID, Until: time.Now().Add(suspectFor)})
-		if refused := g.next(ctx, c, attempts, sent, failed); refused != nil {
-			refused.Ran = ran
+// run answers a flight's call into its journal; nil means a whole answer.
+func (g *Gateway) run(ctx context.Context, f *flight) *refusal.Refusal {
+	c := f.callNow()
+	if !f.isAccepted() {
+		done, refused := g.admission.admit(ctx, limit.Ticket{
+			Workspace: c.workspace,
+			Priority:  c.priority,
+			Tokens:    float64(prompt.Tokens(c.text) + c.answerTokens()),
+		})
+		if refused != nil {
 			return refused
 		}
-		g.Metrics.Retries.WithLabelValues(c.service, retryCause(sent)).Inc()
+		defer done()
+		f.accept()
 	}
+	g.Metrics.InFlight.Inc()
+	defer g.Metrics.InFlight.Dec()
+	return g.runAttempts(ctx, newRunState(f, c))
 }
 
-// next says whether a further attempt may follow a failed one; nil means yes.
-func (g *Gateway) next(ctx context.Context, c *call, attempts int, sent retry.Sent, failed error) *refusal.Refusal {
-	if ctx.Err() != nil {
-		return refusal.New(http.StatusServiceUnavailable, refusal.CodeCanceled,
-			"the request was canceled").At("run", "", ctx.Err())
+// newRunState starts where the journal ends; a journal that has chunks already comes
+// from another holder.
+func newRunState(f *flight, c *call) *runState {
+	state := &runState{flight: f, call: c, excluded: map[string]bool{}, ran: refusal.RanNo}
+	if f.journal.Progress().Chunks > 0 {
+		state.ran = refusal.RanUnknown
+		state.cause = causeHolderLost
 	}
-	failure := retry.Failure{Sent: sent, Repeatable: true, Attempts: attempts}
-	if retry.Allowed(failure) && g.takeRetry() {
-		g.Logger.Info().Err(failed).Str("request", c.id).Int("attempts", attempts).Msg("attempt failed; trying another upstream")
-		return nil
+	if f.lastEngine() != "" {
+		state.cause = causeHandover
 	}
-	return refusal.New(http.StatusBadGateway, refusal.CodeUpstreamFailed,
-		"upstreams failed %d times", attempts).At("run", "", failed).After(jittered(noUpstreamRetry))
+	return state
 }
 
-// attempt runs the call at one upstream, from where the journal ends.
-func (g *Gateway) attempt(ctx context.Context, c *call, journal *exchange.Exchange, chosen *routing.Upstream) (err error) {
-	ctx, span := otel.Tracer(tracerName).Start(ctx, "attempt")
-	span.SetAttributes(
-		attribute.String("request.id", c.id),
-		attribute.String("upstream.id", chosen.ID),
-		attribute.String("upstream.data_centre", chosen.DataCentre),
-	)
-	started := time.Now()
-	defer func() {
-		g.endAttempt(c, chosen, time.Since(started), err)
-		if err != nil {
-			span.SetStatus(codes.Error, err.Error())
-		}
-		span.End()
-	}()
-	chosen.Tracker.InFlight.Add(1)
-	defer chosen.Tracker.InFlight.Add(-1)
-
-	body, err := c.engineBody(resumeFrom(journal))
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	watchdog := time.AfterFunc(firstChunkTimeout, func() { cancel(errSilent) })
-	defer watchdog.Stop()
-	stream, err := g.Pool.Get(chosen.Address).Chat(ctx, c.id, c.priority, body)
-	if err != nil {
-		return err
+// runAttempts tries upstreams until the answer is whole or no further try is allowed.
+func (g *Gateway) runAttempts(ctx context.Context, s *runState) *refusal.Refusal {
+	g.countRequest()
+	if s.cause == causeHandover {
+		s.kv = g.exportKV(ctx, s.flight.lastEngine(), s.call.id)
 	}
-	defer stream.Close()
-	return g.copyStream(c, journal, stream, watchdog)
-}
-
-// copyStream appends the chunks of an attempt to the journal until the answer is whole.
-func (g *Gateway) copyStream(c *call, journal *exchange.Exchange, stream *upstream.Stream, watchdog *time.Timer) error {
-	finished := false
-	last := time.Time{}
 	for {
-		chunk, err := stream.Next()
-		if errors.Is(err, io.EOF) && finished {
+		chosen, refused := g.choose(ctx, s)
+		if refused != nil {
+			refused.Ran = s.ran
+			return refused
+		}
+		failed := g.attempt(ctx, s, chosen)
+		chosen.release()
+		if failed == nil {
+			g.clearSuspicion(s.call, chosen)
 			return nil
 		}
-		if errors.Is(err, io.EOF) {
-			return &upstream.Error{Step: "read chat stream", Sent: retry.MaybeSent, Err: upstream.ErrBroken}
+		if ctx.Err() != nil {
+			return givenUp(ctx)
 		}
-		if err != nil {
-			return err
+		if failed.sent == retry.MaybeSent {
+			s.ran = refusal.RanUnknown
 		}
-		watchdog.Reset(nextChunkTimeout)
-		if now := time.Now(); last.IsZero() {
-			last = now
-		} else {
-			g.Metrics.BetweenTokens.WithLabelValues(c.service).Observe(now.Sub(last).Seconds())
-			last = now
+		if refused := g.afterFailure(s, failed, chosen); refused != nil {
+			refused.Ran = s.ran
+			return refused
 		}
-		chunk.ID = answerID(c.id)
-		chunk.Model = c.service
-		journal.Append(chunk)
-		finished = finished || isLast(chunk)
+		g.Metrics.Retries.WithLabelValues(s.call.service, failed.cause).Inc()
+		g.Logger.Info().Err(failed.err).Str("request", s.call.id).Str("upstream", chosen.ID).
+			Str("cause", failed.cause).Int("tokens", s.flight.journal.Tokens()).Msg("attempt failed; the request goes on")
 	}
 }
 
-func isLast(chunk api.ChatChunk) bool {
-	for _, choice := range chunk.Choices {
-		if choice.FinishReason != nil {
-			return true
+// afterFailure decides what follows a failed attempt; nil means another one.
+func (g *Gateway) afterFailure(s *runState, failed *failure, chosen *choice) *refusal.Refusal {
+	s.cause = failed.cause
+	s.kv = failed.kv
+	s.sameAgain = nil
+	switch failed.cause {
+	case causeReclaim:
+		s.excluded[chosen.ID] = true
+		return nil
+	case causeSilent:
+		s.silences++
+		if s.silences <= maxSilences {
+			s.sameAgain = chosen.Upstream
+			return nil
 		}
+	case causeRejected:
+		return refusal.New(http.StatusBadRequest, refusal.CodeInvalidField,
+			"the engine rejected the request: %v", failed.err).At("run", chosen.ID, failed.err)
 	}
-	return false
-}
-
-// resumeFrom returns where a further attempt goes on; nil for the first.
-func resumeFrom(journal *exchange.Exchange) *api.ChatResume {
-	tokens, text := journal.Tokens()
-	if tokens == 0 {
+	s.excluded[chosen.ID] = true
+	s.attempts++
+	g.Control.Offer(control.ContactFailed{HostID: chosen.ID, Until: time.Now().Add(suspectFor)})
+	if retry.Allowed(retry.Failure{Sent: failed.sent, Repeatable: true, Attempts: s.attempts}) && g.takeRetry() {
 		return nil
 	}
-	return &api.ChatResume{Offset: tokens, Text: text}
+	return refusal.New(http.StatusBadGateway, refusal.CodeUpstreamFailed,
+		"upstreams failed %d times", s.attempts).At("run", chosen.ID, failed.err).After(jittered(noUpstreamRetry))
 }
 
-func (g *Gateway) endAttempt(c *call, chosen *routing.Upstream, took time.Duration, err error) {
-	result := resultAnswered
-	if err != nil {
-		result = "failed"
-	}
-	g.Metrics.Attempts.WithLabelValues(c.service, result).Inc()
-	g.Metrics.Cost.WithLabelValues(c.workspace).Add(chosen.PricePerSecond * took.Seconds())
+// choice is the upstream of one attempt.
+type choice struct {
+	*routing.Upstream
+	// alone says that nothing else runs there by any node that keeps to it.
+	alone bool
+	// release ends the reservation; it may be called more than once.
+	release func()
 }
 
-// noteBreak suspects the request when its upstream broke off and can't be reached
-// any more.
-func (g *Gateway) noteBreak(ctx context.Context, failed error, fingerprint uint64) {
-	var attempt *upstream.Error
-	if !errors.As(failed, &attempt) || attempt.Peer == "" || attempt.Status != 0 {
-		return
+// choose returns the upstream of the next attempt.
+func (g *Gateway) choose(ctx context.Context, s *runState) (*choice, *refusal.Refusal) {
+	chosen, refused := g.chooseBySuspicion(ctx, s)
+	if chosen != nil || refused != nil {
+		return chosen, refused
 	}
-	g.Pool.Retire(attempt.Peer)
-	probeCtx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	if _, err := g.Pool.Get(attempt.Peer).Load(probeCtx); err == nil {
-		return
+	if s.sameAgain != nil {
+		return &choice{Upstream: s.sameAgain, release: func() {}}, nil
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.quarantine.Crash(fingerprint, time.Now())
-}
-
-func (g *Gateway) verdict(fingerprint uint64) quarantine.Verdict {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.quarantine.Verdict(fingerprint, time.Now())
+	picked, err := g.pickUnreserved(ctx, s)
+	if errors.Is(err, routing.ErrNoUpstream) && len(s.excluded) > 0 && s.flight.journal.Progress().Chunks > 0 {
+		// An answer that has begun goes on at an upstream that failed it before,
+		// rather than not at all.
+		clear(s.excluded)
+		picked, err = g.pickUnreserved(ctx, s)
+	}
+	if err != nil {
+		return nil, refusal.New(http.StatusServiceUnavailable, refusal.CodeNoUpstream,
+			"no upstream can take the request now").At("route", "", err).After(jittered(noUpstreamRetry))
+	}
+	return &choice{Upstream: picked, release: func() {}}, nil
 }
 
 func (g *Gateway) countRequest() {
+	ratio := defaultRetryRatio
+	if index := g.Control.Snapshot().Index; index != nil {
+		ratio = index.Config.Policy.RetryRatio
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.budget.SetRatio(ratio)
 	g.budget.Request()
 }
 
@@ -236,19 +193,3 @@
 	defer g.mu.Unlock()
 	return g.budget.Retry()
 }
-
-// sentOf says how far a failed attempt got; an unknown error may have run.
-func sentOf(err error) retry.Sent {
-	var attempt *upstream.Error
-	if errors.As(err, &attempt) {
-		return attempt.Sent
-	}
-	return retry.MaybeSent
-}
-
-func retryCause(sent retry.Sent) string {
-	if sent == retry.NotSent {
-		return "not_sent"
-	}
-	return "broken"
-}
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -19,7 +19,7 @@
 // Heartbeat returns what this node tells its peers.
 func (n *Node) Heartbeat() api.Heartbeat {
 	snapshot := n.control.Snapshot()
-	return api.Heartbeat{
+	own := api.Heartbeat{
 		NodeID:        n.settings.NodeID,
 		Incarnation:   n.incarnation,
 		DataCentre:    n.settings.DataCentre,
@@ -32,6 +32,8 @@
 		InFlight:      n.gateway.Store().InFlight(),
 		Leaving:       snapshot.Leaving,
 	}
+	n.gateway.Tell(&own)
+	return own
 }
 
 func (n *Node) state(snapshot *control.Snapshot) api.HeartbeatState {
@@ -57,10 +59,18 @@
 func (n *Node) sendHeartbeats(ctx context.Context) {
 	ticker := time.NewTicker(n.settings.Heartbeat)
 	defer ticker.Stop()
+	news := make(chan struct{}, 1)
+	n.gateway.OnSuspicion(func() {
+		select {
+		case news <- struct{}{}:
+		default:
+		}
+	})
 	for {
 		n.sendHeartbeatRound(ctx)
 		select {
 		case <-ticker.C:
+		case <-news:
 		case <-ctx.Done():
 			return
 		}
@@ -85,6 +95,7 @@
 		n.logger.Debug().Err(err).Str("peer", member.ID).Msg("heartbeat failed")
 		return
 	}
+	n.gateway.Hear(answer)
 	n.control.Post(ctx, control.PeerHeard{Heartbeat: answer, At: time.Now()})
 }
 
@@ -102,6 +113,7 @@
 		refusal.New(http.StatusBadRequest, refusal.CodeInvalidJSON, "heartbeat can't be read: %v", err).Write(w, "")
 		return
 	}
+	n.gateway.Hear(heard)
 	n.control.Offer(control.PeerHeard{Heartbeat: heard, At: time.Now()})
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(n.Heartbeat())
--- a/node/node.go
+++ b/node/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -24,9 +23,6 @@
 	"github.com/persimmonline/persimmonline/upstream"
 )
 
-// stopMargin is the time that the last answers have after the drain.
-const stopMargin = 2 * time.Second
-
 // Node is one running node.
 type Node struct {
 	settings    api.Settings
@@ -45,6 +41,7 @@
 	peerServer   *httpserver.Server
 
 	draining   atomic.Bool
+	drain      drain
 	background sync.WaitGroup
 	cancel     context.CancelFunc
 }
@@ -62,6 +59,7 @@
 		incarnation: uuid.NewString()[:8],
 		metrics:     telemetry.NewMetrics(),
 		pool:        upstream.NewPool(settings.NodeID),
+		drain:       drain{reclaimed: make(chan struct{})},
 	}
 	n.logger = logger.With().Str("node", settings.NodeID).Str("incarnation", n.incarnation).Logger()
 	n.control = control.NewLoop(time.Now, n.logger, n.metrics)
@@ -122,35 +120,13 @@
 	n.background.Go(func() { n.control.Run(ctx) })
 	n.background.Go(func() { n.feeds.Run(ctx) })
 	n.background.Go(func() { n.sendHeartbeats(ctx) })
+	n.background.Go(func() { n.gateway.Watch(ctx) })
+	n.background.Go(func() { n.watchOwnReclaim(ctx) })
 	n.logger.Info().Str("callers", n.callerServer.Address()).Str("admin", n.adminServer.Address()).
 		Str("peers", n.peerServer.Address()).Msg("node started")
 	return nil
 }
 
-// Stop is the planned stop: readiness off, a grace for the balancer, the requests
-// in flight, then the listeners. It returns an error if a request was cut off.
-func (n *Node) Stop(ctx context.Context) error {
-	n.draining.Store(true)
-	n.logger.Info().Msg("draining")
-	wait(ctx, n.settings.ReadinessGrace)
-	drainCtx, cancel := context.WithTimeout(ctx, n.settings.DrainTimeout)
-	defer cancel()
-	drained := n.gateway.Store().Wait(drainCtx)
-	n.gateway.Store().Cancel()
-	stopCtx, cancelStop := context.WithTimeout(ctx, n.settings.DrainTimeout+stopMargin)
-	defer cancelStop()
-	var failures []error
-	if drained != nil {
-		failures = append(failures, fmt.Errorf("drain node %s: %w", n.settings.NodeID, drained))
-	}
-	for _, server := range n.servers() {
-		failures = append(failures, server.Shutdown(stopCtx))
-	}
-	n.close()
-	n.logger.Info().Msg("node stopped")
-	return errors.Join(failures...)
-}
-
 // Kill ends the node at once, as a crash would.
 func (n *Node) Kill() {
 	n.gateway.Store().Cancel()
@@ -195,16 +171,6 @@
 // Metrics returns the node's metrics.
 func (n *Node) Metrics() *telemetry.Metrics { return n.metrics }
 
-// wait returns after d or when ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Complete says whether the node has heard of a number of peers and has an upstream
 // for every service of its configuration.
 func (n *Node) Complete(peers int) bool {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -1,5 +1,5 @@
-// Package peer holds what nodes say to each other: heartbeats, and requests that
-// are handed to their owner.
+// Package peer holds what nodes say to each other: heartbeats, requests that are
+// handed to their owner or to a successor, and the answers to them.
 package peer
 
 import (
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/persimmonline/persimmonline/api"
-	"github.com/persimmonline/persimmonline/exchange"
 	"github.com/persimmonline/persimmonline/refusal"
 	"github.com/persimmonline/persimmonline/retry"
 	"github.com/persimmonline/persimmonline/upstream"
@@ -23,13 +22,21 @@
 const (
 	PathHeartbeat = "/peer/v1/heartbeat"
 	PathChat      = "/peer/v1/chat"
+	PathExchange  = "/peer/v1/exchange"
+	PathHandover  = "/peer/v1/handover"
 )
 
 // HeaderKey carries the secret between nodes.
 const HeaderKey = "X-Persimmon-Peer-Key"
 
-// heartbeatTimeout bounds one heartbeat.
-const heartbeatTimeout = 2 * time.Second
+const (
+	// heartbeatTimeout bounds one heartbeat.
+	heartbeatTimeout = 2 * time.Second
+	// handoverTimeout bounds one handover.
+	handoverTimeout = 3 * time.Second
+	// maxErrorBytes bounds the part of an error answer that is kept.
+	maxErrorBytes = 512
+)
 
 // Authenticate lets only requests with the key between nodes through.
 func Authenticate(key string, next http.HandlerFunc) http.HandlerFunc {
@@ -74,9 +81,34 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Answer{address: address, body: response.Body, decoder: json.NewDecoder(response.Body)}, nil
+	return newAnswer(address, response.Body), nil
 }
 
+// Attach asks the holder of a request for its answer from a chunk on. A holder that
+// does not know the request answers with status 404.
+func (c *Client) Attach(ctx context.Context, address string, attach api.PeerAttach) (*Answer, error) {
+	response, err := c.post(ctx, "attach to request", address, PathExchange, attach) //nolint:bodyclose // Answer.Close closes it.
+	if err != nil {
+		return nil, err
+	}
+	return newAnswer(address, response.Body), nil
+}
+
+// Handover gives an unfinished request to a successor, which has it once this
+// returns nil.
+func (c *Client) Handover(ctx context.Context, address string, handover api.PeerHandover) error {
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	response, err := c.post(ctx, "hand over request", address, PathHandover, handover)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+// Retire makes further requests to a peer use new connections.
+func (c *Client) Retire(address string) { c.pool.Retire(address) }
+
 func (c *Client) post(ctx context.Context, step, address, path string, in any) (*http.Response, error) {
 	encoded, err := json.Marshal(in)
 	if err != nil {
@@ -93,103 +125,12 @@
 		return nil, err
 	}
 	if response.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
 		_ = response.Body.Close()
 		return nil, &upstream.Error{
 			Step: step, Peer: address, Sent: retry.NotSent, Status: response.StatusCode,
-			Err: fmt.Errorf("peer refused with status %d", response.StatusCode),
+			Err: fmt.Errorf("peer refused with status %d: %s", response.StatusCode, bytes.TrimSpace(text)),
 		}
 	}
 	return response, nil
 }
-
-// Answer is the answer of an owner, as JSON lines of api.PeerEvent.
-type Answer struct {
-	address string
-	body    io.ReadCloser
-	decoder *json.Decoder
-}
-
-// Next returns the next part of the answer. The index is not needed, since the
-// owner sends each chunk once.
-func (a *Answer) Next(_ context.Context, _ int) (exchange.Page, error) {
-	var event api.PeerEvent
-	if err := a.decoder.Decode(&event); err != nil {
-		return exchange.Page{}, &upstream.Error{
-			Step: "read answer of owner", Peer: a.address, Sent: retry.MaybeSent, Err: err,
-		}
-	}
-	if event.Refused != nil {
-		return exchange.Page{Done: true, Refused: refused(event.Refused, a.address)}, nil
-	}
-	if event.Chunk == nil {
-		return exchange.Page{Done: event.Done}, nil
-	}
-	var chunk api.ChatChunk
-	if err := json.Unmarshal(event.Chunk.Data, &chunk); err != nil {
-		return exchange.Page{}, fmt.Errorf("read chunk of peer %s: %w", a.address, err)
-	}
-	return exchange.Page{Chunks: []api.ChatChunk{chunk}}, nil
-}
-
-// Close ends the answer.
-func (a *Answer) Close() { _ = a.body.Close() }
-
-func refused(r *api.PeerRefusal, address string) *refusal.Refusal {
-	return &refusal.Refusal{
-		Status:     r.Status,
-		Code:       refusal.Code(r.Code),
-		Ran:        refusal.Ran(r.Ran),
-		Message:    r.Message,
-		Param:      r.Param,
-		RetryAfter: time.Duration(r.RetryAfterMS) * time.Millisecond,
-		Step:       "answer of owner",
-		Peer:       address,
-	}
-}
-
-// WriteEvents sends the pages of a journal to a peer until the journal is done.
-func WriteEvents(ctx context.Context, w http.ResponseWriter, journal *exchange.Exchange, from int) error {
-	w.Header().Set("Content-Type", "application/x-ndjson")
-	controller := http.NewResponseController(w)
-	encoder := json.NewEncoder(w)
-	for {
-		page, err := journal.Next(ctx, from)
-		if err != nil {
-			return err
-		}
-		for _, chunk := range page.Chunks {
-			if err := writeChunk(encoder, chunk); err != nil {
-				return err
-			}
-		}
-		from += len(page.Chunks)
-		if page.Done {
-			return encoder.Encode(lastEvent(page.Refused))
-		}
-		if err := controller.Flush(); err != nil {
-			return err
-		}
-	}
-}
-
-func writeChunk(encoder *json.Encoder, chunk api.ChatChunk) error {
-	data, err := json.Marshal(chunk)
-	if err != nil {
-		return err
-	}
-	return encoder.Encode(api.PeerEvent{Chunk: &api.PeerChunk{Data: data}})
-}
-
-func lastEvent(r *refusal.Refusal) api.PeerEvent {
-	if r == nil {
-		return api.PeerEvent{Done: true}
-	}
-	return api.PeerEvent{Refused: &api.PeerRefusal{
-		Status:       r.Status,
-		Code:         string(r.Code),
-		Ran:          string(r.Ran),
-		Message:      r.Message,
-		Param:        r.Param,
-		RetryAfterMS: r.RetryAfter.Milliseconds(),
-	}}
-}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -2,7 +2,11 @@
 // upstreams that run them. It is pure.
 package quarantine
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Verdict on a request.
 type Verdict int
@@ -18,35 +22,94 @@
 )
 
 const (
-	// maxCrashes that one request may cause.
+	// maxCrashes that one request may cause in the whole fleet.
 	maxCrashes = 2
-	// memory is how long a crash is remembered.
+	// memory is how long a crash or a clearing is remembered.
 	memory = time.Hour
+	// maxSuspicions bounds the table; the oldest goes first.
+	maxSuspicions = 4096
+	// MaxShared bounds the suspicions that nodes tell each other at once.
+	MaxShared = 64
 )
 
-type suspicion struct {
-	crashes int
-	last    time.Time
+// Suspicion is what is known against one request.
+type Suspicion struct {
+	// Fingerprint of the service and the prompt.
+	Fingerprint uint64
+	// Upstreams that died while they ran it; none when it was cleared.
+	Upstreams []string
+	// At is the time of the last crash or of the clearing.
+	At time.Time
 }
 
 // Table holds suspicions by fingerprint of the request.
 type Table struct {
-	suspicions map[uint64]suspicion
+	suspicions map[uint64]Suspicion
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{suspicions: map[uint64]suspicion{}} }
+func NewTable() *Table { return &Table{suspicions: map[uint64]Suspicion{}} }
+
+// Crash records that an upstream died while it ran the request. Upstream names one
+// process, so that two nodes that saw the same death count it once.
+func (t *Table) Crash(fingerprint uint64, upstream string, now time.Time) {
+	t.add(fingerprint, []string{upstream}, now)
+}
+
+// Clear records that the request ran to its end with nothing beside it.
+func (t *Table) Clear(fingerprint uint64, now time.Time) {
+	known, ok := t.suspicions[fingerprint]
+	if !ok || now.Before(known.At) {
+		return
+	}
+	t.suspicions[fingerprint] = Suspicion{Fingerprint: fingerprint, At: now}
+}
+
+// Merge takes a suspicion that another node told of. What is older than a clearing
+// does not count any more.
+func (t *Table) Merge(heard Suspicion, now time.Time) {
+	if now.Sub(heard.At) > memory {
+		return
+	}
+	if len(heard.Upstreams) == 0 {
+		t.Clear(heard.Fingerprint, heard.At)
+		return
+	}
+	t.add(heard.Fingerprint, heard.Upstreams, heard.At)
+}
+
+func (t *Table) add(fingerprint uint64, upstreams []string, at time.Time) {
+	known, ok := t.suspicions[fingerprint]
+	if ok && len(known.Upstreams) == 0 && !at.After(known.At) {
+		return
+	}
+	merged := slices.Clone(known.Upstreams)
+	for _, upstream := range upstreams {
+		if len(merged) < maxCrashes && !slices.Contains(merged, upstream) {
+			merged = append(merged, upstream)
+		}
+	}
+	if at.Before(known.At) {
+		at = known.At
+	}
+	t.suspicions[fingerprint] = Suspicion{Fingerprint: fingerprint, Upstreams: merged, At: at}
+	t.forget(at)
+}
 
-// Crash records that an upstream died while it ran the request.
-func (t *Table) Crash(fingerprint uint64, now time.Time) {
-	known := t.suspicions[fingerprint]
-	known.crashes++
-	known.last = now
-	t.suspicions[fingerprint] = known
-	for other, s := range t.suspicions {
-		if now.Sub(s.last) > memory {
-			delete(t.suspicions, other)
+// forget drops what is too old, and the oldest when there are too many.
+func (t *Table) forget(now time.Time) {
+	var oldest Suspicion
+	for fingerprint, known := range t.suspicions {
+		if now.Sub(known.At) > memory {
+			delete(t.suspicions, fingerprint)
+			continue
 		}
+		if oldest.At.IsZero() || known.At.Before(oldest.At) {
+			oldest = known
+		}
+	}
+	if len(t.suspicions) > maxSuspicions {
+		delete(t.suspicions, oldest.Fingerprint)
 	}
 }
 
@@ -54,11 +117,27 @@
 func (t *Table) Verdict(fingerprint uint64, now time.Time) Verdict {
 	known, ok := t.suspicions[fingerprint]
 	switch {
-	case !ok || now.Sub(known.last) > memory:
+	case !ok || len(known.Upstreams) == 0 || now.Sub(known.At) > memory:
 		return Normal
-	case known.crashes >= maxCrashes:
+	case len(known.Upstreams) >= maxCrashes:
 		return Refuse
 	default:
 		return Alone
 	}
 }
+
+// Newest returns the newest suspicions and clearings for other nodes, at most
+// MaxShared.
+func (t *Table) Newest() []Suspicion {
+	all := make([]Suspicion, 0, len(t.suspicions))
+	for _, known := range t.suspicions {
+		all = append(all, known)
+	}
+	slices.SortFunc(all, func(a, b Suspicion) int {
+		if c := b.At.Compare(a.At); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Fingerprint, b.Fingerprint)
+	})
+	return all[:min(len(all), MaxShared)]
+}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -60,3 +60,6 @@
 	b.tokens--
 	return true
 }
+
+// SetRatio changes the share of retries.
+func (b *Budget) SetRatio(ratio float64) { b.ratio = ratio }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -76,6 +76,7 @@
 // job is one request in the engine.
 type job struct {
 	ctx      context.Context
+	cancel   context.CancelFunc
 	id       string
 	priority int
 	text     []byte
@@ -121,6 +122,13 @@
 	e.slow = factor
 }
 
+// Running returns the number of requests in the batch.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.running)
+}
+
 // PrefilledTokens returns the number of prompt tokens that were computed.
 func (e *Engine) PrefilledTokens() int64 {
 	e.mu.Lock()
--- a/standin/engine_http.go
+++ b/standin/engine_http.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -26,6 +27,7 @@
 	mux.HandleFunc("GET /engine/v1/cache-events", e.cacheEvents)
 	mux.HandleFunc("POST /engine/v1/orders", e.order)
 	mux.HandleFunc("POST /engine/v1/kv/export", e.exportKV)
+	mux.HandleFunc("POST /engine/v1/cancel", e.cancelRequest)
 	return mux
 }
 
@@ -44,6 +46,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	j := newJob(r, request, text)
+	defer j.cancel()
 	if !e.submit(j) {
 		http.Error(w, "queue is full", http.StatusServiceUnavailable)
 		return
@@ -61,8 +64,10 @@
 		maxTokens = request.MaxTokens
 	}
 	priority, _ := strconv.Atoi(r.Header.Get("X-Priority"))
+	ctx, cancel := context.WithCancel(r.Context())
 	j := &job{
-		ctx:      r.Context(),
+		ctx:      ctx,
+		cancel:   cancel,
 		id:       r.Header.Get("X-Request-Id"),
 		priority: priority,
 		text:     text,
@@ -202,3 +207,18 @@
 	}
 	writeJSON(w, http.StatusOK, api.KVState{RequestID: request.RequestID, Tokens: tokens, Data: []byte("kv")})
 }
+
+func (e *Engine) cancelRequest(w http.ResponseWriter, r *http.Request) {
+	var request api.CancelRequest
+	if !readJSON(w, r, &request) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, j := range slices.Concat(e.waiting, e.running) {
+		if j.id == request.RequestID {
+			j.cancel()
+		}
+	}
+	writeJSON(w, http.StatusOK, request)
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -22,6 +23,8 @@
 	idlePerUpstream = 64
 	// idleTimeout closes connections that carry nothing.
 	idleTimeout = 60 * time.Second
+	// connectTimeout bounds the opening of a connection.
+	connectTimeout = time.Second
 )
 
 // Error is a failed attempt at an upstream.
@@ -102,6 +105,7 @@
 func newConn(owner, address string) *Conn {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
+	transport.DialContext = (&net.Dialer{Timeout: connectTimeout}).DialContext
 	transport.DisableCompression = true
 	transport.MaxIdleConnsPerHost = idlePerUpstream
 	transport.IdleConnTimeout = idleTimeout
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -125,3 +125,47 @@
 	}
 	return load, nil
 }
+
+// ExportKV asks an engine for the KV cache of a running or recent request.
+func (c *Conn) ExportKV(ctx context.Context, requestID string) (api.KVState, error) {
+	const step = "export KV cache"
+	var state api.KVState
+	response, err := c.post(ctx, step, "/engine/v1/kv/export", api.KVExportRequest{RequestID: requestID})
+	if err != nil {
+		return state, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(response.Body).Decode(&state); err != nil {
+		return state, &Error{Step: step, Peer: c.address, Err: err}
+	}
+	return state, nil
+}
+
+// Cancel ends a request at an engine that may not have seen its connection end.
+func (c *Conn) Cancel(ctx context.Context, requestID string) error {
+	response, err := c.post(ctx, "cancel request", "/engine/v1/cancel", api.CancelRequest{RequestID: requestID})
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+func (c *Conn) post(ctx context.Context, step, path string, in any) (*http.Response, error) {
+	encoded, err := json.Marshal(in)
+	if err != nil {
+		return nil, &Error{Step: step, Peer: c.address, Err: err}
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+path, bytes.NewReader(encoded))
+	if err != nil {
+		return nil, &Error{Step: step, Peer: c.address, Err: err}
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.Do(step, request)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, c.errorAnswer(step, response)
+	}
+	return response, nil
+}
