--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -93,24 +93,21 @@
 		at = known.At
 	}
 	t.suspicions[fingerprint] = Suspicion{Fingerprint: fingerprint, Upstreams: merged, At: at}
-	t.forget(at)
+	t.forgetOldest()
 }
 
-// forget drops what is too old, and the oldest when there are too many.
-func (t *Table) forget(now time.Time) {
+// forgetOldest keeps the table within its bound.
+func (t *Table) forgetOldest() {
+	if len(t.suspicions) <= maxSuspicions {
+		return
+	}
 	var oldest Suspicion
-	for fingerprint, known := range t.suspicions {
-		if now.Sub(known.At) > memory {
-			delete(t.suspicions, fingerprint)
-			continue
-		}
+	for _, known := range t.suspicions {
 		if oldest.At.IsZero() || known.At.Before(oldest.At) {
 			oldest = known
 		}
 	}
-	if len(t.suspicions) > maxSuspicions {
-		delete(t.suspicions, oldest.Fingerprint)
-	}
+	delete(t.suspicions, oldest.Fingerprint)
 }
 
 // Verdict returns what to do with the request.
