Bound what a crash costs its bystanders; identical prompts run together

Cause: several copies of a poison request sent at once could each take down an upstream, and a suspect waited for an idle upstream as long as a busy fleet had none.

Change: copies of a prompt that never had a whole answer run at one upstream; a suspect waits one second for its reserved upstream to become idle; a request beside a suspect under trial is not blamed for a death.

Result: 15 copies at five nodes take down two of 12 engines; with 4 engines and 16 innocents two engines die and all innocents finish (go test -race ./e2e).

--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -39,12 +40,26 @@
 
 // start starts a deployment whose engines take stepMS for a token.
 func start(t *testing.T, stepMS float64, adjust func(*api.Settings)) *demo.Cluster {
+	t.Helper()
+	return startWith(t, 0, stepMS, adjust)
+}
+
+// startWith starts a deployment with a number of engines; 0 means all.
+func startWith(t *testing.T, engines int, stepMS float64, adjust func(*api.Settings)) *demo.Cluster {
 	t.Helper()
 	deployment, err := examples.Load(examples.Falaj)
 	require.NoError(t, err)
 	for i := range deployment.Engines {
 		deployment.Engines[i].StepMS = stepMS
 	}
+	if engines > 0 {
+		deployment.Engines = slices.DeleteFunc(deployment.Engines, func(e api.DeploymentEngine) bool {
+			return !slices.Contains(e.Models, model)
+		})[:engines]
+		for i := range deployment.Engines {
+			deployment.Engines[i].Models = []string{model, "summary"}
+		}
+	}
 	logger := zerolog.Nop()
 	if os.Getenv("E2E_LOG") != "" {
 		logger = zerolog.New(zerolog.NewTestWriter(t))
@@ -66,9 +81,15 @@
 
 // longPrompt returns a prompt of some thousand tokens whose answer is long.
 func longPrompt(t *testing.T, name string) string {
+	t.Helper()
+	return promptOf(t, name, 300)
+}
+
+// promptOf returns a prompt with a long answer that repeats its name.
+func promptOf(t *testing.T, name string, repeats int) string {
 	t.Helper()
 	for i := range 1000 {
-		text := strings.Repeat(fmt.Sprintf("%s %d rake log. ", name, i), 300)
+		text := strings.Repeat(fmt.Sprintf("%s %d rake log. ", name, i), repeats)
 		if count, _ := standin.AnswerTokens(promptText(t, text), 0); count > 55 {
 			return text
 		}
--- a/e2e/upstream_test.go
+++ b/e2e/upstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -57,16 +58,12 @@
 	require.Empty(t, busyEngines(cluster))
 }
 
+// The engines are few, so that each runs innocents beside the poison.
 func TestPoisonTakesDownTwoUpstreamsAndNoInnocentIsRefused(t *testing.T) {
 	t.Parallel()
-	cluster := start(t, 30, nil)
-	var innocents []*stream
-	var texts []string
-	for i := range 6 {
-		texts = append(texts, longPrompt(t, "innocent "+string(rune('a'+i))))
-		innocents = append(innocents, open(t, cluster, i%len(cluster.Nodes), texts[i]))
-	}
-	alive := engines(cluster)
+	const alive = 4
+	cluster := startWith(t, alive, 100, nil)
+	innocents, texts := innocentsAt(t, cluster, 4*alive)
 	for i := range 4 {
 		poisoned := open(t, cluster, i, "sweep "+standin.CrashMarker)
 		poisoned.read(1 << 20)
@@ -76,6 +73,51 @@
 		innocent.requireWhole(texts[i])
 	}
 	require.Equal(t, 2, alive-engines(cluster))
+	require.Greater(t, counted(t, cluster, "retries_total", "crash"), 2.0)
+}
+
+func TestPoisonSentAtAllNodesAtOnceTakesDownTwoUpstreams(t *testing.T) {
+	t.Parallel()
+	cluster := start(t, 30, nil)
+	alive := engines(cluster)
+	var group sync.WaitGroup
+	statuses := make([]int, 3*len(cluster.Nodes))
+	for i := range statuses {
+		group.Go(func() {
+			poisoned := open(t, cluster, i%len(cluster.Nodes), "sweep "+standin.CrashMarker)
+			poisoned.read(1 << 20)
+			statuses[i] = poisoned.response.StatusCode
+		})
+	}
+	group.Wait()
+	for _, status := range statuses {
+		require.Equal(t, http.StatusUnprocessableEntity, status)
+	}
+	require.Equal(t, 2, alive-engines(cluster))
+}
+
+func TestManyStreamsOnADyingUpstreamAllGoOn(t *testing.T) {
+	t.Parallel()
+	cluster := startWith(t, 3, 100, nil)
+	answers, texts := innocentsAt(t, cluster, 15)
+	busy := busyEngines(cluster)
+	require.NotEmpty(t, busy)
+	cluster.Standins.Kill(busy[0])
+	for i, answer := range answers {
+		answer.requireWhole(texts[i])
+	}
+}
+
+// innocentsAt opens streams over all nodes and reads the first tokens of each.
+func innocentsAt(t *testing.T, cluster *demo.Cluster, count int) ([]*stream, []string) {
+	t.Helper()
+	var answers []*stream
+	var texts []string
+	for i := range count {
+		texts = append(texts, promptOf(t, "innocent "+string(rune('a'+i)), 30))
+		answers = append(answers, open(t, cluster, i%len(cluster.Nodes), texts[i]))
+	}
+	return answers, texts
 }
 
 func engines(cluster *demo.Cluster) int {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -88,7 +88,9 @@
 		g.endAttempt(span, a, resultAnswered, nil)
 		return nil
 	}
+	examined := g.examineFirst(fingerprint(s.call))
 	failed := g.examine(ctx, a, context.Cause(attemptCtx), err)
+	examined()
 	g.endAttempt(span, a, failed.cause, err)
 	return failed
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -44,6 +44,8 @@
 	kv *api.KVImport
 	// alonePending is reserved for the request and not idle yet.
 	alonePending *routing.Upstream
+	// aloneSince is when it was reserved.
+	aloneSince time.Time
 	// ran says whether any attempt may have run.
 	ran refusal.Ran
 }
@@ -97,7 +99,7 @@
 		failed := g.attempt(ctx, s, chosen)
 		chosen.release()
 		if failed == nil {
-			g.clearSuspicion(s.call, chosen)
+			g.noteAnswered(s.call, chosen)
 			return nil
 		}
 		if ctx.Err() != nil {
@@ -174,7 +176,7 @@
 		return nil, refusal.New(http.StatusServiceUnavailable, refusal.CodeNoUpstream,
 			"no upstream can take the request now").At("route", "", err).After(jittered(noUpstreamRetry))
 	}
-	return &choice{Upstream: picked, release: func() {}}, nil
+	return g.joinSame(s, picked), nil
 }
 
 func (g *Gateway) countRequest() {
