Retries after a lost upstream take nothing from the retry budget

Cause: a data centre that vanishes breaks more streams at once than the budget's reserve allows, and answers that had begun would have been dropped. Change: the budget counts only retries that add load. Result: table test in retry.

--- a/gateway/run.go
+++ b/gateway/run.go
@@ -140,7 +140,14 @@
 	s.excluded[chosen.ID] = true
 	s.attempts++
 	g.Control.Offer(control.ContactFailed{HostID: chosen.ID, Until: time.Now().Add(suspectFor)})
-	if retry.Allowed(retry.Failure{Sent: failed.sent, Repeatable: true, Attempts: s.attempts}) && g.takeRetry() {
+	failure := retry.Failure{
+		Sent:         failed.sent,
+		Repeatable:   true,
+		Attempts:     s.attempts,
+		UpstreamGone: failed.cause == causeCrash || failed.cause == causeLost,
+		Begun:        s.flight.journal.Progress().Chunks > 0,
+	}
+	if retry.Allowed(failure) && (!retry.Budgeted(failure) || g.takeRetry()) {
 		return nil
 	}
 	return refusal.New(http.StatusBadGateway, refusal.CodeUpstreamFailed,
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -24,6 +24,10 @@
 	Repeatable bool
 	// Attempts made so far, with the failed one.
 	Attempts int
+	// UpstreamGone says that the upstream died or can't be reached.
+	UpstreamGone bool
+	// Begun says that the caller has a part of the answer.
+	Begun bool
 }
 
 // Allowed returns whether another attempt may be made.
@@ -34,6 +38,11 @@
 	return failure.Repeatable || failure.Sent == NotSent
 }
 
+// Budgeted returns whether another attempt takes from the budget. The budget keeps
+// retries from adding to an overload; what goes on after its upstream is gone takes the
+// place of work that has ended, and an answer that has begun is not dropped to save it.
+func Budgeted(failure Failure) bool { return !failure.UpstreamGone && !failure.Begun }
+
 // Budget bounds retries as a share of requests.
 type Budget struct {
 	ratio   float64
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -25,6 +25,12 @@
 	}
 }
 
+func TestOnlyRetriesThatAddLoadTakeFromTheBudget(t *testing.T) {
+	require.True(t, retry.Budgeted(retry.Failure{}))
+	require.False(t, retry.Budgeted(retry.Failure{UpstreamGone: true}))
+	require.False(t, retry.Budgeted(retry.Failure{Begun: true}))
+}
+
 func TestBudgetIsAShareOfRequests(t *testing.T) {
 	budget := retry.NewBudget(0.1, 2)
 	require.True(t, budget.Retry())
