--- a/gateway/alone.go
+++ b/gateway/alone.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +21,9 @@
 	// aloneShare bounds the upstreams that one node reserves at once, as a part of
 	// those that serve the model: one in aloneShare, and at least one.
 	aloneShare = 4
+	// announceWait is how long a reservation is known to peers before it is used. Of
+	// two nodes that reserve one upstream, the one with the larger id yields.
+	announceWait = 300 * time.Millisecond
 	// idleWait bounds the wait for a reserved upstream to become idle. After it the
 	// request runs beside what is left there, but never beside another suspect.
 	idleWait = time.Second
@@ -81,20 +85,24 @@
 		s.alonePending = picked
 		s.aloneSince = time.Now()
 		g.suspects.reserved[key] = picked.ID
+		g.suspects.news++
+		go g.suspects.changed()
 	}
 	current := g.current(s.call.service, s.alonePending.ID)
-	if current == nil || current.Health != membership.StateLive {
+	if current == nil || current.Health != membership.StateLive || g.suspects.yields(g.Settings.NodeID, current.ID) {
 		delete(g.suspects.reserved, key)
 		s.alonePending = nil
 		return nil
 	}
-	if !idle(current) && time.Since(s.aloneSince) < idleWait {
+	waited := time.Since(s.aloneSince)
+	if waited < announceWait || (!idle(current) && waited < idleWait) {
 		return nil
 	}
 	s.alonePending = nil
-	go g.suspects.changed()
 	chosen := &choice{Upstream: current, alone: true}
+	chosen.onTrial.Store(true)
 	chosen.release = sync.OnceFunc(func() {
+		chosen.onTrial.Store(false)
 		g.suspects.mu.Lock()
 		defer g.suspects.mu.Unlock()
 		delete(g.suspects.reserved, key)
@@ -108,6 +116,17 @@
 	return max(1, len(g.Control.Snapshot().Fleet.ByService[service])/aloneShare)
 }
 
+// yields says whether a peer with a smaller id reserved the same host. The caller holds
+// the lock.
+func (s *suspects) yields(own, host string) bool {
+	for id, known := range s.peers {
+		if id < own && slices.Contains(known.hosts, host) && time.Since(known.heardAt) < reservedFor {
+			return true
+		}
+	}
+	return false
+}
+
 // dropPending ends a reservation that was not used.
 func (g *Gateway) dropPending(s *runState, key uint64) {
 	g.suspects.mu.Lock()
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -57,6 +57,7 @@
 	usage    *api.ChatUsage
 	cancel   context.CancelCauseFunc
 	watchdog *watchdog
+	observed *observation
 
 	mu sync.Mutex
 	// kv is what was exported before the upstream left.
@@ -76,8 +77,8 @@
 		started: time.Now(),
 		cancel:  cancel,
 	}
-	chosen.Tracker.InFlight.Add(1)
-	defer chosen.Tracker.InFlight.Add(-1)
+	a.observed = g.observe(s.call, chosen.Upstream)
+	defer a.observed.end()
 	g.running.Store(a, attemptCtx)
 	defer g.running.Delete(a)
 	s.flight.ranAt(chosen.Address)
@@ -135,6 +136,7 @@
 			g.Metrics.BetweenTokens.WithLabelValues(c.service).Observe(now.Sub(last).Seconds())
 		}
 		last = now
+		a.observe(chunk)
 		g.takeChunk(a, journal, chunk)
 	}
 }
@@ -155,6 +157,15 @@
 	}
 }
 
+// observe tells routing of a chunk. What an import held says nothing of the prefix
+// cache.
+func (a *attempt) observe(chunk api.ChatChunk) {
+	if a.way == retry.FromKV {
+		chunk.Usage = nil
+	}
+	a.observed.chunk(chunk)
+}
+
 // endAttempt counts an attempt and ends its span.
 func (g *Gateway) endAttempt(span trace.Span, a *attempt, result string, err error) {
 	took := time.Since(a.started)
@@ -257,3 +268,11 @@
 	}
 	return retry.MaybeSent
 }
+
+// retryCause names the cause of a further try of a service call.
+func retryCause(sent retry.Sent) string {
+	if sent == retry.NotSent {
+		return causeNotSent
+	}
+	return causeBroken
+}
--- a/gateway/chat.go
+++ b/gateway/chat.go
@@ -27,6 +27,12 @@
 		g.refuse(w, "", refused)
 		return
 	}
+	leave, refused := g.enter(c.workspace, c.tokens())
+	if refused != nil {
+		g.refuse(w, "", refused)
+		return
+	}
+	defer leave()
 	journal, refused := g.open(r.Context(), c)
 	if refused != nil {
 		g.refuse(w, c.id, refused)
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -1,146 +1,179 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
+	"encoding/json"
 	"errors"
-	"fmt"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/control"
-	"github.com/persimmonline/persimmonline/peer"
 	"github.com/persimmonline/persimmonline/refusal"
-	"github.com/persimmonline/persimmonline/routing"
+	"github.com/persimmonline/persimmonline/retry"
+	"github.com/persimmonline/persimmonline/upstream"
 )
 
 const (
-	// handoverTries is the number of successors that are asked.
+	// handoverTimeout bounds one try to hand the journal over.
+	handoverTimeout = 3 * time.Second
+	// handoverTries bounds the successors that are asked.
 	handoverTries = 3
-	// drainPoll is the time between two looks at what is left.
-	drainPoll = 20 * time.Millisecond
+	// peerFresh is the age up to which a heartbeat counts as life.
+	peerFresh = 5 * time.Second
+	// callsPoll is the time between two looks at the calls in flight.
+	callsPoll = 5 * time.Millisecond
 )
 
-// errNoSuccessor says that no other node is ready.
-var errNoSuccessor = errors.New("no other node is ready")
-
-// Drain makes this node own nothing new; its callers are served by other nodes
-// through it.
-func (g *Gateway) Drain() { g.draining.Store(true) }
+// errNoSuccessor says that no peer took the journal.
+var errNoSuccessor = errors.New("no peer took the journal of operations")
 
-// HandOver gives every request that runs here to its successor, and relays the
-// answers to the callers of this node until they are served or ctx ends. Callers that
-// are left get an error event that says how to go on. It returns an error if no
-// successor took a request.
-func (g *Gateway) HandOver(ctx context.Context) error {
-	g.flights.Range(func(_, value any) bool {
-		value.(*flight).stopRunning(errHandOver)
-		return true
-	})
-	ticker := time.NewTicker(drainPoll)
+// WaitCalls waits until no call that may not be repeated is in flight.
+func (g *Gateway) WaitCalls(ctx context.Context) error {
+	ticker := time.NewTicker(callsPoll)
 	defer ticker.Stop()
-	for g.waitsForCallers() {
+	for g.calls.Load() > 0 {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-		}
-		if ctx.Err() != nil {
-			break
+			return ctx.Err()
 		}
 	}
-	return g.endRelays()
+	return nil
 }
 
-// waitsForCallers says whether a request still runs here, or a caller still reads an
-// answer that is relayed.
-func (g *Gateway) waitsForCallers() bool {
-	waits := false
-	g.flights.Range(func(_, value any) bool {
-		f := value.(*flight)
-		waits = waits || !f.relays() || f.journal.Readers() > 0
-		return !waits
-	})
-	return waits
+// Abort ends all calls at once, as a crash would.
+func (g *Gateway) Abort() { g.endLife() }
+
+// Handover ends the sends of bound operations at this node and hands its journal to
+// a successor. It is part of a planned stop.
+func (g *Gateway) Handover(ctx context.Context) error {
+	o := g.operations
+	o.mu.Lock()
+	handovers := o.journal.Seal()
+	needed := o.issued || len(handovers) > 1
+	o.mu.Unlock()
+	if !needed {
+		return nil
+	}
+	successor, err := g.handTo(ctx, handovers)
+	if err != nil {
+		return err
+	}
+	g.announceSuccessor(ctx, handovers, successor)
+	return nil
 }
 
-// endRelays ends what is left. A relayed request is not lost: its holder goes on.
-func (g *Gateway) endRelays() error {
-	cut := 0
-	g.flights.Range(func(_, value any) bool {
-		f := value.(*flight)
-		if !f.relays() {
-			cut++
+// handTo tries peers in turn. After an ambiguous try no other peer is asked, since
+// two successors could both send.
+func (g *Gateway) handTo(ctx context.Context, handovers []api.OperationHandover) (control.Peer, error) {
+	var last error
+	for i, candidate := range g.successors() {
+		if i == handoverTries {
+			break
+		}
+		err := g.handAll(ctx, handovers, candidate)
+		if err == nil {
+			g.Logger.Info().Str("successor", candidate.NodeID).Msg("journal of operations handed over")
+			return candidate, nil
+		}
+		last = err
+		var failed *upstream.Error
+		if !errors.As(err, &failed) || failed.Sent == retry.MaybeSent {
+			return candidate, err
 		}
-		f.journal.Finish(refusal.New(http.StatusServiceUnavailable, refusal.CodeDraining,
-			"this node stops; the request goes on: get /v1/requests/%s at any node with the Last-Event-ID", f.journal.ID).
-			Unknown().After(jittered(noUpstreamRetry)))
-		return true
-	})
-	if cut > 0 {
-		return fmt.Errorf("hand over: %d requests were cut off", cut)
 	}
-	return nil
+	return control.Peer{}, errors.Join(errNoSuccessor, last)
 }
 
-// handOver gives a request to the first successor that takes it.
-func (g *Gateway) handOver(ctx context.Context, f *flight) (api.PeerMoved, error) {
-	handover := api.PeerHandover{Request: f.callNow().peerChat(), EngineAddress: f.lastEngine(), Chunks: []api.PeerChunk{}}
-	for _, chunk := range f.journal.Chunks() {
-		encoded, err := peer.EncodeChunk(chunk)
+// handAll hands each part to one peer. Only a failure of the first part lets another
+// peer be asked.
+func (g *Gateway) handAll(ctx context.Context, handovers []api.OperationHandover, to control.Peer) error {
+	for i := range handovers {
+		part := handovers[i]
+		part.Successor = to.NodeID
+		part.SuccessorIncarnation = to.Incarnation
+		ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+		err := g.Peers.Handover(ctx, to.PeerAddress, part)
+		cancel()
+		if err != nil && i > 0 {
+			return errors.Join(errNoSuccessor, errors.New(err.Error()))
+		}
 		if err != nil {
-			return api.PeerMoved{}, err
+			return err
 		}
-		handover.Chunks = append(handover.Chunks, encoded)
 	}
-	failure := errNoSuccessor
-	for i, successor := range g.successors(f.journal.ID) {
-		if i >= handoverTries {
-			break
-		}
-		err := g.Peers.Handover(ctx, successor.PeerAddress, handover)
-		if err == nil {
-			g.Logger.Info().Str("request", f.journal.ID).Str("successor", successor.NodeID).Msg("request handed over")
-			return api.PeerMoved{NodeID: successor.NodeID, Address: successor.PeerAddress}, nil
+	return nil
+}
+
+// successors returns live peers that stay, those of other data centres first, since
+// a reclaim often takes a whole one.
+func (g *Gateway) successors() []control.Peer {
+	var peers []control.Peer
+	for _, known := range g.Control.Snapshot().Peers {
+		if known.State == api.HeartbeatStateReady && time.Since(known.HeardAt) < peerFresh {
+			peers = append(peers, known)
 		}
-		g.Logger.Warn().Err(err).Str("request", f.journal.ID).Str("successor", successor.NodeID).Msg("successor did not take the request")
-		failure = err
 	}
-	return api.PeerMoved{}, failure
+	slices.SortFunc(peers, func(a, b control.Peer) int {
+		return cmp.Or(
+			cmp.Compare(g.isNear(a), g.isNear(b)),
+			cmp.Compare(a.NodeID, b.NodeID),
+		)
+	})
+	return peers
+}
+
+func (g *Gateway) isNear(known control.Peer) int {
+	if known.DataCentre == g.Settings.DataCentre {
+		return 1
+	}
+	return 0
 }
 
-// successors returns the ready nodes in the order in which they follow on this node
-// as holders of a request: all nodes that see the same peers agree on it.
-func (g *Gateway) successors(requestID string) []control.Peer {
-	now := time.Now()
-	ready := map[string]control.Peer{}
-	for id, known := range g.Control.Snapshot().Peers {
-		if known.State == api.HeartbeatStateReady && now.Sub(known.HeardAt) < peerSilentAfter {
-			ready[id] = known
+// announceSuccessor tells the other peers whom to ask. A peer that does not hear of
+// it answers that the outcome is unknown.
+func (g *Gateway) announceSuccessor(ctx context.Context, handovers []api.OperationHandover, successor control.Peer) {
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, known := range g.successors() {
+		if known.NodeID == successor.NodeID {
+			continue
 		}
+		group.Go(func() { g.announceTo(ctx, handovers, successor, known) })
 	}
-	key := xxhash.Sum64String(requestID)
-	order := make([]control.Peer, 0, len(ready))
-	for len(ready) > 0 && len(order) < maxAsked {
-		ids := make([]string, 0, len(ready))
-		for id := range ready {
-			ids = append(ids, id)
+	group.Wait()
+}
+
+func (g *Gateway) announceTo(ctx context.Context, handovers []api.OperationHandover, successor, known control.Peer) {
+	for _, part := range handovers {
+		part.Entries = []api.OperationEntry{}
+		part.Successor = successor.NodeID
+		part.SuccessorIncarnation = successor.Incarnation
+		if err := g.Peers.Handover(ctx, known.PeerAddress, part); err != nil {
+			g.Logger.Warn().Err(err).Str("peer", known.NodeID).Msg("peer not told of the successor")
 		}
-		slices.Sort(ids)
-		next := routing.Owner(key, ids)
-		order = append(order, ready[next])
-		delete(ready, next)
 	}
-	return order
 }
 
-// anyReady returns a ready peer for new work that this node would own.
-func (g *Gateway) anyReady() (api.Heartbeat, bool) {
-	ready := g.successors(g.newRequestID("", ""))
-	if len(ready) == 0 {
-		return api.Heartbeat{}, false
+// peerHandover takes the journal of a node that stops, or the news of its successor.
+func (g *Gateway) peerHandover(w http.ResponseWriter, r *http.Request) {
+	var handover api.OperationHandover
+	if err := json.NewDecoder(r.Body).Decode(&handover); err != nil {
+		refusal.New(http.StatusBadRequest, refusal.CodeInvalidJSON, "the handover can't be read: %v", err).Write(w, "")
+		return
+	}
+	o := g.operations
+	o.mu.Lock()
+	taken := o.journal.Adopt(handover)
+	o.mu.Unlock()
+	if !taken {
+		refusal.New(http.StatusServiceUnavailable, refusal.CodeDraining, "this node can't be the successor").Write(w, "")
+		return
 	}
-	return ready[0].Heartbeat, true
+	w.WriteHeader(http.StatusOK)
 }
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -15,6 +15,14 @@
 	g.suspects.changed = changed
 }
 
+// Suspicions returns a number that changes when peers should hear of suspected
+// requests at once.
+func (g *Gateway) Suspicions() int64 {
+	g.suspects.mu.Lock()
+	defer g.suspects.mu.Unlock()
+	return g.suspects.news
+}
+
 // Tell adds to a heartbeat what peers should know of suspected requests.
 func (g *Gateway) Tell(own *api.Heartbeat) {
 	g.suspects.mu.Lock()
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -52,9 +52,9 @@
 	}
 }
 
-// peerHandover takes an unfinished request from a node that stops. A repeated
+// peerRequest takes an unfinished request from a node that stops. A repeated
 // handover of the same request changes nothing.
-func (g *Gateway) peerHandover(w http.ResponseWriter, r *http.Request) {
+func (g *Gateway) peerRequest(w http.ResponseWriter, r *http.Request) {
 	var handover api.PeerHandover
 	if !readPeer(w, r, &handover) {
 		return
--- a/gateway/reattach.go
+++ b/gateway/reattach.go
@@ -129,7 +129,7 @@
 	if known, ok := g.Control.Snapshot().Peers[holder]; ok {
 		found = append(found, api.PeerMoved{NodeID: known.NodeID, Address: known.PeerAddress})
 	}
-	for _, known := range g.successors(id) {
+	for _, known := range g.successorsOf(id) {
 		if known.NodeID != holder {
 			found = append(found, api.PeerMoved{NodeID: known.NodeID, Address: known.PeerAddress})
 		}
--- a/gateway/reclaim.go
+++ b/gateway/reclaim.go
@@ -63,7 +63,7 @@
 	pause(ctx, wait)
 	excluded := map[string]bool{a.chosen.ID: true}
 	for ctx.Err() == nil {
-		if _, err := g.pick(a.state.call, excluded); err == nil {
+		if _, err := g.choose(a.state.call, excluded); err == nil {
 			a.setKV(g.exportKV(ctx, a.chosen.Address, a.state.call.id))
 			a.cancel(errMoved)
 			return
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -22,6 +22,7 @@
 	a.way = retry.CheapestWay(retry.Resume{
 		PromptTokens: prompt.Tokens(a.state.call.text),
 		AnswerTokens: progress.Tokens,
+		CachedTokens: a.state.call.cached,
 		KVAvailable:  kv != nil,
 	})
 	if a.way != retry.FromKV {
@@ -46,9 +47,10 @@
 	return &api.KVImport{Tokens: state.Tokens, Data: state.Data}
 }
 
-// account counts the tokens that an attempt computed again, or for the first time.
+// account counts the tokens that an attempt computed again.
 func (g *Gateway) account(a *attempt) {
-	if a.usage == nil && !a.progress {
+	again := a.state.cause != "" && a.state.cause != causeNotSent
+	if !again || (a.usage == nil && !a.progress) {
 		return
 	}
 	promptTokens := prompt.Tokens(a.state.call.text)
@@ -59,10 +61,6 @@
 			cached = a.usage.PromptTokensDetails.CachedTokens
 		}
 	}
-	if a.state.cause == "" || a.state.cause == causeNotSent {
-		g.Metrics.CacheMissedTokens.WithLabelValues(a.state.call.service).Add(float64(max(0, promptTokens-cached)))
-		return
-	}
 	g.Metrics.RecomputedTokens.WithLabelValues(a.state.cause).Add(float64(recomputed(a, promptTokens, cached)))
 }
 
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -4,12 +4,11 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/control"
-	"github.com/persimmonline/persimmonline/limit"
-	"github.com/persimmonline/persimmonline/prompt"
 	"github.com/persimmonline/persimmonline/refusal"
 	"github.com/persimmonline/persimmonline/retry"
 	"github.com/persimmonline/persimmonline/routing"
@@ -54,11 +53,7 @@
 func (g *Gateway) run(ctx context.Context, f *flight) *refusal.Refusal {
 	c := f.callNow()
 	if !f.isAccepted() {
-		done, refused := g.admission.admit(ctx, limit.Ticket{
-			Workspace: c.workspace,
-			Priority:  c.priority,
-			Tokens:    float64(prompt.Tokens(c.text) + c.answerTokens()),
-		})
+		done, refused := g.admit(ctx, c)
 		if refused != nil {
 			return refused
 		}
@@ -91,7 +86,7 @@
 		s.kv = g.exportKV(ctx, s.flight.lastEngine(), s.call.id)
 	}
 	for {
-		chosen, refused := g.choose(ctx, s)
+		chosen, refused := g.chooseUpstream(ctx, s)
 		if refused != nil {
 			refused.Ran = s.ran
 			return refused
@@ -157,14 +152,17 @@
 // choice is the upstream of one attempt.
 type choice struct {
 	*routing.Upstream
-	// alone says that nothing else runs there by any node that keeps to it.
+	// alone says that the upstream was reserved for the request.
 	alone bool
+	// onTrial says that the reservation lasts: a death of the upstream is put down to
+	// the request.
+	onTrial atomic.Bool
 	// release ends the reservation; it may be called more than once.
 	release func()
 }
 
-// choose returns the upstream of the next attempt.
-func (g *Gateway) choose(ctx context.Context, s *runState) (*choice, *refusal.Refusal) {
+// chooseUpstream returns the upstream of the next attempt.
+func (g *Gateway) chooseUpstream(ctx context.Context, s *runState) (*choice, *refusal.Refusal) {
 	chosen, refused := g.chooseBySuspicion(ctx, s)
 	if chosen != nil || refused != nil {
 		return chosen, refused
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -34,6 +34,8 @@
 	tried map[string]time.Time
 	// peers are the reservations of other nodes.
 	peers map[string]peerReservations
+	// news counts what peers should hear of.
+	news int64
 	// changed tells the node that its peers should hear of a crash now.
 	changed func()
 }
@@ -66,11 +68,12 @@
 func (g *Gateway) noteCrash(a *attempt) {
 	now := time.Now()
 	g.suspects.mu.Lock()
-	if !a.chosen.alone && g.suspects.onTrial(a.chosen.ID, now) {
+	if !a.chosen.onTrial.Load() && g.suspects.onTrial(a.chosen.ID, now) {
 		g.suspects.mu.Unlock()
 		return
 	}
 	g.suspects.table.Crash(fingerprint(a.state.call), a.chosen.ID+"/"+a.chosen.Incarnation, now)
+	g.suspects.news++
 	changed := g.suspects.changed
 	g.suspects.mu.Unlock()
 	changed()
@@ -109,6 +112,7 @@
 		return
 	}
 	g.suspects.table.Clear(key, time.Now())
+	g.suspects.news++
 	changed := g.suspects.changed
 	g.suspects.mu.Unlock()
 	changed()
--- a/node/drain.go
+++ b/node/drain.go
@@ -42,6 +42,7 @@
 	for _, server := range n.servers() {
 		failures = append(failures, server.Shutdown(stopCtx))
 	}
+	n.settleCalls(stopCtx)
 	n.close()
 	n.logger.Info().Msg("node stopped")
 	return errors.Join(failures...)
@@ -57,12 +58,14 @@
 		wait(ctx, grace)
 		finishCtx, cancelFinish := context.WithTimeout(ctx, finish)
 		defer cancelFinish()
-		if n.gateway.Store().Wait(finishCtx) == nil {
+		unfinished := n.gateway.Store().Wait(finishCtx)
+		n.handOver(finishCtx)
+		if unfinished == nil {
 			return
 		}
 		relayCtx, cancelRelay := context.WithTimeout(ctx, relay)
 		defer cancelRelay()
-		if err := n.gateway.HandOver(relayCtx); err != nil {
+		if err := n.gateway.HandOverRequests(relayCtx); err != nil {
 			n.drain.err = fmt.Errorf("drain node %s: %w", n.settings.NodeID, err)
 		}
 	})
@@ -72,9 +75,10 @@
 func (n *Node) watchOwnReclaim(ctx context.Context) {
 	for {
 		changed := n.control.Changed()
-		for _, leaving := range n.control.Snapshot().Leaving {
+		for _, leaving := range n.control.Snapshot().Notices {
 			reclaimAt := time.UnixMilli(leaving.ReclaimAtMS)
-			if leaving.HostID != n.settings.HostID || reclaimAt.Before(time.Now()) {
+			other := leaving.Incarnation != "" && leaving.Incarnation != n.incarnation
+			if leaving.HostID != n.settings.HostID || other || reclaimAt.Before(time.Now()) {
 				continue
 			}
 			n.drainBefore(ctx, reclaimAt)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -23,7 +23,7 @@
 	PathHeartbeat = "/peer/v1/heartbeat"
 	PathChat      = "/peer/v1/chat"
 	PathExchange  = "/peer/v1/exchange"
-	PathHandover  = "/peer/v1/handover"
+	PathRequests  = "/peer/v1/requests"
 )
 
 // HeaderKey carries the secret between nodes.
@@ -94,12 +94,12 @@
 	return newAnswer(address, response.Body), nil
 }
 
-// Handover gives an unfinished request to a successor, which has it once this
+// HandOverRequest gives an unfinished request to a successor, which has it once this
 // returns nil.
-func (c *Client) Handover(ctx context.Context, address string, handover api.PeerHandover) error {
+func (c *Client) HandOverRequest(ctx context.Context, address string, handover api.PeerHandover) error {
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	response, err := c.post(ctx, "hand over request", address, PathHandover, handover)
+	response, err := c.post(ctx, "hand over request", address, PathRequests, handover)
 	if err != nil {
 		return err
 	}
