--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -113,7 +113,7 @@
 	now := time.Now()
 	var ready []control.Peer
 	for _, known := range g.Control.Snapshot().Peers {
-		if ownsRequests(known, now) {
+		if known.OwnsRequests(now) {
 			ready = append(ready, known)
 		}
 	}
