--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -53,6 +53,8 @@
 	version int64
 	// seq is the last reclaim notice that the partner has got.
 	seq int64
+	// suspicions is the last news of suspected requests that the partner has got.
+	suspicions int64
 	// at is when the last exchange began.
 	at time.Time
 }
@@ -101,7 +103,7 @@
 // Heartbeat returns what this node tells of itself, without reclaim notices.
 func (n *Node) Heartbeat() api.Heartbeat {
 	snapshot := n.control.Snapshot()
-	return api.Heartbeat{
+	own := api.Heartbeat{
 		NodeID:        n.settings.NodeID,
 		Incarnation:   n.incarnation,
 		DataCentre:    n.settings.DataCentre,
@@ -114,6 +116,8 @@
 		InFlight:      n.gateway.Store().InFlight(),
 		Leaving:       []api.LeavingHost{},
 	}
+	n.gateway.Tell(&own)
+	return own
 }
 
 func (n *Node) state(snapshot *control.Snapshot) api.HeartbeatState {
@@ -141,12 +145,20 @@
 	defer n.beats.sending.Wait()
 	ticker := time.NewTicker(n.settings.Heartbeat)
 	defer ticker.Stop()
+	news := make(chan struct{}, 1)
+	n.gateway.OnSuspicion(func() {
+		select {
+		case news <- struct{}{}:
+		default:
+		}
+	})
 	for {
 		changed := n.control.Changed()
 		n.sendHeartbeatRound(ctx, n.control.Snapshot())
 		select {
 		case <-changed:
 		case <-ticker.C:
+		case <-news:
 		case <-ctx.Done():
 			return
 		}
@@ -166,7 +178,8 @@
 		own := n.Heartbeat()
 		var seq int64
 		own.Leaving, seq = membership.NoticesAfter(snapshot.Notices, known.seq, noticesPerHeartbeat)
-		news := len(own.Leaving) > 0 || own.State != known.state
+		suspicions := n.gateway.Suspicions()
+		news := len(own.Leaving) > 0 || own.State != known.state || suspicions != known.suspicions
 		wait := period
 		if own.ConfigVersion != known.version {
 			wait = period / 2
@@ -176,18 +189,19 @@
 		}
 		known.busy = true
 		known.at = time.Now()
-		n.beats.sending.Go(func() { n.sendHeartbeat(ctx, member, known, own, seq) })
+		n.beats.sending.Go(func() { n.sendHeartbeat(ctx, member, known, own, seq, suspicions) })
 	}
 }
 
 // sendHeartbeat has one exchange and notes what the partner has got.
-func (n *Node) sendHeartbeat(ctx context.Context, member membership.Member, known *partner, own api.Heartbeat, seq int64) {
+func (n *Node) sendHeartbeat(ctx context.Context, member membership.Member, known *partner, own api.Heartbeat, seq, suspicions int64) {
 	answer, err := n.beats.client.Heartbeat(ctx, member.Address, own)
 	n.beats.mu.Lock()
 	known.busy = false
 	known.failed = err != nil
 	if err == nil {
 		known.seq = seq
+		known.suspicions = suspicions
 		known.state = own.State
 		known.version = own.ConfigVersion
 	}
@@ -197,6 +211,7 @@
 		n.control.Offer(control.PeerFailed{NodeID: member.ID})
 		return
 	}
+	n.gateway.Hear(answer)
 	n.control.Post(ctx, control.PeerHeard{Heartbeat: answer, At: time.Now()})
 }
 
@@ -218,6 +233,7 @@
 		refusal.New(http.StatusBadRequest, refusal.CodeInvalidJSON, "heartbeat can't be read: %v", err).Write(w, "")
 		return
 	}
+	n.gateway.Hear(heard)
 	n.control.Post(r.Context(), control.PeerHeard{Heartbeat: heard, At: time.Now()})
 	answer, err := json.Marshal(n.Heartbeat())
 	if err != nil {
