--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -124,7 +124,7 @@
 	switch {
 	case n.draining.Load():
 		return api.HeartbeatStateDraining
-	case snapshot.Index == nil:
+	case !n.caughtUp(snapshot):
 		return api.HeartbeatStateStarting
 	default:
 		return api.HeartbeatStateReady
--- a/node/node.go
+++ b/node/node.go
@@ -42,7 +42,10 @@
 	adminServer  *httpserver.Server
 	peerServer   *httpserver.Server
 
-	draining   atomic.Bool
+	draining atomic.Bool
+	// served is set once the node has caught up.
+	served     atomic.Bool
+	startedAt  time.Time
 	drain      drain
 	background sync.WaitGroup
 	cancel     context.CancelFunc
@@ -123,6 +126,7 @@
 			return fmt.Errorf("start node %s: %w", n.settings.NodeID, err)
 		}
 	}
+	n.startedAt = time.Now()
 	ctx, n.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	n.background.Go(func() { n.control.Run(ctx) })
 	n.background.Go(func() { n.feeds.Run(ctx) })
@@ -162,11 +166,6 @@
 	}
 }
 
-// Ready says whether the balancer may send callers here.
-func (n *Node) Ready() bool {
-	return !n.draining.Load() && n.control.Snapshot().Index != nil
-}
-
 // CallerAddress returns the IP:port for callers.
 func (n *Node) CallerAddress() string { return n.callerServer.Address() }
 
@@ -182,11 +181,11 @@
 // Metrics returns the node's metrics.
 func (n *Node) Metrics() *telemetry.Metrics { return n.metrics }
 
-// Complete says whether the node has heard of a number of peers and has an upstream
-// for every service of its configuration.
+// Complete says whether the node has caught up and has heard that a number of peers
+// are ready.
 func (n *Node) Complete(peers int) bool {
 	snapshot := n.control.Snapshot()
-	if snapshot.Index == nil || len(snapshot.Peers) < peers {
+	if !n.caughtUp(snapshot) || !seesUpstreams(snapshot) || len(snapshot.Peers) < peers {
 		return false
 	}
 	for _, known := range snapshot.Peers {
@@ -194,10 +193,5 @@
 			return false
 		}
 	}
-	for name := range snapshot.Index.Config.Services {
-		if len(snapshot.Fleet.ByService[name]) == 0 {
-			return false
-		}
-	}
 	return true
 }
