--- a/e2e/rounds_test.go
+++ b/e2e/rounds_test.go
@@ -1,10 +1,10 @@
 package e2e_test
 
 import (
-	"encoding/json"
-	"io"
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
--- a/node/ready.go
+++ b/node/ready.go
@@ -26,8 +26,8 @@
 	if snapshot.Index == nil {
 		return false
 	}
-	patient := time.Since(n.startedAt) < catchUpPatience
-	if patient && !(seesUpstreams(snapshot) && n.seesPeers(snapshot)) {
+	complete := seesUpstreams(snapshot) && n.seesPeers(snapshot)
+	if !complete && time.Since(n.startedAt) < catchUpPatience {
 		return false
 	}
 	n.served.Store(true)
