--- a/standin/log.go
+++ b/standin/log.go
@@ -19,6 +19,27 @@
 	delay   time.Duration
 	loseN   int
 	appends int
+	hook    AppendHook
+}
+
+// AppendHook is called before an append takes effect and after it did, ahead of the
+// answer. It may block, and may panic with http.ErrAbortHandler to cut the call off.
+type AppendHook func(stream string, records []api.RawRecord, effective bool)
+
+// SetHook sets the hook of appends; nil for none.
+func (l *Log) SetHook(hook AppendHook) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hook = hook
+}
+
+func (l *Log) callHook(stream string, records []api.RawRecord, effective bool) {
+	l.mu.Lock()
+	hook := l.hook
+	l.mu.Unlock()
+	if hook != nil {
+		hook(stream, records, effective)
+	}
 }
 
 // stream keeps its records from base on.
@@ -86,6 +107,7 @@
 	if !readJSON(w, r, &request) {
 		return
 	}
+	l.callHook(r.PathValue("stream"), request.Records, false)
 	if !l.enter(w, r) {
 		return
 	}
@@ -106,6 +128,7 @@
 	}
 	l.signal()
 	l.mu.Unlock()
+	l.callHook(r.PathValue("stream"), request.Records, true)
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
--- a/standin/service.go
+++ b/standin/service.go
@@ -25,6 +25,28 @@
 type Ledger struct {
 	mu   sync.Mutex
 	runs map[string]int
+	hook RunHook
+}
+
+// RunHook is called before a call runs and after it did, ahead of the answer, for all
+// instances of a service. It may block, and may panic with http.ErrAbortHandler to
+// cut the call off.
+type RunHook func(r *http.Request, ran bool)
+
+// SetHook sets the hook of runs; nil for none.
+func (l *Ledger) SetHook(hook RunHook) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hook = hook
+}
+
+func (l *Ledger) callHook(r *http.Request, ran bool) {
+	l.mu.Lock()
+	hook := l.hook
+	l.mu.Unlock()
+	if hook != nil {
+		hook(r, ran)
+	}
 }
 
 // NewLedger returns an empty ledger.
@@ -103,10 +125,12 @@
 	if delay > 0 {
 		time.Sleep(delay)
 	}
+	s.ledger.callHook(r, false)
 	run := 0
 	if r.Method != http.MethodGet && r.Method != http.MethodHead {
 		run = s.ledger.Run(r.Method + " " + r.URL.Path + " " + string(body))
 	}
+	s.ledger.callHook(r, true)
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
