Planner: hosts and models wanted, replaced once after a wave

Cause: nothing replaced what a reclaim took; a start had no token that a second planner would repeat.

Change: a pure planner with host groups, a reserve for a data centre's loss, price and reclaim risk by class, avoided places with backoff, and loads paced by the weight store; a runner under the planner's lease; GET /admin/v1/plan. The stand-ins have a weight store, starts that are refused by class and data centre, delayed or lose their answer, KV state in limited memory, and a fault API.

Guards removed and seen red: generation of a leaving slot, token from the decision, backoff, pause after a reclaim, own-network doubt, surplus delay, on-demand share in drains, weight store pacing, unreported engines, bounded starts, order ids by lease.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 GO      ?= go
 LINT    := $(GO) tool -modfile=tools/go.mod golangci-lint
-SCHEMAS := settings config records platform engine chat peer admin deployment slopes operations
+SCHEMAS := settings config records platform engine chat peer admin deployment slopes operations plan
 
 .PHONY: check fmt lint generate generated vet test bench
 
--- a/admin/admin.go
+++ b/admin/admin.go
@@ -30,6 +30,8 @@
 	Metrics *telemetry.Metrics
 	// Own is the node's own heartbeat.
 	Own func() api.Heartbeat
+	// Plan is what the planner wants and why.
+	Plan func() api.PlanReport
 	// Refusals that the node made.
 	Refusals func() []api.RefusalCount
 	// Ready says whether the balancer may send callers here.
@@ -49,6 +51,7 @@
 		{Method: http.MethodGet, Path: "/readyz", Handler: a.ready},
 		{Method: http.MethodGet, Path: "/metrics", Handler: a.Metrics.Handler().ServeHTTP},
 		{Method: http.MethodGet, Path: "/admin/v1/status", Handler: a.authenticated(a.status)},
+		{Method: http.MethodGet, Path: "/admin/v1/plan", Handler: a.authenticated(a.plan)},
 		{Method: http.MethodGet, Path: "/admin/v1/config", Handler: a.authenticated(a.configuration)},
 		{Method: http.MethodGet, Path: "/admin/v1/workspaces", Handler: a.authenticated(a.listWorkspaces)},
 		{Method: http.MethodGet, Path: "/admin/v1/workspaces/{name}", Handler: a.authenticated(a.getWorkspace)},
@@ -74,6 +77,10 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+func (a *API) plan(w http.ResponseWriter, _ *http.Request, _ string) {
+	writeJSON(w, http.StatusOK, a.Plan())
+}
+
 // authenticated finds the operator by key. While there is no configuration there
 // are no operators, and the first patch goes straight to the log.
 func (a *API) authenticated(next func(http.ResponseWriter, *http.Request, string)) http.HandlerFunc {
--- a/api/config_gen.go
+++ b/api/config_gen.go
@@ -5,9 +5,15 @@
 // Configuration is the dynamic configuration that operators change by patches. It
 // is folded from the platform's log and swapped whole.
 type Configuration struct {
+	// DataCentres where hosts may be started, by name.
+	DataCentres []string `json:"data_centres,omitempty,omitzero"`
+
 	// Deployment names the deployment.
 	Deployment string `json:"deployment"`
 
+	// HostGroups that the planner keeps, by name; none means that it starts no hosts.
+	HostGroups map[string]HostGroup `json:"host_groups,omitempty,omitzero"`
+
 	// MachineClasses by name.
 	MachineClasses map[string]MachineClass `json:"machine_classes"`
 
@@ -27,6 +33,30 @@
 	Workspaces map[string]Workspace `json:"workspaces"`
 }
 
+// HostGroup is a number of like upstream hosts that the planner keeps running.
+type HostGroup struct {
+	// Hosts that carry the load, over all data centres.
+	Hosts int `json:"hosts"`
+
+	// MachineClasses that may be used.
+	MachineClasses []string `json:"machine_classes"`
+
+	// ModelsPerHost bounds the models loaded on one engine; 0 means 2.
+	ModelsPerHost int `json:"models_per_host,omitempty,omitzero"`
+
+	// OnDemand is the least number of hosts that can't be reclaimed.
+	OnDemand int `json:"on_demand,omitempty,omitzero"`
+
+	// Reserve adds hosts so that the loss of one data centre leaves enough.
+	Reserve bool `json:"reserve,omitempty,omitzero"`
+
+	// Role of the process: engine or service.
+	Role string `json:"role"`
+
+	// Service of the process when the role is service.
+	Service string `json:"service,omitempty,omitzero"`
+}
+
 // MachineClass is a kind of host.
 type MachineClass struct {
 	// PricePerHour of one host, in the deployment's currency.
@@ -114,6 +144,10 @@
 	// Operations of a plain service; the first match counts; none means not
 	// repeatable.
 	Operations []Operation `json:"operations"`
+
+	// Replicas is the number of engines that are to have the model loaded; 0 means
+	// that the planner leaves it alone.
+	Replicas int `json:"replicas,omitempty,omitzero"`
 }
 
 type ServiceKind string
--- a/api/deployment_gen.go
+++ b/api/deployment_gen.go
@@ -43,6 +43,9 @@
 	// ID of the host.
 	ID string `json:"id"`
 
+	// IgnoresFencing says that the engine obeys orders with an old fencing number.
+	IgnoresFencing bool `json:"ignores_fencing,omitempty,omitzero"`
+
 	// KVLimitTokens is the size of the KV cache.
 	KVLimitTokens int `json:"kv_limit_tokens"`
 
--- a/api/platform_gen.go
+++ b/api/platform_gen.go
@@ -152,3 +152,24 @@
 	// Offset in the stream, from 0.
 	Offset int64 `json:"offset"`
 }
+
+// WeightInfo is one version of a model in the weight store.
+type WeightInfo struct {
+	// Bytes of the weights.
+	Bytes int64 `json:"bytes"`
+
+	// Name of the model or adapter.
+	Name string `json:"name"`
+
+	// Version of the weights.
+	Version string `json:"version"`
+}
+
+// WeightList is what the weight store offers.
+type WeightList struct {
+	// BytesPerSecond that the store sends, over all readers.
+	BytesPerSecond float64 `json:"bytes_per_second"`
+
+	// Models in the store.
+	Models []WeightInfo `json:"models"`
+}
--- a/control/feeds.go
+++ b/control/feeds.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/platform"
 	"github.com/persimmonline/persimmonline/upstream"
 )
@@ -37,6 +37,8 @@
 	ConfigPoll time.Duration
 	// HostsPoll is the time between two reads of the host list, cloud and loads.
 	HostsPoll time.Duration
+
+	cloudRead atomic.Pointer[CloudRead]
 }
 
 // Run reads until ctx ends.
@@ -90,23 +92,6 @@
 	f.Loop.Post(ctx, HostsListed{List: list})
 }
 
-func (f *Feeds) listReclaims(ctx context.Context) {
-	hosts, err := f.Cloud.Hosts(ctx)
-	if err != nil {
-		f.Loop.state.logger.Warn().Err(err).Msg("cloud hosts not read")
-		return
-	}
-	var leaving []api.LeavingHost
-	for _, host := range hosts.Hosts {
-		if host.State == api.CloudHostStateReclaiming {
-			leaving = append(leaving, api.LeavingHost{HostID: host.ID, ReclaimAtMS: host.ReclaimAtMS})
-		}
-	}
-	if len(leaving) > 0 {
-		f.Loop.Post(ctx, HostsLeaving{Hosts: leaving, Source: "cloud"})
-	}
-}
-
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/control/loop.go
+++ b/control/loop.go
@@ -48,6 +48,8 @@
 	Fleet *routing.Fleet
 	// Peers by node id.
 	Peers map[string]Peer
+	// Loads are the last load reports of engines, by host id.
+	Loads map[string]api.EngineLoad
 	// Notices are the reclaim notices that are known, in the order of their arrival.
 	Notices []membership.Notice
 }
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -31,6 +31,7 @@
 		Members:   view,
 		Fleet:     s.fleet(view, now),
 		Peers:     maps.Clone(s.peers),
+		Loads:     maps.Clone(s.loads),
 		Notices:   s.members.Notices(),
 	}
 }
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -137,6 +137,7 @@
 		LogURL:         c.Standins.LogURL(),
 		HostsURL:       c.Standins.CloudURL(),
 		CloudURL:       c.Standins.CloudURL(),
+		WeightsURL:     c.Standins.WeightsURL(),
 		PeerKey:        c.options.Deployment.PeerKey,
 		ReadinessGrace: 500 * time.Millisecond,
 		DrainTimeout:   20 * time.Second,
@@ -202,11 +203,13 @@
 	Models []string `json:"models"`
 	// Services that callers may call.
 	Services []string `json:"services"`
+	// Faults is the base URL at which faults are switched; GET /faults lists them.
+	Faults string `json:"faults"`
 }
 
 // Announce describes the running demo.
 func (c *Cluster) Announce() Announcement {
-	a := Announcement{APIKeys: c.options.Deployment.APIKeys, AdminKey: c.options.Deployment.AdminKey}
+	a := Announcement{APIKeys: c.options.Deployment.APIKeys, AdminKey: c.options.Deployment.AdminKey, Faults: c.Standins.FaultsURL()}
 	for _, n := range c.Nodes {
 		a.Callers = append(a.Callers, "http://"+n.CallerAddress())
 		a.Admin = append(a.Admin, "http://"+n.AdminAddress())
--- a/node/node.go
+++ b/node/node.go
@@ -38,6 +38,7 @@
 	pool    *upstream.Pool
 	peers   *peer.Client
 	beats   *heartbeats
+	plans   *planRunner
 	gateway *gateway.Gateway
 	duties  *control.Duties
 	claims  *control.Claims
@@ -80,6 +81,7 @@
 		HostsPoll:  settings.HostsPoll,
 	}
 	n.duties = n.newDuties()
+	n.plans = n.newPlanRunner()
 	n.claims = control.NewClaims(n.feeds.Log, n.duties, n.logger)
 	n.gateway = gateway.New(gateway.Options{
 		Settings:    settings,
@@ -105,6 +107,7 @@
 		Log:      n.feeds.Log,
 		Metrics:  n.metrics,
 		Own:      n.Heartbeat,
+		Plan:     n.Plan,
 		Refusals: n.gateway.Refusals,
 		Ready:    n.Ready,
 	})
@@ -130,6 +133,7 @@
 	n.background.Go(func() { n.feeds.Run(ctx) })
 	n.background.Go(func() { n.sendHeartbeats(ctx) })
 	n.background.Go(func() { n.duties.Run(ctx) })
+	n.background.Go(func() { n.plans.run(ctx) })
 	n.background.Go(func() { n.claims.Run(ctx) })
 	n.logger.Info().Str("callers", n.callerServer.Address()).Str("admin", n.adminServer.Address()).
 		Str("peers", n.peerServer.Address()).Msg("node started")
@@ -176,6 +180,7 @@
 	n.pool.Close()
 	n.feeds.Close()
 	n.beats.pool.Close()
+	n.plans.close()
 }
 
 func (n *Node) servers() []*httpserver.Server {
--- a/standin/deployment.go
+++ b/standin/deployment.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -20,6 +21,14 @@
 	cacheEventLag = 500 * time.Millisecond
 	// cacheEventGap drops every n-th cache event.
 	cacheEventGap = 50
+	// hostStartDelay is how long a started host takes until its process runs.
+	hostStartDelay = time.Second
+	// weightsRate is what the weight store sends, in bytes a second, and weightsBytes is
+	// the size of each model: a load takes two seconds when it is alone.
+	weightsRate  = 4 << 30
+	weightsBytes = 8 << 30
+	// firstVersion is the version of each model at the start.
+	firstVersion = "1"
 	// loopback is where stand-ins listen.
 	loopback = "127.0.0.1:0"
 )
@@ -33,12 +42,16 @@
 	Log *Log
 	// Cloud of the platform, with the host list.
 	Cloud *Cloud
+	// Weights is the weight store.
+	Weights *Weights
 	// Ledger of what ran on plain services.
 	Ledger *Ledger
 
-	description api.Deployment
-	logServer   *Server
-	cloudServer *Server
+	description   api.Deployment
+	logServer     *Server
+	cloudServer   *Server
+	weightsServer *Server
+	faultsServer  *Server
 
 	mu       sync.Mutex
 	engines  map[string]*Engine
@@ -57,11 +70,9 @@
 		servers:     map[string]*Server{},
 	}
 	d.Cloud = NewCloud(hostListLag, d.launch)
-	var err error
-	if d.logServer, err = Serve(loopback, d.Log.Handler()); err != nil {
-		return nil, err
-	}
-	if d.cloudServer, err = Serve(loopback, d.Cloud.Handler()); err != nil {
+	d.Cloud.SetStartDelay(hostStartDelay)
+	d.Weights = NewWeights(weightsRate, weightsOf(description)...)
+	if err := d.serve(); err != nil {
 		return nil, err
 	}
 	for _, engine := range description.Engines {
@@ -77,12 +88,53 @@
 	return d, nil
 }
 
+// serve starts the platform's servers and the one for faults.
+func (d *Deployment) serve() error {
+	for _, part := range []struct {
+		server  **Server
+		handler http.Handler
+	}{
+		{&d.logServer, d.Log.Handler()},
+		{&d.cloudServer, d.Cloud.Handler()},
+		{&d.weightsServer, d.Weights.Handler()},
+		{&d.faultsServer, d.FaultHandler()},
+	} {
+		server, err := Serve(loopback, part.handler)
+		if err != nil {
+			return err
+		}
+		*part.server = server
+	}
+	return nil
+}
+
+// weightsOf returns what the weight store has: version 1 of each model.
+func weightsOf(description api.Deployment) []api.WeightInfo {
+	var models []api.WeightInfo
+	seen := map[string]bool{}
+	for _, engine := range description.Engines {
+		for _, name := range engine.Models {
+			if !seen[name] {
+				seen[name] = true
+				models = append(models, api.WeightInfo{Name: name, Version: firstVersion, Bytes: weightsBytes})
+			}
+		}
+	}
+	return models
+}
+
 // LogURL returns the base URL of the log.
 func (d *Deployment) LogURL() string { return d.logServer.URL() }
 
 // CloudURL returns the base URL of the cloud API and the host list.
 func (d *Deployment) CloudURL() string { return d.cloudServer.URL() }
 
+// WeightsURL returns the base URL of the weight store.
+func (d *Deployment) WeightsURL() string { return d.weightsServer.URL() }
+
+// FaultsURL returns the base URL at which faults are switched.
+func (d *Deployment) FaultsURL() string { return d.faultsServer.URL() }
+
 // Engine returns a running engine by host id; nil if there is none.
 func (d *Deployment) Engine(id string) *Engine {
 	d.mu.Lock()
@@ -155,15 +207,16 @@
 // Close ends all stand-ins.
 func (d *Deployment) Close() {
 	d.Cloud.Close()
-	d.cloudServer.Close()
-	d.logServer.Close()
+	for _, server := range []*Server{d.cloudServer, d.logServer, d.weightsServer, d.faultsServer} {
+		server.Close()
+	}
 }
 
 func (d *Deployment) startEngine(described api.DeploymentEngine) (api.Host, func(), error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	models := make([]api.LoadedModel, len(described.Models))
 	for i, name := range described.Models {
-		models[i] = api.LoadedModel{Name: name, Version: "1"}
+		models[i] = api.LoadedModel{Name: name, Version: firstVersion}
 	}
 	engine := NewEngine(EngineConfig{
 		Models:                 models,
@@ -174,7 +227,8 @@
 		LoadLag:                loadLag,
 		CacheEventLag:          cacheEventLag,
 		CacheEventGap:          cacheEventGap,
-		ChecksFencing:          true,
+		Fetch:                  d.Weights.Fetch,
+		ChecksFencing:          !described.IgnoresFencing,
 		CrashMarker:            CrashMarker,
 		Crashed:                func() { go d.Kill(described.ID) },
 	})
@@ -212,6 +266,7 @@
 }
 
 // launch starts what the cloud API was asked for, shaped like the first of its kind.
+// A started engine has no model loaded.
 func (d *Deployment) launch(request api.StartHostRequest, id string) (api.Host, func(), error) {
 	if request.Role == string(api.HostRoleService) {
 		return d.startService(api.DeploymentService{
@@ -221,6 +276,7 @@
 	for _, known := range d.description.Engines {
 		if known.MachineClass == request.MachineClass {
 			known.ID = id
+			known.Models = nil
 			known.DataCentre = request.DataCentre
 			return d.startEngine(known)
 		}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -44,6 +44,9 @@
 	CacheEventLag time.Duration
 	// CacheEventGap drops every n-th cache event; 0 drops none.
 	CacheEventGap int
+	// Fetch takes the time that weights take to arrive from the weight store; nil means
+	// no time.
+	Fetch func(ctx context.Context, model, version string) error
 	// ChecksFencing refuses orders with an old fencing number.
 	ChecksFencing bool
 	// CrashMarker is a text in a prompt that kills the engine; empty means none.
@@ -57,6 +60,8 @@
 type Engine struct {
 	config      EngineConfig
 	incarnation string
+	life        context.Context
+	stop        context.CancelFunc
 
 	mu       sync.Mutex
 	wake     chan struct{}
@@ -68,9 +73,9 @@
 	loads    []api.EngineLoad
 	slow     float64
 	fence    int64
-	orders   map[string]api.OrderResult
+	orders   orderBook
 	prefills int64
-	exports  map[string]int
+	exports  exportStore
 }
 
 // job is one request in the engine.
@@ -98,16 +103,19 @@
 
 // NewEngine returns an engine; Run must be called to make it work.
 func NewEngine(config EngineConfig) *Engine {
+	life, stop := context.WithCancel(context.Background())
 	return &Engine{
 		config:      config,
 		incarnation: uuid.NewString()[:8],
+		life:        life,
+		stop:        stop,
 		wake:        make(chan struct{}, 1),
 		models:      slices.Clone(config.Models),
 		role:        api.EngineLoadRoleMixed,
 		cache:       newPrefixCache(config.KVLimitTokens/prompt.BlockTokens, config.CacheEventLag, config.CacheEventGap),
 		slow:        1,
-		orders:      map[string]api.OrderResult{},
-		exports:     map[string]int{},
+		orders:      newOrderBook(),
+		exports:     newExportStore(config.KVLimitTokens),
 	}
 }
 
@@ -121,6 +129,29 @@
 	e.slow = factor
 }
 
+// SetLoadLag is how old a load report is from now on.
+func (e *Engine) SetLoadLag(lag time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.config.LoadLag = lag
+}
+
+// SetCacheFaults is how late cache events are from now on, and that every n-th is
+// dropped; 0 drops none.
+func (e *Engine) SetCacheFaults(lag time.Duration, gap int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cache.lag = lag
+	e.cache.gap = gap
+}
+
+// SetChecksFencing says whether the engine refuses orders with an old fencing number.
+func (e *Engine) SetChecksFencing(checks bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.config.ChecksFencing = checks
+}
+
 // PrefilledTokens returns the number of prompt tokens that were computed.
 func (e *Engine) PrefilledTokens() int64 {
 	e.mu.Lock()
@@ -130,6 +161,7 @@
 
 // Run steps the batch until ctx ends.
 func (e *Engine) Run(ctx context.Context) {
+	defer e.stop()
 	for ctx.Err() == nil {
 		pause, busy := e.step()
 		if busy {
@@ -183,7 +215,7 @@
 	if j.offset < j.end {
 		j.out <- token{offset: j.offset, text: Word(j.text, j.offset)}
 		j.offset++
-		e.exports[j.id] = prompt.Tokens(j.text) + j.offset
+		e.exports.put(j.id, kvOf(j))
 		return true
 	}
 	j.out <- token{offset: j.offset, done: true, reason: j.reason}
--- a/standin/engine_http.go
+++ b/standin/engine_http.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -44,6 +43,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	j := newJob(r, request, text)
+	if kv := request.Resume; kv != nil && kv.KV != nil && !importable(kv.KV.Data, j) {
+		http.Error(w, "the KV state is of another prompt", http.StatusUnprocessableEntity)
+		return
+	}
 	if !e.submit(j) {
 		http.Error(w, "queue is full", http.StatusServiceUnavailable)
 		return
@@ -152,53 +155,3 @@
 	e.mu.Unlock()
 	writeJSON(w, http.StatusOK, api.CacheEvents{Incarnation: e.incarnation, NextSeq: next, Events: events})
 }
-
-func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
-	var order api.EngineOrder
-	if !readJSON(w, r, &order) {
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if result, seen := e.orders[order.ID]; seen {
-		writeJSON(w, http.StatusOK, result)
-		return
-	}
-	if e.config.ChecksFencing && order.Fence < e.fence {
-		writeJSON(w, http.StatusConflict, api.OrderResult{ID: order.ID, State: api.OrderResultStateRefused, Reason: "old fencing number"})
-		return
-	}
-	e.fence = max(e.fence, order.Fence)
-	e.obey(order)
-	result := api.OrderResult{ID: order.ID, State: api.OrderResultStateDone}
-	e.orders[order.ID] = result
-	writeJSON(w, http.StatusOK, result)
-}
-
-func (e *Engine) obey(order api.EngineOrder) {
-	named := func(m api.LoadedModel) bool { return m.Name == order.Model }
-	switch order.Kind {
-	case api.EngineOrderKindLoad:
-		e.models = slices.DeleteFunc(e.models, named)
-		e.models = append(e.models, api.LoadedModel{Name: order.Model, Version: order.Version})
-	case api.EngineOrderKindUnload:
-		e.models = slices.DeleteFunc(e.models, named)
-	case api.EngineOrderKindRole:
-		e.role = api.EngineLoadRole(order.Role)
-	}
-}
-
-func (e *Engine) exportKV(w http.ResponseWriter, r *http.Request) {
-	var request api.KVExportRequest
-	if !readJSON(w, r, &request) {
-		return
-	}
-	e.mu.Lock()
-	tokens, ok := e.exports[request.RequestID]
-	e.mu.Unlock()
-	if !ok {
-		http.Error(w, "unknown request", http.StatusNotFound)
-		return
-	}
-	writeJSON(w, http.StatusOK, api.KVState{RequestID: request.RequestID, Tokens: tokens, Data: []byte("kv")})
-}
