--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,7 @@
 	pool    *upstream.Pool
 	peers   *peer.Client
 	beats   *heartbeats
+	plans   *planRunner
 	gateway *gateway.Gateway
 	duties  *control.Duties
 	claims  *control.Claims
@@ -81,6 +82,7 @@
 		HostsPoll:  settings.HostsPoll,
 	}
 	n.duties = n.newDuties()
+	n.plans = n.newPlanRunner()
 	n.claims = control.NewClaims(n.feeds.Log, n.duties, n.logger)
 	n.gateway = gateway.New(gateway.Options{
 		Settings:    settings,
@@ -106,6 +108,7 @@
 		Log:      n.feeds.Log,
 		Metrics:  n.metrics,
 		Own:      n.Heartbeat,
+		Plan:     n.Plan,
 		Refusals: n.gateway.Refusals,
 		Ready:    n.Ready,
 	})
@@ -134,6 +137,7 @@
 	n.background.Go(func() { n.gateway.Watch(ctx) })
 	n.background.Go(func() { n.watchOwnReclaim(ctx) })
 	n.background.Go(func() { n.duties.Run(ctx) })
+	n.background.Go(func() { n.plans.run(ctx) })
 	n.background.Go(func() { n.claims.Run(ctx) })
 	n.logger.Info().Str("callers", n.callerServer.Address()).Str("admin", n.adminServer.Address()).
 		Str("peers", n.peerServer.Address()).Msg("node started")
@@ -154,6 +158,7 @@
 	n.pool.Close()
 	n.feeds.Close()
 	n.beats.pool.Close()
+	n.plans.close()
 }
 
 func (n *Node) servers() []*httpserver.Server {
