--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,7 @@
 	pool    *upstream.Pool
 	peers   *peer.Client
 	beats   *heartbeats
+	plans   *planRunner
 	gateway *gateway.Gateway
 	duties  *control.Duties
 	claims  *control.Claims
@@ -42,7 +43,10 @@
 	adminServer  *httpserver.Server
 	peerServer   *httpserver.Server
 
-	draining   atomic.Bool
+	draining atomic.Bool
+	// served is set once the node has caught up.
+	served     atomic.Bool
+	startedAt  time.Time
 	drain      drain
 	background sync.WaitGroup
 	cancel     context.CancelFunc
@@ -78,6 +82,7 @@
 		HostsPoll:  settings.HostsPoll,
 	}
 	n.duties = n.newDuties()
+	n.plans = n.newPlanRunner()
 	n.claims = control.NewClaims(n.feeds.Log, n.duties, n.logger)
 	n.gateway = gateway.New(gateway.Options{
 		Settings:    settings,
@@ -103,6 +108,7 @@
 		Log:      n.feeds.Log,
 		Metrics:  n.metrics,
 		Own:      n.Heartbeat,
+		Plan:     n.Plan,
 		Refusals: n.gateway.Refusals,
 		Ready:    n.Ready,
 	})
@@ -123,6 +129,7 @@
 			return fmt.Errorf("start node %s: %w", n.settings.NodeID, err)
 		}
 	}
+	n.startedAt = time.Now()
 	ctx, n.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	n.background.Go(func() { n.control.Run(ctx) })
 	n.background.Go(func() { n.feeds.Run(ctx) })
@@ -130,6 +137,7 @@
 	n.background.Go(func() { n.gateway.Watch(ctx) })
 	n.background.Go(func() { n.watchOwnReclaim(ctx) })
 	n.background.Go(func() { n.duties.Run(ctx) })
+	n.background.Go(func() { n.plans.run(ctx) })
 	n.background.Go(func() { n.claims.Run(ctx) })
 	n.logger.Info().Str("callers", n.callerServer.Address()).Str("admin", n.adminServer.Address()).
 		Str("peers", n.peerServer.Address()).Msg("node started")
@@ -150,6 +158,7 @@
 	n.pool.Close()
 	n.feeds.Close()
 	n.beats.pool.Close()
+	n.plans.close()
 }
 
 func (n *Node) servers() []*httpserver.Server {
@@ -162,11 +171,6 @@
 	}
 }
 
-// Ready says whether the balancer may send callers here.
-func (n *Node) Ready() bool {
-	return !n.draining.Load() && n.control.Snapshot().Index != nil
-}
-
 // CallerAddress returns the IP:port for callers.
 func (n *Node) CallerAddress() string { return n.callerServer.Address() }
 
@@ -182,11 +186,11 @@
 // Metrics returns the node's metrics.
 func (n *Node) Metrics() *telemetry.Metrics { return n.metrics }
 
-// Complete says whether the node has heard of a number of peers and has an upstream
-// for every service of its configuration.
+// Complete says whether the node has caught up and has heard that a number of peers
+// are ready.
 func (n *Node) Complete(peers int) bool {
 	snapshot := n.control.Snapshot()
-	if snapshot.Index == nil || len(snapshot.Peers) < peers {
+	if !n.caughtUp(snapshot) || !seesUpstreams(snapshot) || len(snapshot.Peers) < peers {
 		return false
 	}
 	for _, known := range snapshot.Peers {
@@ -194,10 +198,5 @@
 			return false
 		}
 	}
-	for name := range snapshot.Index.Config.Services {
-		if len(snapshot.Fleet.ByService[name]) == 0 {
-			return false
-		}
-	}
 	return true
 }
