--- a/routing/route_test.go
+++ b/routing/route_test.go
@@ -235,3 +235,14 @@
 		})
 	}
 }
+
+func BenchmarkNewFleet(b *testing.B) {
+	for _, size := range []int{12, 1000} {
+		b.Run(fmt.Sprintf("engines=%d", size), func(b *testing.B) {
+			fleet, _ := bigFleet(size)
+			for range b.N {
+				NewFleet(fleet.ByService, fleet.Prefixes, 5, epoch)
+			}
+		})
+	}
+}
--- a/routing/tracker.go
+++ b/routing/tracker.go
@@ -35,6 +35,7 @@
 
 	mu      sync.Mutex
 	due     []*Attempt
+	read    reading
 	history [historySteps]mark
 	rate    learned
 	step    learned
@@ -48,6 +49,12 @@
 	pending  int64
 }
 
+// reading is the history as it was last read, which is once for each load report.
+type reading struct {
+	when time.Time
+	mark mark
+}
+
 // learned is a moving average and the time of its last observation.
 type learned struct {
 	value float64
@@ -166,12 +173,16 @@
 	step := when.UnixNano() / int64(historyStep)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !when.IsZero() && t.read.when.Equal(when) {
+		return t.read.mark.inFlight, t.read.mark.pending
+	}
 	best := mark{step: math.MinInt64}
 	for _, known := range t.history {
 		if known.step <= step && known.step > best.step {
 			best = known
 		}
 	}
+	t.read = reading{when: when, mark: best}
 	return best.inFlight, best.pending
 }
 
