--- a/bench/policy/node.go
+++ b/bench/policy/node.go
@@ -97,11 +97,6 @@
 		PricePerSecond: e.class.PricePerHour / secondsPerHour, ReclaimsPerHour: e.class.ReclaimsPerHour,
 		Load: e.loadAt(n.world.scenario.LoadLag), Holder: n.holders[e], Tracker: n.trackers[e],
 	}
-	for i, x := range n.world.engines {
-		if x == e && i < 12 {
-			upstream.Foreign = n != n.world.nodes[i%len(n.world.nodes)]
-		}
-	}
 	if e.rate == 1 {
 		upstream.Load, upstream.Holder = nil, 0
 	}
--- a/routing/route.go
+++ b/routing/route.go
@@ -43,7 +43,6 @@
 	// Tracker of this node's attempts.
 	Tracker *Tracker
 
-	Foreign bool
 	hash  uint64
 	state estimate
 }
--- a/routing/score.go
+++ b/routing/score.go
@@ -12,7 +12,6 @@
 	crowding = 0.06
 	// remoteSeconds is the wait that another data centre adds.
 	remoteSeconds = 0.001
-	foreignSeconds = 0.3
 	// resumeSeconds is the pause of an answer that moves to another engine.
 	resumeSeconds = 1.0
 	// secondsPerHour turns reclaims per hour into reclaims per second.
@@ -92,14 +91,10 @@
 }
 
 func priceDistance(candidate *Upstream, request *Request, _ Forecast, weights Weights) float64 {
-	p := 0.0
-	if candidate.Foreign {
-		p = weights.Latency * foreignSeconds
-	}
 	if candidate.DataCentre == request.DataCentre {
-		return p
+		return 0
 	}
-	return p + weights.Latency * remoteSeconds
+	return weights.Latency * remoteSeconds
 }
 
 // forecast predicts an attempt at a candidate from its last report, corrected by
