--- a/api/peer_gen.go
+++ b/api/peer_gen.go
@@ -37,9 +37,8 @@
 	// PeerAddress of the sender.
 	PeerAddress string `json:"peer_address"`
 
-	// Reserved are hosts of upstreams on which the sender runs a suspected request
-	// alone.
-	Reserved []string `json:"reserved,omitempty,omitzero"`
+	// Reserved are upstreams on which the sender runs a suspected request alone.
+	Reserved []Reservation `json:"reserved,omitempty,omitzero"`
 
 	// State of the sender.
 	State HeartbeatState `json:"state"`
@@ -157,6 +156,16 @@
 	Stream bool `json:"stream"`
 }
 
+// PeerPrompt asks the first owner of a prompt where its copies run; the answer is
+// a PeerPrompt too.
+type PeerPrompt struct {
+	// Fingerprint of the service and the prompt, in hex.
+	Fingerprint string `json:"fingerprint"`
+
+	// HostID of the upstream that was picked; in the answer, of the one to use.
+	HostID string `json:"host_id"`
+}
+
 // PeerRefusal is a refusal as one node tells it to another.
 type PeerRefusal struct {
 	// Code is the cause.
@@ -178,6 +187,15 @@
 	Status int `json:"status"`
 }
 
+// Reservation keeps an upstream for one suspected request.
+type Reservation struct {
+	// Fingerprint of the suspected request, in hex.
+	Fingerprint string `json:"fingerprint"`
+
+	// HostID of the upstream.
+	HostID string `json:"host_id"`
+}
+
 // Suspicion is a request that upstreams died of.
 type Suspicion struct {
 	// AtMS is when the last one died or the request was cleared, Unix milliseconds.
--- a/gateway/alone.go
+++ b/gateway/alone.go
@@ -6,9 +6,11 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/membership"
 	"github.com/persimmonline/persimmonline/quarantine"
 	"github.com/persimmonline/persimmonline/refusal"
@@ -75,7 +77,7 @@
 	}
 	if s.alonePending == nil {
 		_, taken := g.suspects.reserved[key]
-		if taken || len(g.suspects.reserved) >= g.aloneLimit(s.call.service) {
+		if taken || g.suspects.triedByPeer(key) || len(g.suspects.reserved) >= g.aloneLimit(s.call.service) {
 			return nil
 		}
 		picked, err := g.pickForAlone(s)
@@ -89,7 +91,7 @@
 		go g.suspects.changed()
 	}
 	current := g.current(s.call.service, s.alonePending.ID)
-	if current == nil || current.Health != membership.StateLive || g.suspects.yields(g.Settings.NodeID, current.ID) {
+	if current == nil || current.Health != membership.StateLive || g.suspects.yields(g.Settings.NodeID, current.ID, key) {
 		delete(g.suspects.reserved, key)
 		s.alonePending = nil
 		return nil
@@ -116,17 +118,35 @@
 	return max(1, len(g.Control.Snapshot().Fleet.ByService[service])/aloneShare)
 }
 
-// yields says whether a peer with a smaller id reserved the same host. The caller holds
-// the lock.
-func (s *suspects) yields(own, host string) bool {
+// yields says whether a peer with a smaller id reserved the same upstream, or any for the
+// same request. The caller holds the lock.
+func (s *suspects) yields(own, host string, key uint64) bool {
 	for id, known := range s.peers {
-		if id < own && slices.Contains(known.hosts, host) && time.Since(known.heardAt) < reservedFor {
+		if id < own && known.has(host, key) {
 			return true
 		}
 	}
 	return false
 }
 
+// triedByPeer says whether a peer runs the request alone. The caller holds the lock.
+func (s *suspects) triedByPeer(key uint64) bool {
+	for _, known := range s.peers {
+		if known.has("", key) {
+			return true
+		}
+	}
+	return false
+}
+
+// has says whether a peer's reservations name an upstream or a request.
+func (p peerReservations) has(host string, key uint64) bool {
+	fingerprint := strconv.FormatUint(key, 16)
+	return time.Since(p.heardAt) < reservedFor && slices.ContainsFunc(p.list, func(r api.Reservation) bool {
+		return r.HostID == host || r.Fingerprint == fingerprint
+	})
+}
+
 // dropPending ends a reservation that was not used.
 func (g *Gateway) dropPending(s *runState, key uint64) {
 	g.suspects.mu.Lock()
@@ -205,8 +225,8 @@
 			delete(s.peers, id)
 			continue
 		}
-		for _, host := range known.hosts {
-			excluded[host] = true
+		for _, reservation := range known.list {
+			excluded[reservation.HostID] = true
 			found = true
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,6 +115,7 @@
 	return []rest.Route{
 		{Method: http.MethodPost, Path: peer.PathChat, Handler: peer.Authenticate(g.Settings.PeerKey, g.peerChat)},
 		{Method: http.MethodPost, Path: peer.PathExchange, Handler: peer.Authenticate(g.Settings.PeerKey, g.peerExchange)},
+		{Method: http.MethodPost, Path: peer.PathPrompt, Handler: peer.Authenticate(g.Settings.PeerKey, g.peerPrompt)},
 		{Method: http.MethodPost, Path: peer.PathRequests, Handler: peer.Authenticate(g.Settings.PeerKey, g.peerRequest)},
 		{Method: http.MethodPost, Path: peer.PathService, Handler: peer.Authenticate(g.Settings.PeerKey, g.peerService)},
 		{Method: http.MethodPost, Path: peer.PathHandover, Handler: peer.Authenticate(g.Settings.PeerKey, g.peerHandover)},
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -34,8 +34,8 @@
 			AtMS:        known.At.UnixMilli(),
 		})
 	}
-	for _, host := range g.suspects.reserved {
-		own.Reserved = append(own.Reserved, host)
+	for key, host := range g.suspects.reserved {
+		own.Reserved = append(own.Reserved, api.Reservation{HostID: host, Fingerprint: strconv.FormatUint(key, 16)})
 	}
 }
 
@@ -53,12 +53,12 @@
 			Fingerprint: key, Upstreams: told.Upstreams, At: time.UnixMilli(told.AtMS),
 		}, now)
 	}
-	for _, host := range heard.Reserved {
-		g.suspects.try(host, now)
+	for _, reservation := range heard.Reserved {
+		g.suspects.try(reservation.HostID, now)
 	}
-	if len(heard.Reserved) == 0 {
-		delete(g.suspects.peers, heard.NodeID)
-		return
+	// News may overtake each other, so an end of all reservations counts a little later.
+	known := g.suspects.peers[heard.NodeID]
+	if len(heard.Reserved) > 0 || now.Sub(known.heardAt) > announceWait {
+		g.suspects.peers[heard.NodeID] = peerReservations{list: heard.Reserved, heardAt: now}
 	}
-	g.suspects.peers[heard.NodeID] = peerReservations{hosts: heard.Reserved, heardAt: now}
 }
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -161,27 +161,38 @@
 	release func()
 }
 
-// chooseUpstream returns the upstream of the next attempt.
+// chooseUpstream returns the upstream of the next attempt. When the upstream that runs
+// the copies of a prompt is gone, it waits once for news of why.
 func (g *Gateway) chooseUpstream(ctx context.Context, s *runState) (*choice, *refusal.Refusal) {
-	chosen, refused := g.chooseBySuspicion(ctx, s)
-	if chosen != nil || refused != nil {
-		return chosen, refused
-	}
-	if s.sameAgain != nil {
-		return &choice{Upstream: s.sameAgain, release: func() {}}, nil
+	for waited := false; ; waited = true {
+		chosen, refused := g.chooseBySuspicion(ctx, s)
+		if chosen != nil || refused != nil {
+			return chosen, refused
+		}
+		if s.sameAgain != nil {
+			return &choice{Upstream: s.sameAgain, release: func() {}}, nil
+		}
+		picked, err := g.pickAgain(ctx, s)
+		if err != nil {
+			return nil, refusal.New(http.StatusServiceUnavailable, refusal.CodeNoUpstream,
+				"no upstream can take the request now").At("route", "", err).After(jittered(noUpstreamRetry))
+		}
+		if chosen := g.joinCopies(ctx, s, picked, waited); chosen != nil {
+			return chosen, nil
+		}
+		pause(ctx, announceWait)
 	}
+}
+
+// pickAgain picks an upstream that was not tried. An answer that has begun goes on at an
+// upstream that failed it before, rather than not at all.
+func (g *Gateway) pickAgain(ctx context.Context, s *runState) (*routing.Upstream, error) {
 	picked, err := g.pickUnreserved(ctx, s)
 	if errors.Is(err, routing.ErrNoUpstream) && len(s.excluded) > 0 && s.flight.journal.Progress().Chunks > 0 {
-		// An answer that has begun goes on at an upstream that failed it before,
-		// rather than not at all.
 		clear(s.excluded)
-		picked, err = g.pickUnreserved(ctx, s)
-	}
-	if err != nil {
-		return nil, refusal.New(http.StatusServiceUnavailable, refusal.CodeNoUpstream,
-			"no upstream can take the request now").At("route", "", err).After(jittered(noUpstreamRetry))
+		return g.pickUnreserved(ctx, s)
 	}
-	return g.joinSame(s, picked), nil
+	return picked, err
 }
 
 func (g *Gateway) countRequest() {
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/prompt"
 	"github.com/persimmonline/persimmonline/quarantine"
 )
@@ -41,7 +42,7 @@
 }
 
 type peerReservations struct {
-	hosts   []string
+	list    []api.Reservation
 	heardAt time.Time
 }
 
--- a/gateway/together.go
+++ b/gateway/together.go
@@ -1,14 +1,27 @@
 package gateway
 
 import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
 	"sync"
+	"time"
 
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/control"
 	"github.com/persimmonline/persimmonline/membership"
+	"github.com/persimmonline/persimmonline/prompt"
+	"github.com/persimmonline/persimmonline/refusal"
 	"github.com/persimmonline/persimmonline/routing"
 )
 
-// maxAnswered bounds the prompts that are remembered as harmless.
-const maxAnswered = 8192
+const (
+	// maxAnswered bounds the prompts that are remembered as harmless.
+	maxAnswered = 8192
+	// elsewhereFor is how long a copy at another node counts as running.
+	elsewhereFor = 2 * time.Second
+)
 
 // together is one prompt that several requests run at one upstream, so that a prompt
 // that crashes upstreams and comes many times at once takes down one of them.
@@ -17,41 +30,120 @@
 	attempts int
 }
 
-// joinSame returns the upstream that runs the same prompt already, or else opens one
-// at the picked upstream for later requests to join. A prompt that had a whole answer
-// before runs anywhere.
-func (g *Gateway) joinSame(s *runState, picked *routing.Upstream) *choice {
+// joinCopies returns the upstream that runs the copies of the same prompt already, or
+// else opens one at the picked upstream for later copies to join. A prompt that had a
+// whole answer before runs anywhere. It returns nil when the upstream of the copies is
+// gone, unless the request must go on now.
+func (g *Gateway) joinCopies(ctx context.Context, s *runState, picked *routing.Upstream, now bool) *choice {
 	key := fingerprint(s.call)
+	if g.answeredBefore(key) {
+		return &choice{Upstream: picked, release: func() {}}
+	}
+	host := g.askFirstOwner(ctx, s.call, key, picked.ID)
 	g.suspects.mu.Lock()
 	defer g.suspects.mu.Unlock()
 	known, open := g.suspects.together[key]
-	if !open && g.suspects.answered[key] {
-		return &choice{Upstream: picked, release: func() {}}
-	}
 	if !open {
-		known = &together{host: picked.ID}
+		known = &together{host: host}
 		g.suspects.together[key] = known
 	}
-	if known.host != picked.ID {
-		current := g.current(s.call.service, known.host)
-		if s.excluded[known.host] || current == nil || current.Health != membership.StateLive {
-			return &choice{Upstream: picked, release: func() {}}
-		}
+	current := g.current(s.call.service, known.host)
+	gone := s.excluded[known.host] || current == nil || current.Health != membership.StateLive
+	switch {
+	case gone && !now:
+		g.suspects.dropUnused(key, known)
+		return nil
+	case gone:
+		known.host = picked.ID
+	default:
 		picked = current
 	}
 	known.attempts++
 	return &choice{Upstream: picked, release: g.suspects.leave(key, known)}
 }
 
+func (g *Gateway) answeredBefore(key uint64) bool {
+	g.suspects.mu.Lock()
+	defer g.suspects.mu.Unlock()
+	return g.suspects.answered[key]
+}
+
+// askFirstOwner returns the host on which a prompt's copies run, when this node runs one
+// in the place of its first owner: because that is full, or the nodes' views differ.
+func (g *Gateway) askFirstOwner(ctx context.Context, c *call, key uint64, host string) string {
+	first, elsewhere := g.firstOwner(c)
+	if !elsewhere {
+		return host
+	}
+	answer, err := g.Peers.Prompt(ctx, first.PeerAddress, api.PeerPrompt{Fingerprint: strconv.FormatUint(key, 16), HostID: host})
+	if err != nil {
+		g.Logger.Debug().Err(err).Str("peer", first.NodeID).Msg("first owner of a prompt not asked")
+		return host
+	}
+	return answer.HostID
+}
+
+// firstOwner returns the peer that owns a prompt when load does not count; false means
+// this node.
+func (g *Gateway) firstOwner(c *call) (control.Peer, bool) {
+	now := time.Now()
+	peers := g.Control.Snapshot().Peers
+	members := []routing.Member{{ID: g.Settings.NodeID}}
+	for id, known := range peers {
+		if known.OwnsRequests(now) {
+			members = append(members, routing.Member{ID: id})
+		}
+	}
+	first := routing.Owner(routing.OwnerKey(c.workspace, c.service, prompt.PrefixKey(c.text)), members)
+	known, ok := peers[first]
+	return known, ok
+}
+
+// peerPrompt answers where the copies of a prompt run; without any, they will run where
+// the asking node picked.
+func (g *Gateway) peerPrompt(w http.ResponseWriter, r *http.Request) {
+	var picked api.PeerPrompt
+	if !readPeer(w, r, &picked) {
+		return
+	}
+	key, err := strconv.ParseUint(picked.Fingerprint, 16, 64)
+	if err != nil {
+		refusal.Field("fingerprint", "fingerprint must be a number in hex").Write(w, "")
+		return
+	}
+	picked.HostID = g.meetHere(key, picked.HostID)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(picked)
+}
+
+// meetHere registers a copy at another node for a while and returns where it should run.
+func (g *Gateway) meetHere(key uint64, host string) string {
+	g.suspects.mu.Lock()
+	defer g.suspects.mu.Unlock()
+	known, open := g.suspects.together[key]
+	if !open {
+		known = &together{host: host}
+		g.suspects.together[key] = known
+	}
+	known.attempts++
+	time.AfterFunc(elsewhereFor, g.suspects.leave(key, known))
+	return known.host
+}
+
+// dropUnused forgets copies that none runs. The caller holds the lock.
+func (s *suspects) dropUnused(key uint64, known *together) {
+	if known.attempts == 0 && s.together[key] == known {
+		delete(s.together, key)
+	}
+}
+
 // leave returns the function that ends one attempt of a prompt.
 func (s *suspects) leave(key uint64, known *together) func() {
 	return sync.OnceFunc(func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		known.attempts--
-		if known.attempts == 0 && s.together[key] == known {
-			delete(s.together, key)
-		}
+		s.dropUnused(key, known)
 	})
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -23,6 +23,7 @@
 	PathHeartbeat = "/peer/v1/heartbeat"
 	PathChat      = "/peer/v1/chat"
 	PathExchange  = "/peer/v1/exchange"
+	PathPrompt    = "/peer/v1/prompt"
 	PathRequests  = "/peer/v1/requests"
 )
 
@@ -34,6 +35,8 @@
 	heartbeatTimeout = 2 * time.Second
 	// handoverTimeout bounds one handover.
 	handoverTimeout = 3 * time.Second
+	// promptTimeout bounds the question where the copies of a prompt run.
+	promptTimeout = 300 * time.Millisecond
 	// maxErrorBytes bounds the part of an error answer that is kept.
 	maxErrorBytes = 512
 )
@@ -106,6 +109,22 @@
 	return response.Body.Close()
 }
 
+// Prompt asks the first owner of a prompt where its copies run.
+func (c *Client) Prompt(ctx context.Context, address string, picked api.PeerPrompt) (api.PeerPrompt, error) {
+	ctx, cancel := context.WithTimeout(ctx, promptTimeout)
+	defer cancel()
+	var answer api.PeerPrompt
+	response, err := c.post(ctx, "ask for prompt", address, PathPrompt, picked)
+	if err != nil {
+		return answer, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return answer, fmt.Errorf("read prompt answer of peer %s: %w", address, err)
+	}
+	return answer, nil
+}
+
 // Retire makes further requests to a peer use new connections.
 func (c *Client) Retire(address string) { c.pool.Retire(address) }
 
