News of a suspected request reaches peers at once

Cause: three upstreams died of 15 copies sent at once at five nodes. The heartbeat was built before the count of its news was read, so a partner could be taken for told; a partner that was busy was told only at the next tick; and copies met different upstreams when their owner was full.

Change: the count is read first, and an exchange that ends with newer news starts another.

--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -36,8 +36,10 @@
 	client *peer.Client
 	// sending are the exchanges under way.
 	sending sync.WaitGroup
-	mu      sync.Mutex
-	told    map[string]*partner
+	// news wakes the sender.
+	news chan struct{}
+	mu   sync.Mutex
+	told map[string]*partner
 }
 
 // partner is what a node knows of its exchanges with another.
@@ -78,7 +80,15 @@
 
 func newHeartbeats(settings api.Settings, metrics *telemetry.Metrics) *heartbeats {
 	pool := upstream.NewControlPool(settings.NodeID, metrics.ControlDial(kindHeartbeat))
-	return &heartbeats{pool: pool, client: peer.NewClient(settings.PeerKey, pool), told: map[string]*partner{}}
+	return &heartbeats{pool: pool, client: peer.NewClient(settings.PeerKey, pool), news: make(chan struct{}, 1), told: map[string]*partner{}}
+}
+
+// wake makes the sender look for news now.
+func (h *heartbeats) wake() {
+	select {
+	case h.news <- struct{}{}:
+	default:
+	}
 }
 
 // partner returns the record of a partner, a new one for a new incarnation.
@@ -145,20 +155,14 @@
 	defer n.beats.sending.Wait()
 	ticker := time.NewTicker(n.settings.Heartbeat)
 	defer ticker.Stop()
-	news := make(chan struct{}, 1)
-	n.gateway.OnSuspicion(func() {
-		select {
-		case news <- struct{}{}:
-		default:
-		}
-	})
+	n.gateway.OnSuspicion(n.beats.wake)
 	for {
 		changed := n.control.Changed()
 		n.sendHeartbeatRound(ctx, n.control.Snapshot())
 		select {
 		case <-changed:
 		case <-ticker.C:
-		case <-news:
+		case <-n.beats.news:
 		case <-ctx.Done():
 			return
 		}
@@ -175,10 +179,10 @@
 	n.beats.keep(partners)
 	for _, member := range partners {
 		known := n.beats.partner(member)
+		suspicions := n.gateway.Suspicions()
 		own := n.Heartbeat()
 		var seq int64
 		own.Leaving, seq = membership.NoticesAfter(snapshot.Notices, known.seq, noticesPerHeartbeat)
-		suspicions := n.gateway.Suspicions()
 		news := len(own.Leaving) > 0 || own.State != known.state || suspicions != known.suspicions
 		wait := period
 		if own.ConfigVersion != known.version {
@@ -206,6 +210,9 @@
 		known.version = own.ConfigVersion
 	}
 	n.beats.mu.Unlock()
+	if n.gateway.Suspicions() != suspicions {
+		n.beats.wake()
+	}
 	if err != nil {
 		n.logger.Debug().Err(err).Str("peer", member.ID).Msg("heartbeat failed")
 		n.control.Offer(control.PeerFailed{NodeID: member.ID})
