--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -1,9 +1,13 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"net/url"
 	"strings"
+
+	"go.opentelemetry.io/otel/baggage"
+	"go.opentelemetry.io/otel/trace"
 )
 
 const (
@@ -86,4 +90,14 @@
 	return escaped, !strings.ContainsAny(decoded, "\x00\r\n")
 }
 
+// ownTrace returns the request's context without the caller's trace and baggage, so
+// that a caller can neither join another workspace's trace nor pass anything on.
+func ownTrace(r *http.Request) context.Context {
+	ctx := baggage.ContextWithoutBaggage(r.Context())
+	if r.Header.Get("Traceparent") == "" {
+		return ctx
+	}
+	return trace.ContextWithSpanContext(ctx, trace.SpanContext{})
+}
+
 func isSeparator(char rune) bool { return char == '/' || char == '\\' }
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -70,7 +70,7 @@
 	c.body = body
 	c.header = forwardedHeader(r.Header)
 	started := time.Now()
-	result := g.callService(r.Context(), c, r.Header.Values(headerKey))
+	result := g.callService(ownTrace(r), c, r.Header.Values(headerKey))
 	g.writeServiceResult(w, c, result, time.Since(started))
 }
 
