--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,7 +18,6 @@
 	"github.com/persimmonline/persimmonline/control"
 	"github.com/persimmonline/persimmonline/exchange"
 	"github.com/persimmonline/persimmonline/peer"
-	"github.com/persimmonline/persimmonline/quarantine"
 	"github.com/persimmonline/persimmonline/refusal"
 	"github.com/persimmonline/persimmonline/retry"
 	"github.com/persimmonline/persimmonline/telemetry"
@@ -32,8 +31,6 @@
 	detachGrace = 20 * time.Second
 	// retryReserve is the number of retries that may come at once.
 	retryReserve = 20
-	// queueFactor is the number of waiting requests for each running one.
-	queueFactor = 2
 )
 
 // Options are what a gateway needs.
@@ -69,10 +66,16 @@
 	life       context.Context
 	endLife    context.CancelFunc
 
-	mu         sync.Mutex
-	budget     *retry.Budget
-	quarantine *quarantine.Table
-	refusals   map[refusalKey]int64
+	// flights by request id, as *flight.
+	flights sync.Map
+	// running attempts, *attempt to its context.
+	running  sync.Map
+	suspects *suspects
+	draining atomic.Bool
+
+	mu       sync.Mutex
+	budget   *retry.Budget
+	refusals map[refusalKey]int64
 }
 
 type refusalKey struct {
@@ -81,7 +84,6 @@
 
 // New returns a gateway.
 func New(options Options) *Gateway {
-	slots := options.Settings.MaxStreams
 	life, endLife := context.WithCancel(context.Background())
 	return &Gateway{
 		Options:    options,
@@ -90,9 +92,9 @@
 		life:       life,
 		endLife:    endLife,
 		store:      exchange.NewStore(journalRetention),
-		admission:  newAdmission(slots, slots*queueFactor),
+		admission:  newAdmission(options.Settings.MaxStreams),
 		budget:     retry.NewBudget(defaultRetryRatio, retryReserve),
-		quarantine: quarantine.NewTable(),
+		suspects:   newSuspects(),
 		refusals:   map[refusalKey]int64{},
 	}
 }
@@ -101,6 +103,7 @@
 func (g *Gateway) Routes() []rest.Route {
 	return []rest.Route{
 		{Method: http.MethodPost, Path: "/v1/chat/completions", Handler: g.authenticated(g.chat)},
+		{Method: http.MethodGet, Path: "/v1/requests/{id}", Handler: g.authenticated(g.reattach)},
 		{Method: http.MethodGet, Path: "/v1/models", Handler: g.authenticated(g.models)},
 		{Method: http.MethodPost, Path: "/v1/operations", Handler: g.authenticated(g.createOperation)},
 		{Path: "/services/{service}/{path...}", Handler: g.authenticated(g.service)},
@@ -111,6 +114,8 @@
 func (g *Gateway) PeerRoutes() []rest.Route {
 	return []rest.Route{
 		{Method: http.MethodPost, Path: peer.PathChat, Handler: peer.Authenticate(g.Settings.PeerKey, g.peerChat)},
+		{Method: http.MethodPost, Path: peer.PathExchange, Handler: peer.Authenticate(g.Settings.PeerKey, g.peerExchange)},
+		{Method: http.MethodPost, Path: peer.PathRequests, Handler: peer.Authenticate(g.Settings.PeerKey, g.peerRequest)},
 		{Method: http.MethodPost, Path: peer.PathService, Handler: peer.Authenticate(g.Settings.PeerKey, g.peerService)},
 		{Method: http.MethodPost, Path: peer.PathHandover, Handler: peer.Authenticate(g.Settings.PeerKey, g.peerHandover)},
 	}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -69,6 +69,18 @@
 	}
 	c.body = body
 	c.header = forwardedHeader(r.Header)
+	leave, refused := g.enter(c.workspace, 0)
+	if refused != nil {
+		g.refuse(w, c.id, refused)
+		return
+	}
+	defer leave()
+	done, refused := g.admitService(r.Context(), c)
+	if refused != nil {
+		g.refuse(w, c.id, refused)
+		return
+	}
+	defer done()
 	started := time.Now()
 	result := g.callService(ownTrace(r), c, r.Header.Values(headerKey))
 	g.writeServiceResult(w, c, result, time.Since(started))
--- a/node/node.go
+++ b/node/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -19,14 +18,10 @@
 	"github.com/persimmonline/persimmonline/gateway"
 	"github.com/persimmonline/persimmonline/httpserver"
 	"github.com/persimmonline/persimmonline/peer"
-	"github.com/persimmonline/persimmonline/platform"
 	"github.com/persimmonline/persimmonline/telemetry"
 	"github.com/persimmonline/persimmonline/upstream"
 )
 
-// stopMargin is the time that the last answers have after the drain.
-const stopMargin = 2 * time.Second
-
 // Node is one running node.
 type Node struct {
 	settings    api.Settings
@@ -38,6 +33,7 @@
 	feeds   *control.Feeds
 	pool    *upstream.Pool
 	peers   *peer.Client
+	beats   *heartbeats
 	gateway *gateway.Gateway
 	duties  *control.Duties
 	claims  *control.Claims
@@ -46,7 +42,11 @@
 	adminServer  *httpserver.Server
 	peerServer   *httpserver.Server
 
-	draining   atomic.Bool
+	draining atomic.Bool
+	// served is set once the node has caught up.
+	served     atomic.Bool
+	startedAt  time.Time
+	drain      drain
 	background sync.WaitGroup
 	cancel     context.CancelFunc
 }
@@ -64,16 +64,19 @@
 		incarnation: uuid.NewString()[:8],
 		metrics:     telemetry.NewMetrics(),
 		pool:        upstream.NewPool(settings.NodeID),
+		drain:       drain{reclaimed: make(chan struct{})},
 	}
 	n.logger = logger.With().Str("node", settings.NodeID).Str("incarnation", n.incarnation).Logger()
 	n.control = control.NewLoop(time.Now, n.logger, n.metrics)
 	n.peers = peer.NewClient(settings.PeerKey, n.pool)
+	n.beats = newHeartbeats(settings, n.metrics)
 	n.feeds = &control.Feeds{
 		Loop:       n.control,
-		Log:        platform.NewLogClient(settings.LogURL),
-		Hosts:      platform.NewHostsClient(settings.HostsURL),
-		Cloud:      platform.NewCloudClient(settings.CloudURL),
-		Pool:       n.pool,
+		Log:        n.logClient(),
+		Hosts:      n.hostsClient(),
+		Cloud:      n.cloudClient(),
+		Pool:       upstream.NewControlPool(settings.NodeID, n.metrics.ControlDial("load")),
+		HostID:     settings.HostID,
 		ConfigPoll: settings.ConfigPoll,
 		HostsPoll:  settings.HostsPoll,
 	}
@@ -123,10 +126,13 @@
 			return fmt.Errorf("start node %s: %w", n.settings.NodeID, err)
 		}
 	}
+	n.startedAt = time.Now()
 	ctx, n.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	n.background.Go(func() { n.control.Run(ctx) })
 	n.background.Go(func() { n.feeds.Run(ctx) })
 	n.background.Go(func() { n.sendHeartbeats(ctx) })
+	n.background.Go(func() { n.gateway.Watch(ctx) })
+	n.background.Go(func() { n.watchOwnReclaim(ctx) })
 	n.background.Go(func() { n.duties.Run(ctx) })
 	n.background.Go(func() { n.claims.Run(ctx) })
 	n.logger.Info().Str("callers", n.callerServer.Address()).Str("admin", n.adminServer.Address()).
@@ -134,32 +140,6 @@
 	return nil
 }
 
-// Stop is the planned stop: readiness off, a grace for the balancer, the requests
-// in flight, then the listeners. It returns an error if a request was cut off.
-func (n *Node) Stop(ctx context.Context) error {
-	n.draining.Store(true)
-	n.logger.Info().Msg("draining")
-	wait(ctx, n.settings.ReadinessGrace)
-	drainCtx, cancel := context.WithTimeout(ctx, n.settings.DrainTimeout)
-	defer cancel()
-	drained := n.gateway.Store().Wait(drainCtx)
-	n.handOver(drainCtx)
-	n.gateway.Store().Cancel()
-	stopCtx, cancelStop := context.WithTimeout(ctx, n.settings.DrainTimeout+stopMargin)
-	defer cancelStop()
-	var failures []error
-	if drained != nil {
-		failures = append(failures, fmt.Errorf("drain node %s: %w", n.settings.NodeID, drained))
-	}
-	for _, server := range n.servers() {
-		failures = append(failures, server.Shutdown(stopCtx))
-	}
-	n.settleCalls(stopCtx)
-	n.close()
-	n.logger.Info().Msg("node stopped")
-	return errors.Join(failures...)
-}
-
 // Kill ends the node at once, as a crash would.
 func (n *Node) Kill() {
 	n.abortCalls()
@@ -173,6 +153,7 @@
 	n.background.Wait()
 	n.pool.Close()
 	n.feeds.Close()
+	n.beats.pool.Close()
 }
 
 func (n *Node) servers() []*httpserver.Server {
@@ -185,11 +166,6 @@
 	}
 }
 
-// Ready says whether the balancer may send callers here.
-func (n *Node) Ready() bool {
-	return !n.draining.Load() && n.control.Snapshot().Index != nil
-}
-
 // CallerAddress returns the IP:port for callers.
 func (n *Node) CallerAddress() string { return n.callerServer.Address() }
 
@@ -205,21 +181,11 @@
 // Metrics returns the node's metrics.
 func (n *Node) Metrics() *telemetry.Metrics { return n.metrics }
 
-// wait returns after d or when ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
-// Complete says whether the node has heard of a number of peers and has an upstream
-// for every service of its configuration.
+// Complete says whether the node has caught up and has heard that a number of peers
+// are ready.
 func (n *Node) Complete(peers int) bool {
 	snapshot := n.control.Snapshot()
-	if snapshot.Index == nil || len(snapshot.Peers) < peers {
+	if !n.caughtUp(snapshot) || !seesUpstreams(snapshot) || len(snapshot.Peers) < peers {
 		return false
 	}
 	for _, known := range snapshot.Peers {
@@ -227,10 +193,5 @@
 			return false
 		}
 	}
-	for name := range snapshot.Index.Config.Services {
-		if len(snapshot.Fleet.ByService[name]) == 0 {
-			return false
-		}
-	}
 	return true
 }
