--- /dev/null
+++ b/modelcheck/config_test.go
@@ -0,0 +1,92 @@
+package modelcheck_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/config"
+	"github.com/persimmonline/persimmonline/examples"
+)
+
+// foldRecords are records that race: two first patches, a repeat, a follower, one
+// that is invalid, one that is no patch.
+func foldRecords(t *testing.T) []json.RawMessage {
+	t.Helper()
+	deployment, err := examples.Load(examples.Falaj)
+	require.NoError(t, err)
+	patch := func(id string, base int64, body string) json.RawMessage {
+		encoded, err := json.Marshal(api.Record{Patch: &api.ConfigPatch{
+			ID: id, BaseVersion: base, RuleSet: config.CurrentRuleSet,
+			Format: api.ConfigPatchFormatMerge, Patch: json.RawMessage(body), Author: id,
+		}})
+		require.NoError(t, err)
+		return encoded
+	}
+	return []json.RawMessage{
+		patch("a", 0, string(deployment.Configuration)),
+		patch("b", 0, string(deployment.Configuration)),
+		patch("c", 1, `{"deployment":"c"}`),
+		patch("d", 1, `{"no_such_field":1}`),
+		json.RawMessage(`{"lease":null}`),
+	}
+}
+
+// TestFoldExhaustive runs every log of 4 records, read by one node in order and by
+// another with each record delivered twice and the log read again from the start.
+func TestFoldExhaustive(t *testing.T) {
+	t.Parallel()
+	records := foldRecords(t)
+	logs := 0
+	var extend func(log []json.RawMessage)
+	extend = func(log []json.RawMessage) {
+		if len(log) == 4 {
+			logs++
+			checkFold(t, log)
+			return
+		}
+		for _, record := range records {
+			extend(append(log[:len(log):len(log)], record))
+		}
+	}
+	extend(nil)
+	t.Logf("%d logs", logs)
+}
+
+func checkFold(t *testing.T, log []json.RawMessage) {
+	t.Helper()
+	once, twice := config.Empty(), config.Empty()
+	accepted := map[int64]bool{}
+	verdicts := map[string]api.PatchVerdict{}
+	for offset, data := range log {
+		stored := api.StoredRecord{Offset: int64(offset), Data: data}
+		before := once.Version
+		once = fold(t, once, stored)
+		require.GreaterOrEqual(t, once.Version, before)
+		require.LessOrEqual(t, once.Version, before+1)
+		for earlier := range offset + 1 {
+			twice = fold(t, twice, api.StoredRecord{Offset: int64(earlier), Data: log[earlier]})
+		}
+		for _, verdict := range once.Verdicts() {
+			known, seen := verdicts[verdict.ID]
+			require.True(t, !seen || known == verdict, "a verdict changed")
+			verdicts[verdict.ID] = verdict
+		}
+	}
+	require.Equal(t, once, twice)
+	for _, verdict := range once.Verdicts() {
+		if verdict.Verdict == api.PatchVerdictVerdictAccepted {
+			require.False(t, accepted[verdict.Version], "two patches were accepted for one version")
+			accepted[verdict.Version] = true
+		}
+	}
+}
+
+func fold(t *testing.T, s *config.State, stored api.StoredRecord) *config.State {
+	t.Helper()
+	next, err := config.Fold(s, stored)
+	require.NoError(t, err)
+	return next
+}
