--- a/admin/status.go
+++ b/admin/status.go
@@ -58,6 +58,7 @@
 		State:         string(heartbeat.State),
 		ConfigVersion: heartbeat.ConfigVersion,
 		ConfigAgeMS:   heartbeat.ConfigAgeMS,
+		ConfigState:   heartbeat.ConfigState,
 		InFlight:      heartbeat.InFlight,
 	}
 }
--- a/api/config_gen.go
+++ b/api/config_gen.go
@@ -2,6 +2,16 @@
 
 package api
 
+// ConfigTransfer is the configuration as one node gives it to another; at most one
+// field is set, none when the asker is up to date.
+type ConfigTransfer struct {
+	// Records of the config stream from the asker's offset on.
+	Records []StoredRecord `json:"records,omitempty,omitzero"`
+
+	// Snapshot of the giver's state.
+	Snapshot *ConfigSnapshot `json:"snapshot,omitempty,omitzero"`
+}
+
 // Configuration is the dynamic configuration that operators change by patches. It
 // is folded from the platform's log and swapped whole.
 type Configuration struct {
--- a/api/peer_gen.go
+++ b/api/peer_gen.go
@@ -16,6 +16,10 @@
 	// ConfigOffset is the next offset of the config stream to fold.
 	ConfigOffset int64 `json:"config_offset"`
 
+	// ConfigState says why the sender's configuration can't advance; empty when it
+	// can.
+	ConfigState string `json:"config_state,omitempty,omitzero"`
+
 	// ConfigVersion in force at the sender.
 	ConfigVersion int64 `json:"config_version"`
 
--- a/api/settings_gen.go
+++ b/api/settings_gen.go
@@ -66,6 +66,10 @@
 	// Region is the region of the data centre.
 	Region string `json:"region" default:"default" env:"PERSIMMON_REGION" help:"Region of the data centre."`
 
+	// SnapshotInterval is the longest time between two snapshots of the configuration
+	// in the log; at most a few of them may pass before the log expires records.
+	SnapshotInterval time.Duration `json:"snapshot_interval" default:"10m" env:"PERSIMMON_SNAPSHOT_INTERVAL" help:"Longest time between two snapshots of the configuration in the log; keep it under an eighth of the log's retention."`
+
 	// TraceEndpoint is the URL of the OTLP/HTTP collector.
 	TraceEndpoint string `json:"trace_endpoint" env:"PERSIMMON_TRACE_ENDPOINT" help:"URL of the OTLP/HTTP collector."`
 
--- a/config/entries_test.go
+++ b/config/entries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"fmt"
 	"os"
 	"reflect"
@@ -14,6 +15,9 @@
 	"github.com/persimmonline/persimmonline/api"
 )
 
+// seed makes the random tests the same in every run; -rapid.seed sets another.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 // base returns the state after the first patch of a deployment.
 func base(t require.TestingT) *State {
 	raw, err := os.ReadFile("../examples/falaj/deployment.json")
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/persimmonline/persimmonline/api"
 )
@@ -82,3 +83,43 @@
 	sum := sha256.Sum256(encoded)
 	return hex.EncodeToString(sum[:]), nil
 }
+
+// snapshotRecords is the number of records after which a snapshot is due.
+const snapshotRecords = 256
+
+// SnapshotMark is what the newest snapshot in the log holds.
+type SnapshotMark struct {
+	// Offset of the next record that it did not fold.
+	Offset int64
+	// At is when it was written.
+	At time.Time
+}
+
+// SnapshotDue says whether a snapshot of the state should be written: after a number
+// of records, and after an interval also without any, since snapshots expire too.
+func SnapshotDue(s *State, last SnapshotMark, now time.Time, interval time.Duration) bool {
+	if s.Version == 0 {
+		return false
+	}
+	return s.Offset-last.Offset >= snapshotRecords || now.Sub(last.At) >= interval
+}
+
+// Receive returns the state after what a peer gave. Records are folded as those of the
+// log are, and a snapshot is checked by its hash; an older one changes nothing.
+func Receive(s *State, transfer api.ConfigTransfer) (*State, error) {
+	if transfer.Snapshot != nil {
+		given, err := FromSnapshot(*transfer.Snapshot)
+		if err != nil {
+			return s, err
+		}
+		return Newer(s, given), nil
+	}
+	for _, stored := range transfer.Records {
+		next, err := Fold(s, stored)
+		if err != nil {
+			return s, err
+		}
+		s = next
+	}
+	return s, nil
+}
--- a/control/events.go
+++ b/control/events.go
@@ -3,38 +3,31 @@
 import (
 	"time"
 
-	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/config"
 )
 
-// ConfigRead is a successful read of the config stream.
-type ConfigRead struct {
-	// Records in order.
-	Records []api.StoredRecord
-	// At is when the read ended.
-	At time.Time
+// ConfigFollowed is what one step of following the configuration came to.
+type ConfigFollowed struct {
+	// State that was reached; an older one changes nothing.
+	State *config.State
+	// ReadAt is when the log was read; zero when it was not.
+	ReadAt time.Time
+	// Condition says why the configuration can't advance; empty when it can.
+	Condition ConfigCondition
 }
 
-func (e ConfigRead) apply(s *state) {
-	s.logReadAt = e.At
-	for _, record := range e.Records {
-		next, err := config.Fold(s.config, record)
-		if err != nil {
-			s.logger.Error().Err(err).Int64("version", s.config.Version).Msg("configuration is held at its version")
-			return
-		}
-		s.adopt(next)
+func (e ConfigFollowed) apply(s *state) {
+	if !e.ReadAt.IsZero() {
+		s.logReadAt = e.ReadAt
 	}
+	if e.Condition != s.condition {
+		s.logger.Warn().Str("condition", string(e.Condition)).Int64("version", s.config.Version).
+			Msg("condition of the configuration changed; the version is kept")
+	}
+	s.condition = e.Condition
+	s.adopt(config.Newer(s.config, e.State))
 }
 
-// ConfigSnapshot is a state that was read from a snapshot or from a peer.
-type ConfigSnapshot struct {
-	// State that was checked.
-	State *config.State
-}
-
-func (e ConfigSnapshot) apply(s *state) { s.adopt(config.Newer(s.config, e.State)) }
-
 // adopt takes a newer state and indexes it if its version changed.
 func (s *state) adopt(next *config.State) {
 	changed := next.Version != s.config.Version
--- a/control/feeds.go
+++ b/control/feeds.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// ConfigStream is the log stream of the configuration.
-	ConfigStream = "config"
 	// readLimit is the number of records that one read asks for.
 	readLimit = 1000
 	// feedBackoff is the wait after a failed read.
@@ -37,6 +35,8 @@
 	ConfigPoll time.Duration
 	// HostsPoll is the time between two reads of the host list, cloud and loads.
 	HostsPoll time.Duration
+	// Config says how the configuration is followed beyond the config stream.
+	Config ConfigSources
 }
 
 // Run reads until ctx ends.
@@ -50,23 +50,6 @@
 	group.Wait()
 }
 
-// followConfig reads the config stream from the folded offset on.
-func (f *Feeds) followConfig(ctx context.Context) {
-	from := f.Loop.Snapshot().Config.Offset
-	for ctx.Err() == nil {
-		page, err := f.Log.Read(ctx, ConfigStream, from, readLimit, f.ConfigPoll)
-		if err != nil {
-			f.Loop.state.logger.Warn().Err(err).Msg("config stream not read; version kept")
-			sleep(ctx, feedBackoff)
-			continue
-		}
-		f.Loop.Post(ctx, ConfigRead{Records: page.Records, At: time.Now()})
-		if n := len(page.Records); n > 0 {
-			from = page.Records[n-1].Offset + 1
-		}
-	}
-}
-
 // poll calls read at every HostsPoll.
 func (f *Feeds) poll(ctx context.Context, read func(context.Context)) {
 	ticker := time.NewTicker(f.HostsPoll)
--- a/control/loop.go
+++ b/control/loop.go
@@ -42,6 +42,8 @@
 	Index *config.Index
 	// LogReadAt is when the log was last read with success.
 	LogReadAt time.Time
+	// ConfigCondition says why the configuration can't advance; empty when it can.
+	ConfigCondition ConfigCondition
 	// Members as this node sees them.
 	Members *membership.View
 	// Fleet of upstreams for the scheduler.
@@ -67,6 +69,7 @@
 	config    *config.State
 	index     *config.Index
 	logReadAt time.Time
+	condition ConfigCondition
 	members   *membership.Table
 	loads     map[string]api.EngineLoad
 	trackers  map[string]*routing.Tracker
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -27,13 +27,14 @@
 	now := s.now()
 	view := s.members.View(now)
 	return &Snapshot{
-		Config:    s.config,
-		Index:     s.index,
-		LogReadAt: s.logReadAt,
-		Members:   view,
-		Fleet:     s.fleet(view, now),
-		Peers:     maps.Clone(s.peers),
-		Notices:   s.members.Notices(),
+		Config:          s.config,
+		Index:           s.index,
+		LogReadAt:       s.logReadAt,
+		ConfigCondition: s.condition,
+		Members:         view,
+		Fleet:           s.fleet(view, now),
+		Peers:           maps.Clone(s.peers),
+		Notices:         s.members.Notices(),
 	}
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -52,7 +52,9 @@
 		ID: "first", RuleSet: config.CurrentRuleSet, Format: api.ConfigPatchFormatMerge, Patch: testConfiguration(t), Author: "test",
 	}})
 	require.NoError(t, err)
-	loop.Post(ctx, control.ConfigRead{Records: []api.StoredRecord{{Data: record}}, At: time.Now()})
+	state, err := config.Fold(config.Empty(), api.StoredRecord{Data: record})
+	require.NoError(t, err)
+	loop.Post(ctx, control.ConfigFollowed{State: state, ReadAt: time.Now()})
 	loop.Post(ctx, control.HostsListed{List: list})
 	for _, host := range list.Hosts {
 		loop.Post(ctx, control.LoadRead{HostID: host.ID, Load: api.EngineLoad{Models: []api.LoadedModel{{Name: testModel, Version: "1"}}}})
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -113,6 +113,7 @@
 		ConfigVersion: snapshot.Config.Version,
 		ConfigOffset:  snapshot.Config.Offset,
 		ConfigAgeMS:   ageMS(snapshot.LogReadAt),
+		ConfigState:   string(snapshot.ConfigCondition),
 		InFlight:      n.gateway.Store().InFlight(),
 		Leaving:       []api.LeavingHost{},
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -78,6 +78,7 @@
 		HostsPoll:  settings.HostsPoll,
 	}
 	n.duties = n.newDuties()
+	n.feeds.Config = n.configSources()
 	n.claims = control.NewClaims(n.feeds.Log, n.duties, n.logger)
 	n.gateway = gateway.New(gateway.Options{
 		Settings:    settings,
@@ -110,7 +111,7 @@
 	if err != nil {
 		return err
 	}
-	routes := append(n.gateway.PeerRoutes(), n.heartbeatRoute())
+	routes := append(n.gateway.PeerRoutes(), n.heartbeatRoute(), n.configRoute())
 	n.peerServer, err = httpserver.New(n.settings.NodeID+"-peers", n.settings.PeerAddress, n.logger, routes)
 	return err
 }
--- a/node/settings.go
+++ b/node/settings.go
@@ -65,6 +65,7 @@
 	v.duration("--readiness-grace", s.ReadinessGrace, 0)
 	v.duration("--drain-timeout", s.DrainTimeout, 0)
 	v.duration("--config-poll", s.ConfigPoll, time.Millisecond)
+	v.duration("--snapshot-interval", s.SnapshotInterval, time.Second)
 	v.duration("--hosts-poll", s.HostsPoll, time.Millisecond)
 	v.duration("--heartbeat", s.Heartbeat, time.Millisecond)
 	v.positive("--max-body-bytes", s.MaxBodyBytes)
