In force everywhere: ask the nodes; an isolated node is not ready

Cause: a wait for 'in force everywhere' saw only nodes whose heartbeats come here, which at full size are a few, and was as slow as heartbeats are; a node cut off from the log and from all peers stayed ready with a configuration that may be old.

A node that for 16 s neither read the log nor heard a peer, though the host list names others, is not ready; an outage of the log alone changes nothing.

--- a/node/config.go
+++ b/node/config.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -29,6 +30,9 @@
 	peersAsked = 3
 	// configFetchTimeout bounds one question to one peer.
 	configFetchTimeout = 3 * time.Second
+	// isolatedAfter is how long a node stays ready without the log and without peers: the
+	// time within which a patch is to be in force everywhere.
+	isolatedAfter = 16 * time.Second
 	// maxTransferBytes bounds what a peer may give.
 	maxTransferBytes = 64 << 20
 	// kindConfig names the configuration in the metric of control bytes.
@@ -61,11 +65,7 @@
 		refusal.Field(queryFrom, "from must be an offset").Write(w, "")
 		return
 	}
-	var transfer api.ConfigTransfer
-	state := n.control.Snapshot().Config
-	if state.Offset > from {
-		transfer, err = n.transfer(state, from)
-	}
+	transfer, err := n.transfer(n.control.Snapshot().Config, from)
 	if err != nil {
 		refusal.From(err).Write(w, "")
 		return
@@ -80,12 +80,38 @@
 	n.metrics.CountControl(kindConfig, int64(headerBytes(r.Header)), int64(len(answer)+headerBytes(w.Header())))
 }
 
+// transfer returns what an asker lacks that has folded all records before from.
 func (n *Node) transfer(state *config.State, from int64) (api.ConfigTransfer, error) {
+	transfer := api.ConfigTransfer{Version: state.Version, Offset: state.Offset}
+	if state.Offset <= from {
+		return transfer, nil
+	}
 	if records, ok := n.feeds.Config.Since(from); ok {
-		return api.ConfigTransfer{Records: records}, nil
+		transfer.Records = records
+		return transfer, nil
 	}
 	snapshot, err := state.Snapshot()
-	return api.ConfigTransfer{Snapshot: &snapshot}, err
+	transfer.Snapshot = &snapshot
+	return transfer, err
+}
+
+// configOffset asks a node how far it has folded the config stream.
+func (n *Node) configOffset(ctx context.Context, address string) (int64, error) {
+	transfer, err := n.fetchConfig(ctx, address, math.MaxInt64)
+	return transfer.Offset, err
+}
+
+// isolated says that the node has neither read the log nor heard of another node for
+// isolatedAfter, though the host list names others. Its configuration may be old
+// without its knowledge, so that the balancer should send callers elsewhere.
+func (n *Node) isolated(snapshot *control.Snapshot) bool {
+	latest := snapshot.LogReadAt
+	for _, known := range snapshot.Peers {
+		if known.HeardAt.After(latest) {
+			latest = known.HeardAt
+		}
+	}
+	return len(snapshot.Members.Nodes) > 1 && !latest.IsZero() && time.Since(latest) > isolatedAfter
 }
 
 // configFromPeers asks a few peers for a state newer than the given one, those first
--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,7 @@
 	pool    *upstream.Pool
 	peers   *peer.Client
 	beats   *heartbeats
+	plans   *planRunner
 	gateway *gateway.Gateway
 	duties  *control.Duties
 	claims  *control.Claims
@@ -82,6 +83,7 @@
 	}
 	n.duties = n.newDuties()
 	n.feeds.Config = n.configSources()
+	n.plans = n.newPlanRunner()
 	n.claims = control.NewClaims(n.feeds.Log, n.duties, n.logger)
 	n.gateway = gateway.New(gateway.Options{
 		Settings:    settings,
@@ -107,8 +109,11 @@
 		Log:      n.feeds.Log,
 		Metrics:  n.metrics,
 		Own:      n.Heartbeat,
+		Plan:     n.Plan,
 		Refusals: n.gateway.Refusals,
 		Ready:    n.Ready,
+
+		ConfigOffset: n.configOffset,
 	})
 	n.adminServer, err = httpserver.New(n.settings.NodeID+"-operators", n.settings.AdminAddress, n.logger, operators.Routes())
 	if err != nil {
@@ -135,6 +140,7 @@
 	n.background.Go(func() { n.gateway.Watch(ctx) })
 	n.background.Go(func() { n.watchOwnReclaim(ctx) })
 	n.background.Go(func() { n.duties.Run(ctx) })
+	n.background.Go(func() { n.plans.run(ctx) })
 	n.background.Go(func() { n.claims.Run(ctx) })
 	n.logger.Info().Str("callers", n.callerServer.Address()).Str("admin", n.adminServer.Address()).
 		Str("peers", n.peerServer.Address()).Msg("node started")
@@ -155,6 +161,7 @@
 	n.pool.Close()
 	n.feeds.Close()
 	n.beats.pool.Close()
+	n.plans.close()
 }
 
 func (n *Node) servers() []*httpserver.Server {
