--- a/routing/score.go
+++ b/routing/score.go
@@ -15,6 +15,9 @@
 	resumeSeconds = 1.0
 	// secondsPerHour turns reclaims per hour into reclaims per second.
 	secondsPerHour = 3600.0
+	// prefillExternality counts a second of prefill more than once, since it also delays
+	// those that come behind and drives other prefixes out of the cache.
+	prefillExternality = 3
 	// spreadSeconds is the preference of a prefix for one engine among equals.
 	spreadSeconds = 0.01
 	// overdueFactor is how many times its forecast an attempt may take before its
@@ -60,7 +63,7 @@
 
 func pricePrefix(candidate *Upstream, request *Request, forecast Forecast, weights Weights) float64 {
 	preference := float64(mix(request.Key, candidate.hash)>>32) / (1 << 32)
-	return weights.Latency * (forecast.Prefill + spreadSeconds*preference)
+	return weights.Latency * (prefillExternality*forecast.Prefill + spreadSeconds*preference)
 }
 
 // priceDecode prices the time by which the answer takes longer than the fleet's
@@ -80,9 +83,9 @@
 }
 
 // priceHost prices the machine time: the prefill whole, the decode shared with the
-// requests in the same batch.
+// requests in the same batch, of which there will be at least the fleet's usual.
 func priceHost(candidate *Upstream, _ *Request, forecast Forecast, weights Weights) float64 {
-	share := forecast.Decode / (forecast.Running + 1)
+	share := forecast.Decode / (max(forecast.Running, candidate.state.fleetRunning) + 1)
 	return weights.Cost * candidate.PricePerSecond * (forecast.Prefill + share)
 }
 
@@ -98,22 +101,37 @@
 func (r *round) forecast(candidate *Upstream) Forecast {
 	state := &candidate.state
 	request := r.request
-	running := state.otherRunning + float64(candidate.Tracker.InFlight.Load())
-	queued := state.otherQueued + float64(candidate.Tracker.pending.Load())
+	own := float64(candidate.Tracker.InFlight.Load())
+	running := own + state.otherRunning + state.mirror*(own+state.ownMean)/2
 	forecast := Forecast{CachedTokens: r.cached(candidate), Running: min(running, state.slots-1)}
 	if uncached := request.PromptTokens - forecast.CachedTokens; uncached > 0 {
 		forecast.Prefill = float64(uncached) / state.rate
 	}
 	forecast.Decode = float64(request.AnswerTokens) * state.step
-	forecast.Queue = queued / state.rate
-	if excess := running + 1 - state.slots; excess > 0 {
-		hold := max(forecast.Decode, state.step)
-		forecast.Queue += excess * hold / state.slots
-	}
+	forecast.Queue = r.queue(candidate, running)
 	forecast.Queue = max(forecast.Queue, r.overdue(candidate, forecast.Queue))
 	return forecast
 }
 
+// queue predicts the wait behind what engines serve first: the same or a higher
+// priority. What others have queued is taken to have the priorities of this node's.
+func (r *round) queue(candidate *Upstream, running float64) float64 {
+	state, tracker := &candidate.state, candidate.Tracker
+	priority := clampPriority(r.request.Priority)
+	due, dueAhead := tracker.dueCount[priorities-1].Load(), tracker.dueCount[priority].Load()
+	share := 1.0
+	if due > 0 {
+		share = float64(dueAhead) / float64(due)
+	}
+	own := float64(tracker.dueTokens[priority].Load())
+	queue := (share*state.otherQueued + own + state.mirror*own/2) / state.rate
+	if excess := running + 1 - state.slots; excess > 0 {
+		ahead := 1 + share*(excess-1)
+		queue += max(0, ahead) * state.hold / state.slots
+	}
+	return queue
+}
+
 // overdue returns the age of the oldest attempt whose first token should have come
 // long ago, in seconds; 0 when none is late.
 func (r *round) overdue(candidate *Upstream, queue float64) float64 {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -81,6 +81,7 @@
 // job is one request in the engine.
 type job struct {
 	ctx      context.Context
+	cancel   context.CancelFunc
 	id       string
 	priority int
 	text     []byte
@@ -152,6 +153,13 @@
 	e.config.ChecksFencing = checks
 }
 
+// Running returns the number of requests in the batch.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.running)
+}
+
 // PrefilledTokens returns the number of prompt tokens that were computed.
 func (e *Engine) PrefilledTokens() int64 {
 	e.mu.Lock()
