A node that sees no upstream of a service owns none of its calls

Cause: above 16 upstreams each node watches only its part of them, but the owner of a call was chosen among all nodes. With 40 engines of 10 models at five nodes a call could land at a node that sees no engine of its model, and was refused with no_upstream. Change: heartbeats name the services that their sender lacks, and tell of a change at once; the owner is chosen among the others. All upstreams are watched up to 24 (a deployment of today with the replacements of a wave). Conclusion: a partial view costs a hop, not an answer.

--- a/api/peer_gen.go
+++ b/api/peer_gen.go
@@ -32,6 +32,10 @@
 	// Incarnation of the sender.
 	Incarnation string `json:"incarnation"`
 
+	// Lacks are services of the configuration for which the sender sees no upstream;
+	// at most 64.
+	Lacks []string `json:"lacks,omitempty,omitzero"`
+
 	// Leaving are upstreams that the sender knows to be leaving.
 	Leaving []LeavingHost `json:"leaving"`
 
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/persimmonline/persimmonline/api"
@@ -64,6 +65,29 @@
 	return p.State == api.HeartbeatStateReady && now.Sub(p.HeardAt) < peerSilentAfter
 }
 
+// Lacks returns the services of the configuration for which this node sees no upstream
+// that may get work, sorted.
+func (s *Snapshot) Lacks() []string {
+	if s.Index == nil {
+		return nil
+	}
+	var lacking []string
+	for name := range s.Index.Config.Services {
+		if !s.Serves(name) {
+			lacking = append(lacking, name)
+		}
+	}
+	slices.Sort(lacking)
+	return lacking
+}
+
+// Serves says whether this node sees an upstream of a service that may get work.
+func (s *Snapshot) Serves(service string) bool {
+	return slices.ContainsFunc(s.Fleet.ByService[service], func(u *routing.Upstream) bool {
+		return u.Health != membership.StateLeaving
+	})
+}
+
 // LiveNodes returns the number of nodes that take requests, this one included.
 func (s *Snapshot) LiveNodes(now time.Time) int { return liveNodes(s.Peers, now) }
 
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/persimmonline/persimmonline/api"
@@ -10,13 +11,17 @@
 	"github.com/persimmonline/persimmonline/routing"
 )
 
-// owner returns the peer that owns the call; false means this node.
+// owner returns the peer that owns the call; false means this node. A node that sees no
+// upstream of the service owns none of its calls, as long as another node does.
 func (g *Gateway) owner(c *call) (api.Heartbeat, bool) {
 	snapshot := g.Control.Snapshot()
-	members := []routing.Member{{ID: g.Settings.NodeID, InFlight: g.store.InFlight()}}
+	var members []routing.Member
+	if snapshot.Serves(c.service) {
+		members = append(members, routing.Member{ID: g.Settings.NodeID, InFlight: g.store.InFlight()})
+	}
 	now := time.Now()
 	for id, known := range snapshot.Peers {
-		if known.OwnsRequests(now) {
+		if known.OwnsRequests(now) && !slices.Contains(known.Lacks, c.service) {
 			members = append(members, routing.Member{ID: id, InFlight: known.InFlight})
 		}
 	}
--- a/membership/watch.go
+++ b/membership/watch.go
@@ -14,7 +14,7 @@
 	// remotePartners of them are in other data centres, so that news crosses cells.
 	remotePartners = 2
 	// maxWatched is the number of engines up to which every node watches all.
-	maxWatched = 16
+	maxWatched = 24
 )
 
 // Partners returns the nodes that a node sends heartbeats to: all others of a small
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,8 @@
 	secondsPerPartner = time.Second
 	// noticesPerHeartbeat bounds the reclaim notices of one heartbeat.
 	noticesPerHeartbeat = 16
+	// maxLacks bounds the services that a heartbeat says its sender lacks.
+	maxLacks = 64
 )
 
 // heartbeats is what a node keeps of its exchanges with partners.
@@ -57,6 +60,8 @@
 	seq int64
 	// suspicions is the last news of suspected requests that the partner has got.
 	suspicions int64
+	// lacks are the services that the partner was told last that this node lacks.
+	lacks []string
 	// at is when the last exchange began.
 	at time.Time
 }
@@ -127,6 +132,8 @@
 		InFlight:      n.gateway.Store().InFlight(),
 		Leaving:       []api.LeavingHost{},
 	}
+	lacks := snapshot.Lacks()
+	own.Lacks = lacks[:min(len(lacks), maxLacks)]
 	n.gateway.Tell(&own)
 	return own
 }
@@ -184,7 +191,7 @@
 		own := n.Heartbeat()
 		var seq int64
 		own.Leaving, seq = membership.NoticesAfter(snapshot.Notices, known.seq, noticesPerHeartbeat)
-		news := len(own.Leaving) > 0 || own.State != known.state || suspicions != known.suspicions
+		news := len(own.Leaving) > 0 || own.State != known.state || !slices.Equal(own.Lacks, known.lacks) || suspicions != known.suspicions
 		wait := period
 		if own.ConfigVersion != known.version {
 			wait = period / 2
@@ -208,6 +215,7 @@
 		known.seq = seq
 		known.suspicions = suspicions
 		known.state = own.State
+	known.lacks = own.Lacks
 		known.version = own.ConfigVersion
 	}
 	n.beats.mu.Unlock()
--- a/node/node.go
+++ b/node/node.go
@@ -193,7 +193,7 @@
 // are ready.
 func (n *Node) Complete(peers int) bool {
 	snapshot := n.control.Snapshot()
-	if !n.caughtUp(snapshot) || !seesUpstreams(snapshot) || len(snapshot.Peers) < peers {
+	if !n.caughtUp(snapshot) || !n.seesUpstreams(snapshot) || len(snapshot.Peers) < peers {
 		return false
 	}
 	for _, known := range snapshot.Peers {
--- a/node/ready.go
+++ b/node/ready.go
@@ -27,7 +27,7 @@
 	if snapshot.Index == nil {
 		return false
 	}
-	complete := seesUpstreams(snapshot) && n.seesPeers(snapshot)
+	complete := n.seesUpstreams(snapshot) && n.seesPeers(snapshot)
 	if !complete && time.Since(n.startedAt) < catchUpPatience {
 		return false
 	}
@@ -35,14 +35,16 @@
 	return true
 }
 
-// seesUpstreams says whether every service of the configuration has an upstream.
-func seesUpstreams(snapshot *control.Snapshot) bool {
-	for name := range snapshot.Index.Config.Services {
-		if len(snapshot.Fleet.ByService[name]) == 0 {
-			return false
-		}
+// seesUpstreams says whether every service of the configuration has an upstream. A
+// node that watches only a part of the upstreams is content with some services; its
+// heartbeats tell which it lacks.
+func (n *Node) seesUpstreams(snapshot *control.Snapshot) bool {
+	lacks := snapshot.Lacks()
+	watched := membership.Watched(snapshot.Members, n.settings.HostID)
+	if len(watched) == len(snapshot.Members.Upstreams) {
+		return len(lacks) == 0
 	}
-	return true
+	return len(lacks) < len(snapshot.Index.Config.Services)
 }
 
 // seesPeers says whether every partner that the host list has was heard of. A new node
