--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -215,7 +215,7 @@
 		known.seq = seq
 		known.suspicions = suspicions
 		known.state = own.State
-	known.lacks = own.Lacks
+		known.lacks = own.Lacks
 		known.version = own.ConfigVersion
 	}
 	n.beats.mu.Unlock()
