Re-attach asks every known node; a request that no successor took counts as cut

Cause: a peer counted as silent after 3 s while heartbeats may be 4 s apart, so a node knew no successor to ask for a request; and a stop returned no error when a handover failed.

--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -17,7 +17,7 @@
 	// class go while a reclaim wave runs through all of it.
 	waveReclaimsPerHour = 120
 	// peerSilentAfter is the age of a heartbeat after which a peer owns nothing new.
-	peerSilentAfter = 3 * time.Second
+	peerSilentAfter = 10 * time.Second
 	// defaultCacheTokens is the size of an engine's cache that it does not report.
 	defaultCacheTokens = 65536
 )
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -64,7 +65,7 @@
 
 // endRelays ends what is left. A relayed request is not lost: its holder goes on.
 func (g *Gateway) endRelays() error {
-	cut := 0
+	cut := int(g.cut.Load())
 	g.flights.Range(func(_, value any) bool {
 		f := value.(*flight)
 		if !f.relays() {
@@ -111,17 +112,19 @@
 // as holders of a request: all nodes that see the same peers agree on it.
 func (g *Gateway) successorsOf(requestID string) []control.Peer {
 	now := time.Now()
-	var ready []control.Peer
-	for _, known := range g.Control.Snapshot().Peers {
-		if known.OwnsRequests(now) {
-			ready = append(ready, known)
-		}
-	}
-	weight := func(p control.Peer) uint64 { return xxhash.Sum64String(p.NodeID + "\x00" + requestID) }
-	slices.SortFunc(ready, func(a, b control.Peer) int { return cmp.Compare(weight(b), weight(a)) })
+	ready := g.peersByWeight(requestID)
+	ready = slices.DeleteFunc(ready, func(p control.Peer) bool { return !p.OwnsRequests(now) })
 	return ready[:min(len(ready), maxAsked)]
 }
 
+// peersByWeight returns all known nodes by their rendezvous weight for a request.
+func (g *Gateway) peersByWeight(requestID string) []control.Peer {
+	peers := slices.Collect(maps.Values(g.Control.Snapshot().Peers))
+	weight := func(p control.Peer) uint64 { return xxhash.Sum64String(p.NodeID + "\x00" + requestID) }
+	slices.SortFunc(peers, func(a, b control.Peer) int { return cmp.Compare(weight(b), weight(a)) })
+	return peers
+}
+
 // anyReady returns a ready peer for new work that this node would own.
 func (g *Gateway) anyReady() (api.Heartbeat, bool) {
 	ready := g.successorsOf(g.newRequestID("", ""))
--- a/gateway/flight.go
+++ b/gateway/flight.go
@@ -97,6 +97,7 @@
 	}
 	successor, err := g.handOver(ctx, f)
 	if err != nil {
+		g.cut.Add(1)
 		return refusal.New(http.StatusServiceUnavailable, refusal.CodeDraining,
 			"this node stops and no other node took the request").Unknown().At("hand over request", "", err).After(jittered(noUpstreamRetry)), true
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,6 +72,8 @@
 	running  sync.Map
 	suspects *suspects
 	draining atomic.Bool
+	// cut counts requests that no successor took.
+	cut atomic.Int64
 
 	mu       sync.Mutex
 	budget   *retry.Budget
--- a/gateway/reattach.go
+++ b/gateway/reattach.go
@@ -1,13 +1,16 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/control"
 	"github.com/persimmonline/persimmonline/exchange"
 	"github.com/persimmonline/persimmonline/refusal"
 )
@@ -122,19 +125,28 @@
 	return nil
 }
 
-// candidates returns the nodes that may hold a request, the likeliest first.
+// candidates returns the nodes that may hold a request, the likeliest first: its holder,
+// its successors, then nodes that stop or were not heard of lately.
 func (g *Gateway) candidates(id string) []api.PeerMoved {
-	var found []api.PeerMoved
+	now := time.Now()
 	holder := holderOf(id)
-	if known, ok := g.Control.Snapshot().Peers[holder]; ok {
-		found = append(found, api.PeerMoved{NodeID: known.NodeID, Address: known.PeerAddress})
-	}
-	for _, known := range g.successorsOf(id) {
-		if known.NodeID != holder {
-			found = append(found, api.PeerMoved{NodeID: known.NodeID, Address: known.PeerAddress})
+	rank := func(p control.Peer) int {
+		switch {
+		case p.NodeID == holder:
+			return 0
+		case p.OwnsRequests(now):
+			return 1
+		default:
+			return 2
 		}
 	}
-	return found[:min(len(found), maxAsked)]
+	peers := g.peersByWeight(id)
+	slices.SortStableFunc(peers, func(a, b control.Peer) int { return cmp.Compare(rank(a), rank(b)) })
+	var found []api.PeerMoved
+	for _, known := range peers[:min(len(peers), maxAsked)] {
+		found = append(found, api.PeerMoved{NodeID: known.NodeID, Address: known.PeerAddress})
+	}
+	return found
 }
 
 // holderOf returns the node that a request id names; empty when it names none.
