--- a/node/ready.go
+++ b/node/ready.go
@@ -13,7 +13,8 @@
 
 // Ready says whether the balancer may send callers here.
 func (n *Node) Ready() bool {
-	return !n.draining.Load() && n.caughtUp(n.control.Snapshot())
+	snapshot := n.control.Snapshot()
+	return !n.draining.Load() && n.caughtUp(snapshot) && !n.isolated(snapshot)
 }
 
 // caughtUp says whether the node knows enough to serve. Once it does it stays so,
