--- a/config/document.go
+++ b/config/document.go
@@ -12,6 +12,8 @@
 	fieldDeployment     = "deployment"
 	fieldMachineClasses = "machine_classes"
 	fieldOperators      = "operators"
+	fieldHostGroups     = "host_groups"
+	fieldDataCentres    = "data_centres"
 	fieldPolicy         = "policy"
 	fieldRoutes         = "routes"
 	fieldServices       = "services"
@@ -66,11 +68,13 @@
 	return true
 }
 
-func isScalar(field string) bool { return field == fieldDeployment || field == fieldPolicy }
+func isScalar(field string) bool {
+	return field == fieldDeployment || field == fieldPolicy || field == fieldDataCentres
+}
 
 func isCollection(field string) bool {
 	switch field {
-	case fieldWorkspaces, fieldServices, fieldRoutes, fieldMachineClasses, fieldOperators:
+	case fieldWorkspaces, fieldServices, fieldRoutes, fieldMachineClasses, fieldOperators, fieldHostGroups:
 		return true
 	default:
 		return false
--- a/config/entries.go
+++ b/config/entries.go
@@ -164,6 +164,11 @@
 		c.MachineClasses = maps.Clone(c.MachineClasses)
 	case fieldOperators:
 		c.Operators = maps.Clone(c.Operators)
+	case fieldHostGroups:
+		c.HostGroups = maps.Clone(c.HostGroups)
+		if c.HostGroups == nil {
+			c.HostGroups = map[string]api.HostGroup{}
+		}
 	}
 }
 
@@ -179,8 +184,12 @@
 		return parseEntry(c.Services, t.name, value)
 	case fieldRoutes:
 		return parseEntry(c.Routes, t.name, value)
+	case fieldDataCentres:
+		return parseScalar(&c.DataCentres, value)
 	case fieldMachineClasses:
 		return parseEntry(c.MachineClasses, t.name, value)
+	case fieldHostGroups:
+		return parseEntry(c.HostGroups, t.name, value)
 	default:
 		return parseEntry(c.Operators, t.name, value)
 	}
--- a/config/entries_test.go
+++ b/config/entries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"fmt"
 	"os"
 	"reflect"
@@ -14,6 +15,9 @@
 	"github.com/persimmonline/persimmonline/api"
 )
 
+// seed makes the random tests the same in every run; -rapid.seed sets another.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
 // base returns the state after the first patch of a deployment.
 func base(t require.TestingT) *State {
 	raw, err := os.ReadFile("../examples/falaj/deployment.json")
@@ -166,7 +170,7 @@
 func TestEveryFieldOfTheSchemaIsScalarOrCollection(t *testing.T) {
 	configuration := reflect.TypeFor[api.Configuration]()
 	for i := range configuration.NumField() {
-		name := configuration.Field(i).Tag.Get("json")
+		name, _, _ := strings.Cut(configuration.Field(i).Tag.Get("json"), ",")
 		isMap := configuration.Field(i).Type.Kind() == reflect.Map
 		require.Equal(t, isMap, isCollection(name), name)
 		require.Equal(t, !isMap, isScalar(name), name)
@@ -267,3 +271,15 @@
 	require.Equal(t, api.PatchVerdictVerdictInvalid, verdict.Verdict)
 	require.Contains(t, verdict.Reason, "size")
 }
+
+func TestServiceThatAHostGroupKeepsStaysPlain(t *testing.T) {
+	state := base(t)
+	patch := &api.ConfigPatch{
+		ID: "kind", BaseVersion: state.Version, RuleSet: CurrentRuleSet, Format: api.ConfigPatchFormatMerge,
+		Patch: json.RawMessage(`{"services":{"rakes":{"kind":"model"}}}`),
+	}
+	verdict, known := requireSameAsWhole(t, state, patch).Verdict("kind")
+	require.True(t, known)
+	require.Equal(t, api.PatchVerdictVerdictInvalid, verdict.Verdict)
+	require.Contains(t, verdict.Reason, "host_groups.rakes.service")
+}
--- a/config/validate.go
+++ b/config/validate.go
@@ -40,6 +40,7 @@
 	v.machineClasses(c)
 	v.operators(c)
 	v.policy(c)
+	v.hostGroups(c)
 	return errors.Join(v.faults...)
 }
 
@@ -69,7 +70,7 @@
 	case fieldServices:
 		service, has := c.Services[t.name]
 		v.service(t.name, service)
-		return has
+		return has && service.Kind == before.Services[t.name].Kind
 	case fieldRoutes:
 		route, has := c.Routes[t.name]
 		v.priority("routes."+t.name+".priority", route.Priority)
@@ -83,6 +84,8 @@
 		operator, has := c.Operators[t.name]
 		v.operator(t.name, operator)
 		return has
+	case fieldHostGroups, fieldDataCentres:
+		return false
 	}
 	return true
 }
@@ -154,6 +157,7 @@
 	v.check(known, field+".kind", "must be model or plain")
 	v.check(service.FirstTokenTargetMS >= 0, field+".first_token_target_ms", "must not be negative")
 	v.check(service.BetweenTokensTargetMS >= 0, field+".between_tokens_target_ms", "must not be negative")
+	v.check(service.Replicas >= 0, field+".replicas", "must not be negative")
 	for i, operation := range service.Operations {
 		at := fmt.Sprintf("%s.operations.%d", field, i)
 		v.check(operation.Method != "", at+".method", "must not be empty")
--- a/control/loop.go
+++ b/control/loop.go
@@ -42,12 +42,16 @@
 	Index *config.Index
 	// LogReadAt is when the log was last read with success.
 	LogReadAt time.Time
+	// ConfigCondition says why the configuration can't advance; empty when it can.
+	ConfigCondition ConfigCondition
 	// Members as this node sees them.
 	Members *membership.View
 	// Fleet of upstreams for the scheduler.
 	Fleet *routing.Fleet
 	// Peers by node id.
 	Peers map[string]Peer
+	// Loads are the last load reports of engines, by host id.
+	Loads map[string]api.EngineLoad
 	// Notices are the reclaim notices that are known, in the order of their arrival.
 	Notices []membership.Notice
 }
@@ -67,6 +71,7 @@
 	config    *config.State
 	index     *config.Index
 	logReadAt time.Time
+	condition ConfigCondition
 	members   *membership.Table
 	loads     map[string]api.EngineLoad
 	trackers  map[string]*routing.Tracker
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -17,7 +17,7 @@
 	// class go while a reclaim wave runs through all of it.
 	waveReclaimsPerHour = 120
 	// peerSilentAfter is the age of a heartbeat after which a peer owns nothing new.
-	peerSilentAfter = 3 * time.Second
+	peerSilentAfter = 10 * time.Second
 	// defaultCacheTokens is the size of an engine's cache that it does not report.
 	defaultCacheTokens = 65536
 )
@@ -27,13 +27,15 @@
 	now := s.now()
 	view := s.members.View(now)
 	return &Snapshot{
-		Config:    s.config,
-		Index:     s.index,
-		LogReadAt: s.logReadAt,
-		Members:   view,
-		Fleet:     s.fleet(view, now),
-		Peers:     maps.Clone(s.peers),
-		Notices:   s.members.Notices(),
+		Config:          s.config,
+		Index:           s.index,
+		LogReadAt:       s.logReadAt,
+		ConfigCondition: s.condition,
+		Members:         view,
+		Fleet:           s.fleet(view, now),
+		Peers:           maps.Clone(s.peers),
+		Loads:           maps.Clone(s.loads),
+		Notices:         s.members.Notices(),
 	}
 }
 
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -128,25 +128,27 @@
 
 func (c *Cluster) settings(index int, described api.DeploymentNode) api.Settings {
 	settings := api.Settings{
-		NodeID:         described.ID,
-		DataCentre:     described.DataCentre,
-		Region:         c.options.Deployment.Region,
-		CallerAddress:  c.address(0, index),
-		AdminAddress:   c.address(adminPortOffset, index),
-		PeerAddress:    net.JoinHostPort(loopbackIP, "0"),
-		LogURL:         c.Standins.LogURL(),
-		HostsURL:       c.Standins.CloudURL(),
-		CloudURL:       c.Standins.CloudURL(),
-		PeerKey:        c.options.Deployment.PeerKey,
-		ReadinessGrace: 500 * time.Millisecond,
-		DrainTimeout:   20 * time.Second,
-		MaxBodyBytes:   4 << 20,
-		MaxStreams:     4096,
-		ConfigPoll:     2 * time.Second,
-		HostsPoll:      500 * time.Millisecond,
-		Heartbeat:      500 * time.Millisecond,
-		TraceExporter:  "none",
-		LogLevel:       "info",
+		NodeID:           described.ID,
+		DataCentre:       described.DataCentre,
+		Region:           c.options.Deployment.Region,
+		CallerAddress:    c.address(0, index),
+		AdminAddress:     c.address(adminPortOffset, index),
+		PeerAddress:      net.JoinHostPort(loopbackIP, "0"),
+		LogURL:           c.Standins.LogURL(),
+		HostsURL:         c.Standins.CloudURL(),
+		CloudURL:         c.Standins.CloudURL(),
+		WeightsURL:       c.Standins.WeightsURL(),
+		PeerKey:          c.options.Deployment.PeerKey,
+		ReadinessGrace:   500 * time.Millisecond,
+		DrainTimeout:     20 * time.Second,
+		MaxBodyBytes:     4 << 20,
+		MaxStreams:       4096,
+		ConfigPoll:       2 * time.Second,
+		SnapshotInterval: time.Minute,
+		HostsPoll:        500 * time.Millisecond,
+		Heartbeat:        500 * time.Millisecond,
+		TraceExporter:    "none",
+		LogLevel:         "info",
 	}
 	if c.options.Adjust != nil {
 		c.options.Adjust(&settings)
@@ -202,11 +204,13 @@
 	Models []string `json:"models"`
 	// Services that callers may call.
 	Services []string `json:"services"`
+	// Faults is the base URL at which faults are switched; GET /faults lists them.
+	Faults string `json:"faults"`
 }
 
 // Announce describes the running demo.
 func (c *Cluster) Announce() Announcement {
-	a := Announcement{APIKeys: c.options.Deployment.APIKeys, AdminKey: c.options.Deployment.AdminKey}
+	a := Announcement{APIKeys: c.options.Deployment.APIKeys, AdminKey: c.options.Deployment.AdminKey, Faults: c.Standins.FaultsURL()}
 	for _, n := range c.Nodes {
 		a.Callers = append(a.Callers, "http://"+n.CallerAddress())
 		a.Admin = append(a.Admin, "http://"+n.AdminAddress())
--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,7 @@
 	pool    *upstream.Pool
 	peers   *peer.Client
 	beats   *heartbeats
+	plans   *planRunner
 	gateway *gateway.Gateway
 	duties  *control.Duties
 	claims  *control.Claims
@@ -81,6 +82,8 @@
 		HostsPoll:  settings.HostsPoll,
 	}
 	n.duties = n.newDuties()
+	n.feeds.Config = n.configSources()
+	n.plans = n.newPlanRunner()
 	n.claims = control.NewClaims(n.feeds.Log, n.duties, n.logger)
 	n.gateway = gateway.New(gateway.Options{
 		Settings:    settings,
@@ -106,14 +109,17 @@
 		Log:      n.feeds.Log,
 		Metrics:  n.metrics,
 		Own:      n.Heartbeat,
+		Plan:     n.Plan,
 		Refusals: n.gateway.Refusals,
 		Ready:    n.Ready,
+
+		ConfigOffset: n.configOffset,
 	})
 	n.adminServer, err = httpserver.New(n.settings.NodeID+"-operators", n.settings.AdminAddress, n.logger, operators.Routes())
 	if err != nil {
 		return err
 	}
-	routes := append(n.gateway.PeerRoutes(), n.heartbeatRoute())
+	routes := append(n.gateway.PeerRoutes(), n.heartbeatRoute(), n.configRoute())
 	n.peerServer, err = httpserver.New(n.settings.NodeID+"-peers", n.settings.PeerAddress, n.logger, routes)
 	return err
 }
@@ -134,6 +140,7 @@
 	n.background.Go(func() { n.gateway.Watch(ctx) })
 	n.background.Go(func() { n.watchOwnReclaim(ctx) })
 	n.background.Go(func() { n.duties.Run(ctx) })
+	n.background.Go(func() { n.plans.run(ctx) })
 	n.background.Go(func() { n.claims.Run(ctx) })
 	n.logger.Info().Str("callers", n.callerServer.Address()).Str("admin", n.adminServer.Address()).
 		Str("peers", n.peerServer.Address()).Msg("node started")
@@ -154,6 +161,7 @@
 	n.pool.Close()
 	n.feeds.Close()
 	n.beats.pool.Close()
+	n.plans.close()
 }
 
 func (n *Node) servers() []*httpserver.Server {
--- a/operator/client.go
+++ b/operator/client.go
@@ -141,6 +141,12 @@
 	return get[api.PatchResult](ctx, c, "/admin/v1/patches/"+url.PathEscape(id))
 }
 
+// PatchInForce returns what is known of a patch after the node has waited a while for
+// it to be in force everywhere.
+func (c *Client) PatchInForce(ctx context.Context, id string) (api.PatchResult, error) {
+	return get[api.PatchResult](ctx, c, "/admin/v1/patches/"+url.PathEscape(id)+"?wait=1")
+}
+
 // Publish publishes a patch once. Any node may be tried after another has failed,
 // since a patch takes effect once by its id. sent says that a node may have got it.
 func (c *Client) Publish(ctx context.Context, request api.PatchRequest) (result api.PatchResult, sent bool, err error) {
--- a/operator/publish.go
+++ b/operator/publish.go
@@ -96,7 +96,11 @@
 		case <-ctx.Done():
 			return result
 		}
-		later, err := c.Patch(ctx, result.ID)
+		ask := c.Patch
+		if wait {
+			ask = c.PatchInForce
+		}
+		later, err := ask(ctx, result.ID)
 		if err == nil && (Verdict(later.Verdict) != VerdictUnknown || Verdict(result.Verdict) == VerdictUnknown) {
 			result = later
 		}
