--- a/control/claims.go
+++ b/control/claims.go
@@ -25,10 +25,15 @@
 	claimPoll = 5 * time.Second
 	// claimTimeout bounds the wait for a claim to be read back.
 	claimTimeout = 2 * time.Second
-	// claimAppendsPerSecond bounds the claim appends of one node.
-	claimAppendsPerSecond = 60
+	// claimAppendsPerSecond bounds the claim appends of all nodes; each takes its share.
+	claimAppendsPerSecond = 250
+	// firstAppendsPerSecond bounds the claim appends of a node that does not know yet
+	// how many nodes there are.
+	firstAppendsPerSecond = 25
+	// shareEvery is the time between two looks at how many nodes share it.
+	shareEvery = 2 * time.Second
 	// claimAppendBurst may be appended at once after a pause.
-	claimAppendBurst = 8
+	claimAppendBurst = 4
 	// checkpointEvery is the time between two checkpoints of the claims.
 	checkpointEvery = 10 * time.Minute
 	// claimEntries bounds the keys that a shard remembers.
@@ -47,13 +52,16 @@
 	log    platform.Log
 	logger zerolog.Logger
 	duties *Duties
+	nodes  func() int
+	share  *rate.Limiter
 	shards []*claimShard
 }
 
-// NewClaims returns the claims of a node; nothing runs before Run.
-func NewClaims(log platform.Log, duties *Duties, logger zerolog.Logger) *Claims {
-	limiter := rate.NewLimiter(claimAppendsPerSecond, claimAppendBurst)
-	c := &Claims{log: log, logger: logger, duties: duties}
+// NewClaims returns the claims of a node; nothing runs before Run. nodes returns the
+// number of live nodes, which share the appends.
+func NewClaims(log platform.Log, duties *Duties, nodes func() int, logger zerolog.Logger) *Claims {
+	limiter := rate.NewLimiter(firstAppendsPerSecond, claimAppendBurst)
+	c := &Claims{log: log, logger: logger, duties: duties, nodes: nodes, share: limiter}
 	for i := range ClaimShards {
 		c.shards = append(c.shards, newClaimShard(log, claimStream+strconv.Itoa(i), limiter, logger))
 	}
@@ -68,6 +76,7 @@
 		group.Go(func() { shard.run(ctx) })
 	}
 	group.Go(func() { c.writeCheckpoints(ctx) })
+	group.Go(func() { c.shareAppends(ctx) })
 	group.Wait()
 }
 
@@ -124,6 +133,14 @@
 	return c.shards[idempotency.Shard(idempotency.IDOf(workspace, key), len(c.shards))]
 }
 
+// shareAppends keeps this node's appends at its share of what all may take.
+func (c *Claims) shareAppends(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, shareEvery)
+		c.share.SetLimit(rate.Limit(claimAppendsPerSecond / float64(max(1, c.nodes()))))
+	}
+}
+
 // writeCheckpoints carries claims forward while this node holds the duty. A writer
 // that lost the duty does no harm, since a checkpoint only repeats what was read.
 func (c *Claims) writeCheckpoints(ctx context.Context) {
--- a/node/claims.go
+++ b/node/claims.go
@@ -2,16 +2,31 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/persimmonline/persimmonline/control"
 )
 
+// peerLife is how long after its last heartbeat a peer counts as live.
+const peerLife = 10 * time.Second
+
 // newDuties returns the runner of the control duties that any node may hold.
 func (n *Node) newDuties() *control.Duties {
 	return control.NewDuties(n.feeds.Log, n.settings.NodeID, n.incarnation, n.logger,
 		control.DutySnapshots, control.DutyPlanner, control.DutyEngineOrders, control.DutyClaimCheckpoints)
 }
 
+// liveNodes returns the number of nodes that share the log, with this one.
+func (n *Node) liveNodes() int {
+	live := 1
+	for _, known := range n.control.Snapshot().Peers {
+		if time.Since(known.HeardAt) < peerLife {
+			live++
+		}
+	}
+	return live
+}
+
 // handOver waits for the calls in flight that may not be repeated, then hands the
 // operations that this incarnation holds to a successor.
 func (n *Node) handOver(ctx context.Context) {
--- a/node/node.go
+++ b/node/node.go
@@ -84,7 +84,7 @@
 	n.duties = n.newDuties()
 	n.feeds.Config = n.configSources()
 	n.plans = n.newPlanRunner()
-	n.claims = control.NewClaims(n.feeds.Log, n.duties, n.logger)
+	n.claims = control.NewClaims(n.feeds.Log, n.duties, n.liveNodes, n.logger)
 	n.gateway = gateway.New(gateway.Options{
 		Settings:    settings,
 		Incarnation: n.incarnation,
