--- a/gateway/servicecall_test.go
+++ b/gateway/servicecall_test.go
@@ -15,8 +15,8 @@
 
 func TestCallIsNotReplayedOnAConnectionThatCloses(t *testing.T) {
 	c := start(t, 1)
-	for range 8 {
-		require.Equal(t, http.StatusOK, c.call(0, http.MethodGet, "/services/rakes/screens/7", "", "").status)
+	for range 16 { // Connections that could be used again.
+		require.Equal(t, http.StatusOK, c.call(0, http.MethodPost, trigger, "", "").status)
 	}
 	var arrived atomic.Int64
 	c.Standins.Ledger.SetHook(func(r *http.Request, ran bool) {
@@ -25,7 +25,7 @@
 			panic(http.ErrAbortHandler)
 		}
 	})
-	answer := c.call(0, http.MethodPost, trigger, "own-key", "sweep", "X-Idempotency-Key", "x")
+	answer := c.call(0, http.MethodPost, trigger, "own-key", "", "X-Idempotency-Key", "x")
 	require.Equal(t, refusal.CodeUpstreamFailed, answer.code())
 	require.Equal(t, "unknown", answer.ran())
 	require.EqualValues(t, 1, arrived.Load())
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -172,3 +172,14 @@
 		}
 	})
 }
+
+func TestHolderStopsOnceItReadsThatItWasSuperseded(t *testing.T) {
+	w := newWorld(1)
+	w.step(0)
+	w.land([]api.LeaseRecord{{
+		Name: duty, Holder: "node-9", Incarnation: "1", Attempt: "x", TTLMS: 1000, Fence: lease.None, Previous: 0,
+	}})
+	w.readAll(0)
+	_, held := w.holding(0)
+	require.False(t, held)
+}
