Tests of hedging, large answers and upstreams that can't be reached

Cause: these lines had no test; an attempt whose append had no effect stayed in memory. Change: tests over the running program; the attempt is forgotten.

--- a/control/claimshard.go
+++ b/control/claimshard.go
@@ -208,6 +208,7 @@
 		case <-changed:
 		case err := <-refused:
 			if hadNoEffect(err) {
+				s.forget(claim.Attempt)
 				return idempotency.Decision{}, errors.Join(ErrLogUnavailable, err)
 			}
 			refused = nil
@@ -229,6 +230,14 @@
 	s.unread[attempt] = true
 }
 
+// forget ends the bookkeeping of an attempt whose claim can't be in the log.
+func (s *claimShard) forget(attempt string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.attempts.Forget(attempt)
+	delete(s.unread, attempt)
+}
+
 func (s *claimShard) send(attempt string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/servicecall_test.go
+++ b/gateway/servicecall_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 
+	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/refusal"
 )
 
@@ -178,3 +180,65 @@
 	require.Equal(t, "unknown", answer.ran())
 	require.Equal(t, 1, c.runs("old"))
 }
+
+func TestSlowReadIsHedged(t *testing.T) {
+	c := start(t, 1)
+	var arrived atomic.Int64
+	resume := make(chan struct{})
+	defer close(resume)
+	c.Standins.Ledger.SetHook(func(_ *http.Request, ran bool) {
+		if !ran && arrived.Add(1) == 1 {
+			<-resume
+		}
+	})
+	answer := c.call(0, http.MethodGet, "/services/rakes/screens/7", "", "")
+	require.Equal(t, http.StatusOK, answer.status, answer.body)
+	require.EqualValues(t, 2, arrived.Load())
+}
+
+func TestTriggerIsNotHedged(t *testing.T) {
+	c := start(t, 1)
+	var arrived atomic.Int64
+	c.Standins.Ledger.SetHook(func(_ *http.Request, ran bool) {
+		if !ran {
+			arrived.Add(1)
+			time.Sleep(time.Second)
+		}
+	})
+	require.Equal(t, http.StatusOK, c.call(0, http.MethodPost, trigger, "", "sweep").status)
+	require.EqualValues(t, 1, arrived.Load())
+}
+
+func TestAnswerThatIsTooLargeIsRefusedNotCut(t *testing.T) {
+	c := start(t, 1)
+	body := strings.Repeat("x", 4<<20)
+	key := uuid.NewString()
+	answer := c.call(0, http.MethodPost, trigger, key, body)
+	require.Equal(t, refusal.CodeAnswerTooLarge, answer.code())
+	require.Equal(t, "unknown", answer.ran())
+	again := c.call(0, http.MethodPost, trigger, key, body)
+	require.Equal(t, refusal.CodeOutcomeUnknown, again.code())
+	require.Equal(t, 1, c.runs(body))
+}
+
+func TestTriggerGoesOnToAnotherUpstreamWhileNothingWasSent(t *testing.T) {
+	c := start(t, 1)
+	for _, id := range []string{"rakes-1", "rakes-2", "rakes-3"} {
+		c.Standins.Kill(id)
+	}
+	for range 4 {
+		body := uuid.NewString()
+		require.Equal(t, http.StatusOK, c.call(0, http.MethodPost, trigger, "", body).status)
+		require.Equal(t, 1, c.runs(body))
+	}
+	c.Standins.Kill("rakes-4")
+	key := uuid.NewString()
+	answer := c.call(0, http.MethodPost, trigger, key, "sweep")
+	require.Equal(t, "no", answer.ran(), answer.body)
+	described := api.DeploymentService{ID: "rakes-5", DataCentre: "nizwa", MachineClass: "spot-small", Service: "rakes"}
+	require.NoError(t, c.Standins.StartService(described))
+	require.Eventually(t, func() bool {
+		return c.call(0, http.MethodPost, trigger, key, "sweep").status == http.StatusOK
+	}, generous, 50*time.Millisecond, "the key is free again")
+	require.Equal(t, 1, c.runs("sweep"))
+}
--- a/idempotency/attempts.go
+++ b/idempotency/attempts.go
@@ -34,7 +34,7 @@
 // Abandon gives an attempt up that was not sent. If its claim wins after all, it must
 // be released.
 func (a *Attempts) Abandon(attempt string) {
-	if a.phases[attempt] == pending {
+	if known, ok := a.phases[attempt]; ok && known == pending {
 		a.phases[attempt] = abandoned
 	}
 }
--- a/idempotency/table_test.go
+++ b/idempotency/table_test.go
@@ -168,3 +168,21 @@
 		}
 	})
 }
+
+func TestAttemptIsSentOnceOrReleased(t *testing.T) {
+	a := idempotency.NewAttempts()
+	require.False(t, a.Send("never begun"))
+	a.Begin("1")
+	require.True(t, a.Send("1"))
+	require.False(t, a.Send("1"))
+	a.Abandon("1")
+	require.False(t, a.Seen("1", true), "what was sent is not released")
+	a.Begin("2")
+	a.Abandon("2")
+	require.False(t, a.Send("2"))
+	require.True(t, a.Seen("2", true))
+	require.False(t, a.Seen("2", true), "released once")
+	a.Abandon("never begun")
+	a.Forget("1")
+	require.Zero(t, a.Len())
+}
