Model check sends again under a claim through the real bookkeeping

Cause: with the one-send guard of idempotency.Attempts taken out by hand the model stayed green, since it never tried a second send. Change: a second send is a step of the model; the guard's refusal changes nothing. Conclusion: the model now exercises that code.

--- a/modelcheck/claims_test.go
+++ b/modelcheck/claims_test.go
@@ -203,9 +203,7 @@
 		}
 		if w.procs[p].phase == sending {
 			add(func(c *world) { c.answer(p) })
-			if !g.once {
-				add(func(c *world) { c.send(p, g) })
-			}
+			add(func(c *world) { c.send(p, g) })
 			if !g.releaseUnsent {
 				add(func(c *world) { c.flying = append(c.flying, rec{'r', p}); c.procs[p].phase = answered })
 			}
@@ -274,7 +272,6 @@
 	known := &w.procs[p]
 	id := claimOf(p).Attempt
 	if g.once && !known.attempts(id).Send(id) {
-		known.phase = gone
 		return
 	}
 	known.sends++
