--- a/config/bench_test.go
+++ b/config/bench_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -15,6 +16,9 @@
 // patchesADay is the number of configuration changes on a day at the size to design for.
 const patchesADay = 18_000
 
+// replayTarget bounds the replay of a day's patches.
+const replayTarget = time.Second
+
 // record returns a stored patch.
 func record(t testing.TB, offset int64, patch api.ConfigPatch) api.StoredRecord {
 	t.Helper()
@@ -75,4 +79,67 @@
 		}
 		require.Equal(b, int64(1+patchesADay*9/10), state.Version, "%v", state.Verdicts()[0])
 	}
+	perReplay := b.Elapsed() / time.Duration(b.N)
+	b.ReportMetric(float64(perReplay.Microseconds())/patchesADay, "us/patch")
+	if perReplay > replayTarget {
+		b.Errorf("a day's patches take %v, the target is %v", perReplay, replayTarget)
+	}
+}
+
+// BenchmarkFoldByWorkspaces shows what one patch costs at different sizes of the
+// configuration.
+func BenchmarkFoldByWorkspaces(b *testing.B) {
+	for _, workspaces := range []int{5, 100, 1000} {
+		b.Run(fmt.Sprint(workspaces), func(b *testing.B) {
+			state := manyWorkspaces(b, workspaces)
+			stored := record(b, state.Offset, mergePatch("next", state.Version, `{"workspaces":{"w-1":{"weight":7}}}`))
+			b.ReportAllocs()
+			for b.Loop() {
+				next, err := config.Fold(state, stored)
+				if err != nil || next.Version != state.Version+1 {
+					b.Fatal(err, next.Version)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkSnapshot shows what a snapshot costs with a full window of verdicts.
+func BenchmarkSnapshot(b *testing.B) {
+	state := config.Empty()
+	for _, stored := range day(b)[:5000] {
+		next, err := config.Fold(state, stored)
+		require.NoError(b, err)
+		state = next
+	}
+	bytes := 0
+	for b.Loop() {
+		snapshot, err := state.Snapshot()
+		if err != nil {
+			b.Fatal(err)
+		}
+		encoded, err := json.Marshal(api.Record{Snapshot: &snapshot})
+		if err != nil {
+			b.Fatal(err)
+		}
+		bytes = len(encoded)
+	}
+	b.ReportMetric(float64(bytes), "bytes")
+}
+
+// manyWorkspaces returns a state with a number of workspaces.
+func manyWorkspaces(b *testing.B, count int) *config.State {
+	b.Helper()
+	state, err := config.Fold(config.Empty(), record(b, 0, firstPatch(b)))
+	require.NoError(b, err)
+	workspaces := map[string]api.Workspace{}
+	for i := range count {
+		workspaces[fmt.Sprint("w-", i)] = api.Workspace{Weight: 1, KeyHashes: []string{config.HashKey(fmt.Sprint(i))}}
+	}
+	document, err := json.Marshal(map[string]any{"workspaces": workspaces})
+	require.NoError(b, err)
+	state, err = config.Fold(state, record(b, 1, mergePatch("many", 1, string(document))))
+	require.NoError(b, err)
+	require.EqualValues(b, 2, state.Version, "%v", state.Verdicts())
+	return state
 }
--- a/node/config_test.go
+++ b/node/config_test.go
@@ -161,3 +161,27 @@
 		}
 	}
 }
+
+func TestSlowLogStillPutsPatchesInForce(t *testing.T) {
+	cluster := startCluster(t)
+	cluster.Standins.Log.SetDelay(time.Second)
+	require.EqualValues(t, 2, publish(t, cluster, `{"policy":{"cost_weight":3}}`).Version)
+}
+
+func TestLongOutageKeepsTheVersionAndSaysSo(t *testing.T) {
+	cluster := startCluster(t)
+	version := publish(t, cluster, `{"policy":{"cost_weight":3}}`).Version
+	cluster.Standins.Log.SetDown(true)
+	for _, node := range cluster.Nodes {
+		require.Eventually(t, func() bool {
+			return node.Heartbeat().ConfigState == string(control.ConfigLogUnreachable)
+		}, generous, 10*time.Millisecond)
+		require.True(t, node.Ready(), "an outage of the log alone takes no node away")
+		require.Equal(t, version, node.Heartbeat().ConfigVersion)
+	}
+	cluster.Standins.Log.SetDown(false)
+	require.EqualValues(t, version+1, publish(t, cluster, `{"policy":{"cost_weight":4}}`).Version)
+	for _, node := range cluster.Nodes {
+		require.Eventually(t, func() bool { return node.Heartbeat().ConfigState == "" }, generous, 10*time.Millisecond)
+	}
+}
