Status and patch list agree with what nodes said; plan on the command line

Change: a node that is asked for its offset updates what is known of it; only accepted patches wait for nodes; 'persimmonline plan', also below 'status'.

--- a/admin/fuzz_test.go
+++ b/admin/fuzz_test.go
@@ -39,7 +39,7 @@
 
 func TestOperatorTyposAreNamed(t *testing.T) {
 	for body, param := range map[string]string{
-		`{"id":"a","base_verison":1,"format":"merge","patch":{}}`:   "base_verison",
+		`{"id":"a","bas_version":1,"format":"merge","patch":{}}`:    "bas_version",
 		`{"id":"a","base_version":"1","format":"merge","patch":{}}`: "base_version",
 	} {
 		_, refused := readPatchRequest(bytes.NewReader([]byte(body)))
--- a/admin/patches.go
+++ b/admin/patches.go
@@ -187,10 +187,13 @@
 		Version: verdict.Version,
 		Reason:  verdict.Reason,
 	}
+	if verdict.Verdict != api.PatchVerdictVerdictAccepted {
+		return result
+	}
 	covered := coverageOf(snapshot, a.Own(), verdict.Offset, time.Now(), confirmed)
 	result.Silent = slices.Sorted(maps.Values(covered.silent))
 	result.WaitingFor = slices.Concat(slices.Sorted(maps.Values(covered.waiting)), result.Silent)
-	result.InForce = verdict.Verdict == api.PatchVerdictVerdictAccepted && covered.everywhere()
+	result.InForce = covered.everywhere()
 	return result
 }
 
--- a/cmd/persimmonline/operator_test.go
+++ b/cmd/persimmonline/operator_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
@@ -74,7 +75,7 @@
 		args []string
 		want []string
 	}{
-		{[]string{"status"}, []string{"node-1", "node-5", "ready", "follows the log", "live", "engine-01"}},
+		{[]string{"status"}, []string{"node-1", "node-5", "ready", "follows the log", "live", "engine-01", "HOST GROUP"}},
 		{[]string{"workspace", "list"}, []string{"incident-review", "WEIGHT"}},
 		{[]string{"workspace", "get", "incident-review"}, []string{"incident-review"}},
 		{[]string{"service", "list"}, []string{"rakes", "plain"}},
@@ -83,6 +84,7 @@
 		{[]string{"upstream", "list"}, []string{"engine-01", "nizwa"}},
 		{[]string{"upstream", "get", "engine-01"}, []string{"engine-01"}},
 		{[]string{"patch", "list"}, []string{"accepted", "everywhere"}},
+		{[]string{"plan"}, []string{"HOST GROUP", "WANTED", "review"}},
 	}
 	for _, c := range cases {
 		got := operator("", c.args...)
@@ -114,6 +116,9 @@
 	for _, n := range cluster.Nodes {
 		require.EqualValues(t, 2, n.Heartbeat().ConfigVersion)
 	}
+	require.Eventually(t, func() bool {
+		return strings.Count(operator("", "patch", "list").out, "everywhere") == 2
+	}, 30*time.Second, 10*time.Millisecond, "the list says the same")
 	repeated := operator(weightPatch, "patch", "publish", "-", "--id", "p1", "--base", "1", "-o", "json")
 	require.Equal(t, exitOK, repeated.code)
 	var first api.PatchResult
--- a/control/events.go
+++ b/control/events.go
@@ -38,3 +38,23 @@
 	s.index = config.NewIndex(next)
 	s.logger.Info().Int64("version", next.Version).Msg("configuration in force")
 }
+
+// PeerConfigHeard is what a peer said of its configuration when it was asked.
+type PeerConfigHeard struct {
+	// PeerAddress of the peer.
+	PeerAddress string
+	// Version in force there.
+	Version int64
+	// Offset of the next record that it has not folded.
+	Offset int64
+}
+
+func (e PeerConfigHeard) apply(s *state) {
+	for id, known := range s.peers {
+		if known.PeerAddress != e.PeerAddress || known.ConfigOffset >= e.Offset {
+			continue
+		}
+		known.ConfigVersion, known.ConfigOffset = e.Version, e.Offset
+		s.peers[id] = known
+	}
+}
--- a/node/config.go
+++ b/node/config.go
@@ -98,6 +98,9 @@
 // configOffset asks a node how far it has folded the config stream.
 func (n *Node) configOffset(ctx context.Context, address string) (int64, error) {
 	transfer, err := n.fetchConfig(ctx, address, math.MaxInt64)
+	if err == nil {
+		n.control.Offer(control.PeerConfigHeard{PeerAddress: address, Version: transfer.Version, Offset: transfer.Offset})
+	}
 	return transfer.Offset, err
 }
 
--- a/operator/print.go
+++ b/operator/print.go
@@ -33,6 +33,8 @@
 	switch answer := answer.(type) {
 	case api.StatusReport:
 		printStatus(table, answer)
+	case api.PlanReport:
+		printPlan(table, answer)
 	case api.WorkspaceList:
 		printWorkspaces(table, answer.Workspaces)
 	case api.WorkspaceEntry:
@@ -88,6 +90,32 @@
 	}
 }
 
+func printPlan(w io.Writer, plan api.PlanReport) {
+	row(w, "PLAN", plan.Summary)
+	row(w)
+	row(w, "HOST GROUP", "WANTED", "RUNNING", "STARTING", "LEAVING", "WHY")
+	for _, group := range plan.Groups {
+		row(w, group.Name, group.Wanted, group.Running, group.Starting, group.Leaving, group.Reason)
+	}
+	row(w)
+	row(w, "MODEL", "VERSION", "WANTED", "LOADED", "LOADING")
+	for _, model := range plan.Models {
+		row(w, model.Name, orElse(model.Version, "any"), model.Wanted, model.Loaded, model.Loading)
+	}
+	row(w)
+	row(w, "NOT USED NOW", "DATA CENTRE", "WHY", "REFUSED", "UNTIL")
+	for _, place := range plan.Places {
+		row(w, place.MachineClass, place.DataCentre, place.Reason, place.Refused, clock(place.UntilMS))
+	}
+	row(w)
+	row(w, "STEP", "SUBJECT", "AT", "RESULT", "WHY")
+	for _, step := range plan.Steps {
+		row(w, step.Kind, step.Subject, clock(step.AtMS), step.Result, step.Reason)
+	}
+}
+
+func clock(ms int64) string { return time.UnixMilli(ms).UTC().Format(time.RFC3339) }
+
 func printWorkspaces(w io.Writer, entries []api.WorkspaceEntry) {
 	row(w, "WORKSPACE", "WEIGHT", "REQUESTS/S", "BURST", "CONCURRENCY", "TOKENS/S", "KEYS (SHA-256)")
 	for _, entry := range entries {
