--- a/cmd/persimmonline/operator_test.go
+++ b/cmd/persimmonline/operator_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -15,8 +17,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/config"
 	"github.com/persimmonline/persimmonline/demo"
 	"github.com/persimmonline/persimmonline/examples"
+	"github.com/persimmonline/persimmonline/operator"
 	"github.com/persimmonline/persimmonline/standin"
 	"github.com/persimmonline/persimmonline/telemetry"
 )
@@ -104,6 +108,40 @@
 	require.Contains(t, down.errOut, deadNode)
 }
 
+// TestNothingShowsAWholeKeyHash reads all that operators can read.
+func TestNothingShowsAWholeKeyHash(t *testing.T) {
+	cluster := startCluster(t)
+	operator := operatorOf(cluster)
+	announced := cluster.Announce()
+	var shown strings.Builder
+	for _, args := range [][]string{
+		{"status"}, {"workspace", "list"}, {"workspace", "get", "incident-review"}, {"patch", "list"}, {"plan"},
+	} {
+		for _, form := range []string{"table", "json"} {
+			got := operator("", append(args, "-o", form)...)
+			require.Equal(t, exitOK, got.code, got.errOut)
+			shown.WriteString(got.out)
+		}
+	}
+	client := operatorClient(announced)
+	defer client.Close()
+	report, err := client.Config(t.Context())
+	require.NoError(t, err)
+	encoded, err := json.Marshal(report)
+	require.NoError(t, err)
+	shown.Write(encoded)
+	require.NotEmpty(t, report.Configuration.Operators)
+	for _, key := range append(slices.Collect(maps.Values(announced.APIKeys)), announced.AdminKey) {
+		require.NotContains(t, shown.String(), key)
+		require.NotContains(t, shown.String(), config.HashKey(key))
+		require.Contains(t, string(encoded), config.HashKey(key)[:8], "enough to tell keys apart")
+	}
+}
+
+func operatorClient(announced demo.Announcement) *operator.Client {
+	return operator.NewClient(announced.Admin, announced.AdminKey)
+}
+
 func TestPatchVerdictsAndExitCodes(t *testing.T) {
 	cluster := startCluster(t)
 	operator := operatorOf(cluster)
@@ -160,6 +198,7 @@
 func TestRacingOperatorsGetOneAcceptance(t *testing.T) {
 	cluster := startCluster(t)
 	announced := cluster.Announce()
+	cluster.Standins.Log.LoseAnswers(3)
 	const operators = 10
 	codes := make([]int, operators)
 	var group sync.WaitGroup
--- a/node/config_test.go
+++ b/node/config_test.go
@@ -168,6 +168,14 @@
 	require.EqualValues(t, 2, publish(t, cluster, `{"policy":{"cost_weight":3}}`).Version)
 }
 
+func TestRecordsThatAreDeliveredTwiceCountOnce(t *testing.T) {
+	cluster := startCluster(t)
+	cluster.Standins.Log.RepeatRecords(3)
+	for version := range int64(3) {
+		require.EqualValues(t, version+2, publish(t, cluster, `{"policy":{"cost_weight":3}}`).Version)
+	}
+}
+
 func TestLongOutageKeepsTheVersionAndSaysSo(t *testing.T) {
 	cluster := startCluster(t)
 	version := publish(t, cluster, `{"policy":{"cost_weight":3}}`).Version
--- a/standin/log.go
+++ b/standin/log.go
@@ -18,6 +18,7 @@
 	down    bool
 	delay   time.Duration
 	loseN   int
+	repeat  int64
 	appends int
 	hook    AppendHook
 }
@@ -75,6 +76,13 @@
 	l.loseN = n
 }
 
+// RepeatRecords makes every read that has records deliver up to n older ones again.
+func (l *Log) RepeatRecords(n int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.repeat = n
+}
+
 // Trim drops the records of a stream below an offset.
 func (l *Log) Trim(name string, below int64) {
 	l.mu.Lock()
@@ -189,6 +197,7 @@
 	page := api.ReadResponse{Records: []api.StoredRecord{}, OldestOffset: s.base, NextOffset: next}
 	start := max(from, s.base)
 	if start < next {
+		start = max(from-l.repeat, s.base)
 		end := min(next, start+int64(limit))
 		page.Records = s.records[start-s.base : end-s.base : end-s.base]
 	}
