--- a/cmd/persimmonline/demo.go
+++ b/cmd/persimmonline/demo.go
@@ -48,6 +48,9 @@
 	defer func() { _ = stopTracing(context.WithoutCancel(ctx)) }()
 	telemetry.BridgeLogx(logger)
 	cluster, err := demo.Start(ctx, demo.Options{Deployment: deployment, Port: c.Port, Logger: logger})
+	if err != nil && ctx.Err() != nil {
+		return nil //nolint:nilerr // A signal during the start is a planned end.
+	}
 	if err != nil {
 		return err
 	}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -54,6 +54,7 @@
 	Nodes []*node.Node
 
 	options Options
+	tally   *tally
 }
 
 // Start starts a deployment and waits until all nodes are ready.
@@ -62,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Cluster{Standins: standins, options: options}
+	c := &Cluster{Standins: standins, options: options, tally: newTally()}
 	if options.Prepare != nil {
 		options.Prepare(standins)
 	}
@@ -222,6 +223,15 @@
 	return a
 }
 
+// deploymentName returns the name in the configuration.
+func (c *Cluster) deploymentName() string {
+	parsed, err := config.Parse(c.options.Deployment.Configuration)
+	if err != nil {
+		return ""
+	}
+	return parsed.Deployment
+}
+
 // Stop is the planned stop of all nodes, then the end of the stand-ins.
 func (c *Cluster) Stop(ctx context.Context) error {
 	failures := make(chan error, len(c.Nodes))
--- a/demo/load.go
+++ b/demo/load.go
@@ -8,11 +8,17 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
+	"github.com/tmaxmax/go-sse"
+
 	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/prompt"
+	"github.com/persimmonline/persimmonline/standin"
 )
 
 const (
@@ -22,78 +28,195 @@
 	loadSeed = 1
 	// loadPause is the mean time between two requests of a caller.
 	loadPause = 150 * time.Millisecond
-	// promptWords is the length of the longest prompt, in words.
-	promptWords = 400
-	// plainShare is the share of requests that go to plain services.
-	plainShare = 0.3
+	// maxLoadRequests bounds the requests of a load.
+	maxLoadRequests = 200_000
+	// loadTimeout bounds one request.
+	loadTimeout = time.Minute
+	// places is the number of screens, rakes or orders that are asked about.
+	places = 20
+	// resendShare is the share of calls with a key that are sent again at another node.
+	resendShare = 0.2
+	// maxLoadAnswer bounds an answer, in bytes.
+	maxLoadAnswer = 8 << 20
 )
 
-// Load sends the deployment's mix of requests until ctx ends.
+// load sends a deployment's mix to the nodes of a cluster, which listen on loopback.
+type load struct {
+	known  Announcement
+	mix    []kind
+	tally  *tally
+	sent   atomic.Int64
+	client *http.Client
+}
+
+// Load sends the deployment's mix of requests until ctx ends, and waits for the
+// answers under way. Report tells what the callers saw.
 func (c *Cluster) Load(ctx context.Context) {
+	l := &load{
+		known:  c.Announce(),
+		mix:    mixes[c.deploymentName()],
+		tally:  c.tally,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: loadCallers}},
+	}
+	defer l.client.CloseIdleConnections()
 	var group sync.WaitGroup
 	for i := range loadCallers {
-		group.Go(func() { c.caller(ctx, uint64(i)) })
+		group.Go(func() { l.caller(ctx, uint64(i)) })
 	}
 	group.Wait()
 }
 
 // caller sends one request after the other.
-func (c *Cluster) caller(ctx context.Context, seed uint64) {
+func (l *load) caller(ctx context.Context, seed uint64) {
 	random := rand.New(rand.NewPCG(loadSeed, seed)) //nolint:gosec // A load must be repeatable.
-	announced := c.Announce()
-	workspaces := make([]string, 0, len(announced.APIKeys))
-	for name := range announced.APIKeys {
-		workspaces = append(workspaces, name)
-	}
-	slices.Sort(workspaces)
-	for n := 0; ctx.Err() == nil; n++ {
-		key := announced.APIKeys[workspaces[random.IntN(len(workspaces))]]
-		base := announced.Callers[random.IntN(len(announced.Callers))]
-		if random.Float64() < plainShare {
-			sendPlain(base, key, announced.Services[0], fmt.Sprintf("operation %d of caller %d", n, seed))
+	for ctx.Err() == nil && l.sent.Add(1) <= maxLoadRequests {
+		chosen := pick(l.mix, random)
+		base := l.known.Callers[random.IntN(len(l.known.Callers))]
+		if chosen.model != "" {
+			l.tally.add(l.chat(base, chosen, random))
 		} else {
-			sendChat(base, key, announced.Models[random.IntN(len(announced.Models))], random)
+			l.call(base, chosen, random)
 		}
-		pause := time.Duration(random.Int64N(int64(2 * loadPause)))
+		pause := time.NewTimer(time.Duration(random.Int64N(int64(2 * loadPause))))
 		select {
-		case <-time.After(pause):
+		case <-pause.C:
 		case <-ctx.Done():
 		}
+		pause.Stop()
 	}
 }
 
-// plainPaths are the calls of the deployments that may not be repeated.
-var plainPaths = map[string]string{"rakes": "/rakes/1/trigger", "orders": "/orders/confirm"}
+// chat sends one chat request and checks its answer.
+func (l *load) chat(base string, chosen kind, random *rand.Rand) outcome {
+	content, _ := json.Marshal(chosen.text(random))
+	messages := []api.ChatMessage{{Role: "user", Content: content}}
+	body, _ := json.Marshal(api.ChatRequest{Model: chosen.model, Messages: messages, Stream: chosen.stream, MaxTokens: chosen.maxTokens})
+	want := standin.Answer(prompt.Text(messages), chosen.maxTokens)
+	o := outcome{kind: chosen.name}
+	started := time.Now()
+	response, cancel, err := l.send(http.MethodPost, base+"/v1/chat/completions", l.known.APIKeys[chosen.workspace], "", body)
+	defer cancel()
+	if err != nil {
+		return o
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		o.code, o.ran = refusalOf(response.Body)
+		return o
+	}
+	var text string
+	if chosen.stream {
+		text = readStream(response.Body, started, &o)
+	} else {
+		text = readWhole(response.Body, &o)
+		o.first = time.Since(started)
+	}
+	o.right = text == want
+	return o
+}
 
-func sendPlain(base, key, service, operation string) {
-	send(base+"/services/"+service+plainPaths[service], key, []byte(operation))
+// readStream reads a streamed answer; it is whole when it ends with [DONE].
+func readStream(body io.Reader, started time.Time, o *outcome) string {
+	var text strings.Builder
+	for event, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxLoadAnswer}) {
+		switch {
+		case err != nil:
+			return text.String()
+		case event.Data == "[DONE]":
+			o.whole = true
+			return text.String()
+		case o.first == 0:
+			o.first = time.Since(started)
+		}
+		var chunk api.ChatChunk
+		if json.Unmarshal([]byte(event.Data), &chunk) != nil || len(chunk.Choices) == 0 {
+			o.code, o.ran = refusalOf(strings.NewReader(event.Data))
+			continue
+		}
+		text.WriteString(chunk.Choices[0].Delta.Content)
+	}
+	return text.String()
 }
 
-func sendChat(base, key, model string, random *rand.Rand) {
-	words := make([]byte, 0, promptWords*8)
-	for range random.IntN(promptWords) {
-		words = fmt.Appendf(words, "word%d ", random.IntN(50))
-	}
-	content, _ := json.Marshal(string(words))
-	body, _ := json.Marshal(api.ChatRequest{
-		Model:    model,
-		Messages: []api.ChatMessage{{Role: "user", Content: content}},
-		Stream:   random.IntN(2) == 0,
-	})
-	send(base+"/v1/chat/completions", key, body)
+// readWhole reads an answer that is not streamed.
+func readWhole(body io.Reader, o *outcome) string {
+	var completion api.ChatCompletion
+	if json.NewDecoder(io.LimitReader(body, maxLoadAnswer)).Decode(&completion) != nil || len(completion.Choices) == 0 {
+		return ""
+	}
+	o.whole = true
+	return completion.Choices[0].Message.Content
 }
 
-func send(url, key string, body []byte) {
-	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
+// call calls a plain service. A call that may not be repeated has a key, and some are
+// sent again with it at another node, as callers do that lost an answer.
+func (l *load) call(base string, chosen kind, random *rand.Rand) {
+	path := fmt.Sprintf(chosen.path, random.IntN(places))
+	if chosen.method == http.MethodGet {
+		l.tally.add(l.callOnce(base, chosen, path, "", ""))
 		return
 	}
-	request.Header.Set("Authorization", "Bearer "+key)
-	request.Header.Set("Content-Type", "application/json")
-	response, err := http.DefaultClient.Do(request)
+	key := uuid.NewString()
+	body := "operation " + key
+	l.tally.add(l.callOnce(base, chosen, path, key, body))
+	if random.Float64() < resendShare {
+		other := l.known.Callers[random.IntN(len(l.known.Callers))]
+		l.tally.add(l.callOnce(other, chosen, path, key, body))
+	}
+}
+
+// callOnce sends a call once and checks that the answer is that of this call.
+func (l *load) callOnce(base string, chosen kind, path, key, body string) outcome {
+	o := outcome{kind: chosen.name}
+	inService := servicePath(path)
+	if key != "" {
+		o.operation = chosen.method + " " + inService + " " + body
+	}
+	started := time.Now()
+	response, cancel, err := l.send(chosen.method, base+path, l.known.APIKeys[chosen.workspace], key, []byte(body))
+	defer cancel()
 	if err != nil {
-		return
+		return o
 	}
 	defer func() { _ = response.Body.Close() }()
-	_, _ = io.Copy(io.Discard, response.Body)
+	o.first = time.Since(started)
+	if response.StatusCode != http.StatusOK {
+		o.code, o.ran = refusalOf(response.Body)
+		return o
+	}
+	answer, err := standin.ParseServiceAnswer(io.LimitReader(response.Body, maxLoadAnswer))
+	o.whole = err == nil
+	o.right = answer.Path == inService && answer.Body == body && answer.Run <= 1
+	return o
+}
+
+// servicePath returns the part of a path that the service sees.
+func servicePath(path string) string {
+	parts := strings.SplitN(strings.TrimPrefix(path, "/services/"), "/", 2)
+	return "/" + parts[len(parts)-1]
+}
+
+// send sends one request; cancel must be called when its answer was read.
+func (l *load) send(method, url, key, idempotencyKey string, body []byte) (*http.Response, context.CancelFunc, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, cancel, err
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
+	request.Header.Set("Content-Type", "application/json")
+	if idempotencyKey != "" {
+		request.Header.Set("Idempotency-Key", idempotencyKey)
+	}
+	response, err := l.client.Do(request)
+	return response, cancel, err
+}
+
+// refusalOf reads the code and ran of a refusal.
+func refusalOf(body io.Reader) (code, ran string) {
+	var refused api.ErrorResponse
+	if json.NewDecoder(io.LimitReader(body, maxLoadAnswer)).Decode(&refused) != nil || refused.Error.Code == "" {
+		return "unreadable", "unknown"
+	}
+	return refused.Error.Code, string(refused.Error.Ran)
 }
--- /dev/null
+++ b/demo/load_test.go
@@ -0,0 +1,45 @@
+package demo_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/demo"
+	"github.com/persimmonline/persimmonline/examples"
+)
+
+// loadFor is how long the load runs in the test.
+const loadFor = 3 * time.Second
+
+// TestLoadIsAnsweredWholeAndRight runs each deployment's mix through a reclaim.
+func TestLoadIsAnsweredWholeAndRight(t *testing.T) {
+	for _, name := range []string{examples.Falaj, examples.Bulakan} {
+		t.Run(name, func(t *testing.T) {
+			deployment, err := examples.Load(name)
+			require.NoError(t, err)
+			cluster, err := demo.Start(t.Context(), demo.Options{
+				Deployment: deployment,
+				Logger:     zerolog.Nop(),
+				Adjust:     func(s *api.Settings) { s.ReadinessGrace = 10 * time.Millisecond },
+			})
+			require.NoError(t, err)
+			cluster.Standins.Cloud.ReclaimDataCentre(deployment.DataCentres[0], 30*time.Second)
+			ctx, cancel := context.WithTimeout(t.Context(), loadFor)
+			defer cancel()
+			cluster.Load(ctx)
+			require.NoError(t, cluster.Stop(context.Background()))
+			report := cluster.Report()
+			require.Positive(t, report.Load.Whole)
+			require.Zero(t, report.Load.Wrong)
+			require.Zero(t, report.Load.Cut)
+			require.Zero(t, report.Load.RanThoughRefused)
+			require.Zero(t, report.RanTwice)
+			require.Len(t, report.Load.FirstToken, 5, "every kind of the mix was answered")
+		})
+	}
+}
--- a/demo/report.go
+++ b/demo/report.go
@@ -23,6 +23,11 @@
 	RecomputedTokens int64 `json:"recomputed_tokens"`
 	// Cost of attempts, in the deployment's currency.
 	Cost float64 `json:"cost"`
+	// StartedHosts were asked for by the planner, RefusedStarts were refused.
+	StartedHosts  int `json:"started_hosts"`
+	RefusedStarts int `json:"refused_starts"`
+	// Load is what the callers of --load saw.
+	Load LoadReport `json:"load"`
 }
 
 // Names of the metrics that the report sums up.
@@ -35,7 +40,13 @@
 
 // Report sums the metrics of all nodes up.
 func (c *Cluster) Report() Report {
-	report := Report{Refused: map[string]int64{}, RanTwice: c.Standins.Ledger.RanTwice()}
+	report := Report{
+		Refused:       map[string]int64{},
+		RanTwice:      c.Standins.Ledger.RanTwice(),
+		StartedHosts:  c.Standins.Cloud.Started(),
+		RefusedStarts: c.Standins.Cloud.RefusedStarts(),
+		Load:          c.tally.sum(c.Standins.Ledger),
+	}
 	for _, n := range c.Nodes {
 		families, err := n.Metrics().Registry().Gather()
 		if err != nil {
--- /dev/null
+++ b/demo/tally_test.go
@@ -0,0 +1,30 @@
+package demo
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonline/persimmonline/standin"
+)
+
+func TestTallyTellsWrongCutAndFalseRefusals(t *testing.T) {
+	ledger := standin.NewLedger()
+	ledger.Run("POST /a x")
+	ledger.Run("POST /b y")
+	counts := newTally()
+	counts.add(outcome{kind: "k", whole: true, right: true})
+	counts.add(outcome{kind: "k", whole: true})
+	counts.add(outcome{kind: "k"})
+	counts.add(outcome{kind: "k", code: "draining", ran: "no", operation: "POST /a x"})
+	counts.add(outcome{kind: "k", code: "draining", ran: "no", operation: "POST /b y"})
+	counts.add(outcome{kind: "k", whole: true, right: true, operation: "POST /b y"})
+	counts.add(outcome{kind: "k", code: "draining", ran: "unknown", operation: "POST /c z"})
+	report := counts.sum(ledger)
+	require.EqualValues(t, 7, report.Sent)
+	require.EqualValues(t, 2, report.Whole)
+	require.EqualValues(t, 1, report.Wrong)
+	require.EqualValues(t, 1, report.Cut)
+	require.EqualValues(t, 1, report.RanThoughRefused)
+	require.EqualValues(t, 2, report.Refused["draining/no"])
+}
--- a/standin/service.go
+++ b/standin/service.go
@@ -1,6 +1,8 @@
 package standin
 
 import (
+	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -80,14 +82,26 @@
 	return count
 }
 
-// serviceAnswer is what the stand-in answers.
-type serviceAnswer struct {
+// ServiceAnswer is what the stand-in answers.
+type ServiceAnswer struct {
+	// Service that answered.
 	Service string `json:"service"`
-	Method  string `json:"method"`
-	Path    string `json:"path"`
-	Query   string `json:"query"`
-	Body    string `json:"body"`
-	Run     int    `json:"run"`
+	// Method, Path, Query and Body of the call that it got.
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Query  string `json:"query"`
+	Body   string `json:"body"`
+	// Run counts the runs of the operation; 0 for a call that is safe by HTTP.
+	Run int `json:"run"`
+}
+
+// ParseServiceAnswer reads an answer.
+func ParseServiceAnswer(body io.Reader) (ServiceAnswer, error) {
+	var answer ServiceAnswer
+	if err := json.NewDecoder(body).Decode(&answer); err != nil {
+		return answer, fmt.Errorf("read answer of service: %w", err)
+	}
+	return answer, nil
 }
 
 // NewService returns a service that counts in a ledger.
@@ -134,7 +148,7 @@
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, http.StatusOK, serviceAnswer{
+	writeJSON(w, http.StatusOK, ServiceAnswer{
 		Service: s.Name, Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery, Body: string(body), Run: run,
 	})
 }
