--- a/admin/admin.go
+++ b/admin/admin.go
@@ -36,6 +36,8 @@
 	Refusals func() []api.RefusalCount
 	// Ready says whether the balancer may send callers here.
 	Ready func() bool
+	// ConfigOffset asks the node at a peer address how far it has folded the config stream.
+	ConfigOffset func(ctx context.Context, address string) (int64, error)
 }
 
 // API serves operators.
--- a/api/config_gen.go
+++ b/api/config_gen.go
@@ -2,6 +2,22 @@
 
 package api
 
+// ConfigTransfer is the configuration as one node gives it to another; snapshot or
+// records are set when the asker lacks something.
+type ConfigTransfer struct {
+	// Offset of the next record that the giver has not folded.
+	Offset int64 `json:"offset"`
+
+	// Records of the config stream from the asker's offset on.
+	Records []StoredRecord `json:"records,omitempty,omitzero"`
+
+	// Snapshot of the giver's state.
+	Snapshot *ConfigSnapshot `json:"snapshot,omitempty,omitzero"`
+
+	// Version in force at the giver.
+	Version int64 `json:"version"`
+}
+
 // Configuration is the dynamic configuration that operators change by patches. It
 // is folded from the platform's log and swapped whole.
 type Configuration struct {
--- a/node/node.go
+++ b/node/node.go
@@ -82,6 +82,7 @@
 		HostsPoll:  settings.HostsPoll,
 	}
 	n.duties = n.newDuties()
+	n.feeds.Config = n.configSources()
 	n.plans = n.newPlanRunner()
 	n.claims = control.NewClaims(n.feeds.Log, n.duties, n.logger)
 	n.gateway = gateway.New(gateway.Options{
@@ -111,12 +112,14 @@
 		Plan:     n.Plan,
 		Refusals: n.gateway.Refusals,
 		Ready:    n.Ready,
+
+		ConfigOffset: n.configOffset,
 	})
 	n.adminServer, err = httpserver.New(n.settings.NodeID+"-operators", n.settings.AdminAddress, n.logger, operators.Routes())
 	if err != nil {
 		return err
 	}
-	routes := append(n.gateway.PeerRoutes(), n.heartbeatRoute())
+	routes := append(n.gateway.PeerRoutes(), n.heartbeatRoute(), n.configRoute())
 	n.peerServer, err = httpserver.New(n.settings.NodeID+"-peers", n.settings.PeerAddress, n.logger, routes)
 	return err
 }
