--- a/admin/status.go
+++ b/admin/status.go
@@ -21,6 +21,7 @@
 		Nodes:     []api.NodeStatus{own},
 		Upstreams: upstreams(snapshot),
 		Refusals:  a.Refusals(),
+		Plan:      a.Plan().Summary,
 	}
 	report.Nodes = append(report.Nodes, peerStatuses(snapshot, own.NodeID)...)
 	slices.SortFunc(report.Nodes, func(x, y api.NodeStatus) int { return strings.Compare(x.NodeID, y.NodeID) })
--- a/api/admin_gen.go
+++ b/api/admin_gen.go
@@ -160,6 +160,9 @@
 	// Nodes that it knows.
 	Nodes []NodeStatus `json:"nodes"`
 
+	// Plan is the planner's summary; GET /admin/v1/plan has the whole.
+	Plan string `json:"plan,omitempty,omitzero"`
+
 	// Refusals that it made since it started.
 	Refusals []RefusalCount `json:"refusals"`
 
--- a/cmd/persimmonline/main.go
+++ b/cmd/persimmonline/main.go
@@ -38,6 +38,7 @@
 type cli struct {
 	Node      nodeCommand      `cmd:"" help:"Run one node."`
 	Status    statusCommand    `cmd:"" help:"Show nodes, upstreams, what is in flight and what is refused."`
+	Plan      planCommand      `cmd:"" help:"Show which hosts and models the planner wants, and why."`
 	Patch     patchCommand     `cmd:"" help:"Publish patches of the configuration and see what became of them."`
 	Workspace workspaceCommand `cmd:"" help:"Show workspaces."`
 	Service   serviceCommand   `cmd:"" help:"Show services."`
--- a/cmd/persimmonline/operator.go
+++ b/cmd/persimmonline/operator.go
@@ -94,6 +94,15 @@
 	return show(s, c.adminOptions, (*operator.Client).Status)
 }
 
+type planCommand struct {
+	adminOptions
+}
+
+// Run implements the command.
+func (c *planCommand) Run(s *streams) error {
+	return show(s, c.adminOptions, (*operator.Client).Plan)
+}
+
 type workspaceCommand struct {
 	List workspaceList `cmd:"" help:"List the workspaces."`
 	Get  workspaceGet  `cmd:"" help:"Show one workspace."`
--- a/control/cachefeed.go
+++ b/control/cachefeed.go
@@ -11,6 +11,9 @@
 )
 
 const (
+	// quietRounds is how many rounds an engine is left alone after one without events,
+	// so that an idle fleet costs little.
+	quietRounds = 4
 	// cachePoll is the time between two reads of an engine's cache events.
 	cachePoll = 2 * time.Second
 	// maxPrefixBlocks bounds the prefix index of a node, in blocks.
@@ -26,12 +29,13 @@
 type cacheFeed struct {
 	feeds *Feeds
 	next  map[routing.Holder]int64
+	quiet map[routing.Holder]int
 	mu    sync.Mutex
 }
 
 // followCaches reads every engine's cache events until ctx ends.
 func (f *Feeds) followCaches(ctx context.Context) {
-	feed := &cacheFeed{feeds: f, next: map[routing.Holder]int64{}}
+	feed := &cacheFeed{feeds: f, next: map[routing.Holder]int64{}, quiet: map[routing.Holder]int{}}
 	ticker := time.NewTicker(cachePoll)
 	defer ticker.Stop()
 	for {
@@ -54,6 +58,9 @@
 				continue
 			}
 			seen[upstream.Holder] = true
+			if c.isQuiet(upstream.Holder) {
+				continue
+			}
 			group.Go(func() { c.read(ctx, fleet.Prefixes, upstream) })
 		}
 	}
@@ -61,6 +68,17 @@
 	c.forget(seen)
 }
 
+// isQuiet says whether an engine is left alone in this round.
+func (c *cacheFeed) isQuiet(holder routing.Holder) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.quiet[holder] == 0 {
+		return false
+	}
+	c.quiet[holder]--
+	return true
+}
+
 func (c *cacheFeed) read(ctx context.Context, prefixes *routing.Prefixes, engine *routing.Upstream) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
@@ -76,6 +94,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.next[engine.Holder] = page.NextSeq
+	if len(page.Events) == 0 {
+		c.quiet[engine.Holder] = quietRounds
+	}
 }
 
 func (c *cacheFeed) from(holder routing.Holder) int64 {
--- a/control/watch.go
+++ b/control/watch.go
@@ -10,8 +10,11 @@
 )
 
 const (
-	// loadEvery is the time between two load reports of an engine that answers.
+	// loadEvery is the shortest time between two load reports of an engine that answers.
 	loadEvery = 5 * time.Second
+	// loadSpacing stretches that time with the number of watched upstreams, so that
+	// reports take a bounded number of calls a second.
+	loadSpacing = 400 * time.Millisecond
 	// loadTimeout bounds one load report or probe.
 	loadTimeout = 2 * time.Second
 	// suspectFor is how long an upstream that failed a probe is left alone.
@@ -26,10 +29,12 @@
 	f.poll(ctx, func(ctx context.Context) {
 		var group sync.WaitGroup
 		seen := map[string]time.Time{}
-		for _, member := range membership.Watched(f.Loop.Snapshot().Members, f.HostID) {
+		watched := membership.Watched(f.Loop.Snapshot().Members, f.HostID)
+		every := max(loadEvery, loadSpacing*time.Duration(len(watched)))
+		for _, member := range watched {
 			key := member.ID + "/" + member.Incarnation
 			seen[key] = asked[key]
-			if !due(member, asked[key], time.Now()) {
+			if !due(member, asked[key], time.Now(), every) {
 				continue
 			}
 			seen[key] = time.Now()
@@ -40,13 +45,14 @@
 	})
 }
 
-// due says whether a member is to be asked now.
-func due(member membership.Member, asked, now time.Time) bool {
+// due says whether a member is to be asked now; every is the time between two load
+// reports.
+func due(member membership.Member, asked, now time.Time, every time.Duration) bool {
 	switch {
 	case member.Doubtful:
 		return true
 	case member.IsEngine():
-		return now.Sub(asked) >= loadEvery
+		return now.Sub(asked) >= every
 	default:
 		return false
 	}
--- a/membership/watch.go
+++ b/membership/watch.go
@@ -13,8 +13,9 @@
 	MaxPartners = 4
 	// remotePartners of them are in other data centres, so that news crosses cells.
 	remotePartners = 2
-	// maxWatched is the number of engines up to which every node watches all.
-	maxWatched = 16
+	// maxWatched is the number of upstreams up to which every node watches all; it has
+	// room for the hosts that replace a data centre's while those still leave.
+	maxWatched = 48
 )
 
 // Partners returns the nodes that a node sends heartbeats to: all others of a small
--- a/operator/client.go
+++ b/operator/client.go
@@ -86,6 +86,11 @@
 	return get[api.StatusReport](ctx, c, "/admin/v1/status")
 }
 
+// Plan returns what the planner wants and why.
+func (c *Client) Plan(ctx context.Context) (api.PlanReport, error) {
+	return get[api.PlanReport](ctx, c, "/admin/v1/plan")
+}
+
 // Config returns the configuration in force.
 func (c *Client) Config(ctx context.Context) (api.ConfigReport, error) {
 	return get[api.ConfigReport](ctx, c, "/admin/v1/config")
--- a/operator/print.go
+++ b/operator/print.go
@@ -33,6 +33,8 @@
 	switch answer := answer.(type) {
 	case api.StatusReport:
 		printStatus(table, answer)
+	case api.PlanReport:
+		printPlan(table, answer)
 	case api.WorkspaceList:
 		printWorkspaces(table, answer.Workspaces)
 	case api.WorkspaceEntry:
@@ -82,6 +84,8 @@
 	row(w, "UPSTREAMS", fmt.Sprintf("%d live, %d suspect, %d leaving", states["live"], states["suspect"], states["leaving"]))
 	printUpstreams(w, report.Upstreams)
 	row(w)
+	row(w, "PLAN", report.Plan)
+	row(w)
 	row(w, "REFUSED (by "+report.Node.NodeID+")", "RAN", "COUNT")
 	for _, refused := range report.Refusals {
 		row(w, refused.Code, refused.Ran, refused.Count)
--- a/planner/models.go
+++ b/planner/models.go
@@ -83,17 +83,31 @@
 }
 
 // unreported counts the engines that run and have not reported their load yet: each
-// may have any model.
+// may have any model, but for those that a planner started, which start empty.
 func (p *Planner) unreported(in Input) int {
 	count := 0
 	for _, host := range in.Hosts {
-		if host.Member != nil && host.Member.IsEngine() && host.Load == nil && host.Member.Health != membership.StateLeaving {
+		_, _, started := slotOf(host.Token)
+		if !started && host.Load == nil && host.State == api.CloudHostStateRunning && isEngine(in.Config, host) && !isLeaving(host) {
 			count++
 		}
 	}
 	return count
 }
 
+// isEngine says whether a host runs an engine, by its process or by its group.
+func isEngine(config *api.Configuration, host Host) bool {
+	if host.Member != nil {
+		return host.Member.IsEngine()
+	}
+	for _, group := range config.HostGroups {
+		if group.Role == string(api.HostRoleEngine) && groupOf(group, host) {
+			return true
+		}
+	}
+	return false
+}
+
 // settleOrders forgets orders that took effect, that timed out, and those of engines
 // that are gone.
 func (p *Planner) settleOrders(in Input, engines []Host) {
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -284,14 +284,26 @@
 }
 
 func TestNoLoadWhileEnginesHaveNotReported(t *testing.T) {
-	cloud, p := newCloud(), planner.New()
-	now := cloud.settle(p, begin, 10)
+	cloud := newCloud()
+	for i := range 8 {
+		cloud.start(api.StartHostRequest{Token: fmt.Sprint("by hand ", i), MachineClass: "spot", DataCentre: centres[i%4], Role: "engine"})
+	}
+	for id, host := range cloud.hosts {
+		host.Load = nil
+		if id == "host-01" {
+			host.Load = &api.EngineLoad{Incarnation: "1", Models: []api.LoadedModel{{Name: "other", Version: "1"}}}
+		}
+		if id == "host-02" {
+			host.Member = nil
+		}
+	}
+	require.Empty(t, planner.New().Round(cloud.input(begin)).Orders)
 	for id, host := range cloud.hosts {
 		if id != "host-01" {
-			host.Load = nil
+			host.Load = &api.EngineLoad{Incarnation: "1", Models: []api.LoadedModel{{Name: "other", Version: "1"}}}
 		}
 	}
-	require.Empty(t, planner.New().Round(cloud.input(now)).Orders)
+	require.NotEmpty(t, planner.New().Round(cloud.input(begin)).Orders)
 }
 
 func TestOrdersOfTwoLeasesHaveTheirOwnIDs(t *testing.T) {
