--- a/cmd/persimmonline/operator.go
+++ b/cmd/persimmonline/operator.go
@@ -91,11 +91,7 @@
 
 // Run implements the command.
 func (c *statusCommand) Run(s *streams) error {
-	if err := show(s, c.adminOptions, (*operator.Client).Status); err != nil || c.Output == operator.OutputJSON {
-		return err
-	}
-	_, _ = fmt.Fprintln(s.out)
-	return show(s, c.adminOptions, (*operator.Client).Plan)
+	return show(s, c.adminOptions, (*operator.Client).Status)
 }
 
 type planCommand struct{ adminOptions }
