status shows the plan, under the heading HOST GROUP

Cause: the merge of two views of the plan took it out of status. Change: status prints the plan below the nodes and upstreams; the summary row that said it twice is gone. Measured: TestOperatorReadsTheSystem failed after the merge and passes. Conclusion: none beyond it.

--- a/cmd/persimmonline/operator.go
+++ b/cmd/persimmonline/operator.go
@@ -91,7 +91,11 @@
 
 // Run implements the command.
 func (c *statusCommand) Run(s *streams) error {
-	return show(s, c.adminOptions, (*operator.Client).Status)
+	if err := show(s, c.adminOptions, (*operator.Client).Status); err != nil || c.Output == operator.OutputJSON {
+		return err
+	}
+	_, _ = fmt.Fprintln(s.out)
+	return show(s, c.adminOptions, (*operator.Client).Plan)
 }
 
 type planCommand struct{ adminOptions }
--- a/operator/print.go
+++ b/operator/print.go
@@ -84,8 +84,6 @@
 	row(w, "UPSTREAMS", fmt.Sprintf("%d live, %d suspect, %d leaving", states["live"], states["suspect"], states["leaving"]))
 	printUpstreams(w, report.Upstreams)
 	row(w)
-	row(w, "PLAN", report.Plan)
-	row(w)
 	row(w, "REFUSED (by "+report.Node.NodeID+")", "RAN", "COUNT")
 	for _, refused := range report.Refusals {
 		row(w, refused.Code, refused.Ran, refused.Count)
--- a/operator/printplan.go
+++ b/operator/printplan.go
@@ -16,7 +16,7 @@
 	row(w, "PLAN", report.Summary)
 	row(w, "ROLE", role)
 	row(w)
-	row(w, "GROUP", "WANTED", "RUNNING", "STARTING", "LEAVING", "WHY")
+	row(w, "HOST GROUP", "WANTED", "RUNNING", "STARTING", "LEAVING", "WHY")
 	for _, group := range report.Groups {
 		row(w, group.Name, group.Wanted, group.Running, group.Starting, group.Leaving, group.Reason)
 	}
