gateway, limit: a queued ticket that expires is refused as late; files split by job

Cause: a ticket that expired in the instant its wait ended was refused as canceled; callers over a workspace's limit were told almost the same time; queue.go had grown. Change: the wait ends by verdict, deadline or cancel with the right refusal; the time is spread over as much again; limit/comeback.go, limit/waiter.go and gateway/capacity.go. Result: go test ./gateway -run 'Wait|Cancel', ./limit, ./routing pass. Guards removed to see red: leaving the queue; without the deadline's timer TestWaitEnds hangs. Conclusion: no refusal names the wrong cause.

--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -7,14 +7,10 @@
 	"sync"
 	"time"
 
-	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/config"
-	"github.com/persimmonline/persimmonline/control"
 	"github.com/persimmonline/persimmonline/limit"
-	"github.com/persimmonline/persimmonline/membership"
 	"github.com/persimmonline/persimmonline/prompt"
 	"github.com/persimmonline/persimmonline/refusal"
-	"github.com/persimmonline/persimmonline/routing"
 )
 
 const (
@@ -22,10 +18,6 @@
 	leastRetry = 500 * time.Millisecond
 	// mostRetry is the longest.
 	mostRetry = 30 * time.Second
-	// capacityEvery is how often the capacity is taken from the snapshot.
-	capacityEvery = 250 * time.Millisecond
-	// plainSlots is the number of calls that a plain upstream runs at once.
-	plainSlots = 32
 )
 
 // admission locks the limit queues, one for each service, and the workspaces' limits,
@@ -63,7 +55,7 @@
 	a.mu.Unlock()
 	if decision.Verdict != limit.Run {
 		return nil, refusal.New(http.StatusTooManyRequests, refusal.CodeWorkspaceLimit,
-			"workspace %s is over its limit", workspace).After(retryAfter(decision.RetryAfter))
+			"workspace %s is over its limit", workspace).After(spreadAfter(decision.RetryAfter))
 	}
 	return func() {
 		a.mu.Lock()
@@ -151,6 +143,13 @@
 	return d - d/10 + rand.N(d/5) //nolint:gosec // Spreading load needs no secret randomness.
 }
 
+// spreadAfter spreads a time to come back that many callers are told alike over as
+// much again.
+func spreadAfter(d time.Duration) time.Duration {
+	d = min(max(d, leastRetry), mostRetry)
+	return d + rand.N(d) //nolint:gosec // Spreading load needs no secret randomness.
+}
+
 // comeBack returns when a caller that is refused should ask again.
 func (a *admission) comeBack(service string, ticket limit.Ticket) time.Duration {
 	a.mu.Lock()
@@ -180,14 +179,15 @@
 	waiting := queue.Cancel(ticket.ID)
 	delete(a.waiters, ticket.ID)
 	a.mu.Unlock()
-	switch {
-	case waiting && ctx.Err() == nil:
-		return nil, lateRefusal(a.comeBack(service, ticket))
-	case !waiting && <-answer == limit.Run:
+	if !waiting && <-answer == limit.Run {
+		release := a.slot(queue)
 		if ctx.Err() == nil {
-			return a.slot(queue), nil
+			return release, nil
 		}
-		a.slot(queue)()
+		release()
+	}
+	if ctx.Err() == nil {
+		return nil, lateRefusal(a.comeBack(service, ticket))
 	}
 	return nil, refusal.New(http.StatusServiceUnavailable, refusal.CodeCanceled,
 		"the request was canceled while it waited").At("wait for a slot", "", ctx.Err())
@@ -236,62 +236,3 @@
 	}
 	return queue
 }
-
-// refresh takes capacity, weights and limits from the snapshot; the lock must be held.
-func (a *admission) refresh(snapshot *control.Snapshot, now time.Time) {
-	if snapshot.Index == nil || now.Sub(a.refreshed) < capacityEvery {
-		return
-	}
-	a.refreshed = now
-	nodes := snapshot.LiveNodes(now)
-	if snapshot.Index != a.index || nodes != a.nodes {
-		a.index, a.nodes = snapshot.Index, nodes
-		a.workspaces.Configure(now, limitsOf(snapshot.Index.Config), nodes)
-	}
-	weights := weightsByWorkspace(snapshot.Index.Config)
-	for name, service := range snapshot.Index.Config.Services {
-		slots := totalSlots(snapshot.Fleet.ByService[name], service.Kind)
-		queue := a.queue(name)
-		queue.Resize(limit.NodeCapacity(slots, nodes, a.maxStreams))
-		queue.SetWeights(weights)
-		a.wake(queue.Start(now))
-	}
-}
-
-// limitsOf returns the limits by workspace.
-func limitsOf(configuration *api.Configuration) map[string]limit.Limits {
-	limits := make(map[string]limit.Limits, len(configuration.Workspaces))
-	for name, workspace := range configuration.Workspaces {
-		limits[name] = limit.Limits{
-			RequestsPerSecond: workspace.RequestsPerSecond,
-			Burst:             workspace.Burst,
-			Concurrency:       workspace.Concurrency,
-			TokensPerSecond:   workspace.TokensPerSecond,
-		}
-	}
-	return limits
-}
-
-func weightsByWorkspace(configuration *api.Configuration) map[string]float64 {
-	weights := make(map[string]float64, len(configuration.Workspaces))
-	for name, workspace := range configuration.Workspaces {
-		weights[name] = workspace.Weight
-	}
-	return weights
-}
-
-// totalSlots returns the slots of a service's upstreams.
-func totalSlots(upstreams []*routing.Upstream, kind api.ServiceKind) int {
-	total := 0
-	for _, upstream := range upstreams {
-		if upstream.Health == membership.StateLeaving {
-			continue
-		}
-		if kind == api.ServiceKindPlain {
-			total += plainSlots
-			continue
-		}
-		total += upstream.Slots()
-	}
-	return total
-}
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -21,10 +21,6 @@
 	firstHold = 1.0
 	// maxFlows bounds the flows that are remembered while they have no request waiting.
 	maxFlows = 1024
-	// comeBackShare is the share of the slots that is left to callers that come back.
-	comeBackShare = 0.5
-	// mostComeBack is the longest time after which a refused caller is asked back.
-	mostComeBack = 10 * time.Second
 	// openShare is the share of the free queue that any workspace may take beyond its
 	// own part.
 	openShare = 0.5
@@ -246,41 +242,6 @@
 	return count
 }
 
-// ComeBack returns when a refused request should come back. The work that was sent
-// away is kept by priority and drained at the pace of a share of the slots; a caller
-// comes back when what goes before it has been drained, so that the callers of a burst
-// return one after another.
-func (q *Queue) ComeBack(now time.Time, ticket Ticket) time.Duration {
-	pace := comeBackShare * float64(q.slots)
-	q.drainAway(now, pace)
-	priority := clampPriority(ticket.Priority)
-	q.away[priority] += q.cost(ticket)
-	ahead := float64(len(q.waiting)) * q.hold
-	for p := range priority + 1 {
-		ahead += q.away[p]
-	}
-	return min(time.Duration(ahead/pace*float64(time.Second)), mostComeBack)
-}
-
-// drainAway takes the work that had time to come back out of what was sent away.
-func (q *Queue) drainAway(now time.Time, pace float64) {
-	drained := max(0, now.Sub(q.awayAt).Seconds()) * pace
-	q.awayAt = now
-	for p := range q.away {
-		took := min(drained, q.away[p])
-		q.away[p] -= took
-		drained -= took
-	}
-}
-
-// cost is how long a request is expected to hold a slot, in seconds.
-func (q *Queue) cost(ticket Ticket) float64 {
-	if q.tokens == 0 {
-		return q.hold
-	}
-	return q.hold * ticket.Tokens / q.tokens
-}
-
 // clampPriority returns the nearest priority that exists.
 func clampPriority(priority int) int { return min(max(priority, 0), priorities-1) }
 
@@ -314,50 +275,3 @@
 	}
 	return 1
 }
-
-// waiter is a ticket in the queue.
-type waiter struct {
-	ticket Ticket
-	start  float64
-	serial uint64
-	index  int
-}
-
-// before is the order of the queue.
-func (w *waiter) before(other *waiter) bool {
-	first, otherFirst := w.ticket.Priority <= reservedPriority, other.ticket.Priority <= reservedPriority
-	if first != otherFirst {
-		return first
-	}
-	if w.start != other.start {
-		return w.start < other.start
-	}
-	return w.serial < other.serial
-}
-
-// waitHeap implements heap.Interface.
-type waitHeap []*waiter
-
-func (h waitHeap) Len() int           { return len(h) }
-func (h waitHeap) Less(i, j int) bool { return h[i].before(h[j]) }
-
-func (h waitHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (h *waitHeap) Push(x any) {
-	entry := x.(*waiter)
-	entry.index = len(*h)
-	*h = append(*h, entry)
-}
-
-// Pop implements heap.Interface.
-func (h *waitHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return last
-}
