--- a/admin/patches.go
+++ b/admin/patches.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"slices"
@@ -21,8 +22,10 @@
 const (
 	// verdictWait bounds the wait for the log to show a published patch.
 	verdictWait = 5 * time.Second
-	// maxWait bounds the wait until a patch is in force everywhere.
-	maxWait = 30 * time.Second
+	// maxWait bounds one wait until a patch is in force everywhere; ask again for more.
+	maxWait = 4 * time.Second
+	// queryWait is the query parameter that asks for that wait.
+	queryWait = "wait"
 	// maxPatchBytes bounds the body of a published patch.
 	maxPatchBytes = 4 << 20
 	// verdictUnknown is what is said while the log has not shown a patch.
@@ -128,18 +131,27 @@
 		return ok
 	})
 	if !known {
-		writeJSON(w, http.StatusAccepted, a.result(id))
+		writeJSON(w, http.StatusAccepted, a.result(id, nil))
 		return
 	}
-	if r.URL.Query().Get("wait") == "1" {
-		waitCtx, cancelWait := context.WithTimeout(r.Context(), maxWait)
-		defer cancelWait()
-		a.waitFor(waitCtx, func(*control.Snapshot) bool { return a.result(id).InForce })
-	}
-	result := a.result(id)
+	result := a.waitedResult(r, id)
 	writeJSON(w, statusOf(result.Verdict), result)
 }
 
+// waitedResult is what this node knows of a patch; with the query wait=1 it asks the
+// other nodes first, until all have the patch or the wait ends.
+func (a *API) waitedResult(r *http.Request, id string) api.PatchResult {
+	verdict, known := a.Control.Snapshot().Config.Verdict(id)
+	accepted := known && verdict.Verdict == api.PatchVerdictVerdictAccepted
+	if !accepted || r.URL.Query().Get(queryWait) != "1" {
+		return a.result(id, nil)
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), maxWait)
+	defer cancel()
+	confirmed := a.waitInForce(ctx, verdict.Offset)
+	return a.result(id, confirmed)
+}
+
 func statusOf(verdict string) int {
 	switch verdict {
 	case string(api.PatchVerdictVerdictStale):
@@ -154,7 +166,7 @@
 }
 
 // result is what this node knows of a patch.
-func (a *API) result(id string) api.PatchResult {
+func (a *API) result(id string, confirmed map[string]bool) api.PatchResult {
 	snapshot := a.Control.Snapshot()
 	verdict, ok := snapshot.Config.Verdict(id)
 	if !ok {
@@ -164,10 +176,10 @@
 			AskAgain: "/admin/v1/patches/" + url.PathEscape(id),
 		}
 	}
-	return a.resultOf(snapshot, verdict)
+	return a.resultOf(snapshot, verdict, confirmed)
 }
 
-func (a *API) resultOf(snapshot *control.Snapshot, verdict api.PatchVerdict) api.PatchResult {
+func (a *API) resultOf(snapshot *control.Snapshot, verdict api.PatchVerdict, confirmed map[string]bool) api.PatchResult {
 	result := api.PatchResult{
 		ID:      verdict.ID,
 		Verdict: string(verdict.Verdict),
@@ -175,15 +187,18 @@
 		Version: verdict.Version,
 		Reason:  verdict.Reason,
 	}
-	covered := coverageOf(snapshot, a.Own(), verdict.Offset, time.Now())
-	result.WaitingFor = slices.Concat(covered.waiting, covered.silent)
-	result.Silent = covered.silent
-	result.InForce = verdict.Verdict == api.PatchVerdictVerdictAccepted && covered.everywhere()
+	if verdict.Verdict != api.PatchVerdictVerdictAccepted {
+		return result
+	}
+	covered := coverageOf(snapshot, a.Own(), verdict.Offset, time.Now(), confirmed)
+	result.Silent = slices.Sorted(maps.Values(covered.silent))
+	result.WaitingFor = slices.Concat(slices.Sorted(maps.Values(covered.waiting)), result.Silent)
+	result.InForce = covered.everywhere()
 	return result
 }
 
 func (a *API) getPatch(w http.ResponseWriter, r *http.Request, _ string) {
-	writeJSON(w, http.StatusOK, a.result(r.PathValue("id")))
+	writeJSON(w, http.StatusOK, a.waitedResult(r, r.PathValue("id")))
 }
 
 func (a *API) listPatches(w http.ResponseWriter, _ *http.Request, _ string) {
@@ -191,7 +206,7 @@
 	state := snapshot.Config
 	list := api.PatchList{Version: state.Version, Verdicts: []api.PatchResult{}}
 	for _, verdict := range state.Verdicts() {
-		list.Verdicts = append(list.Verdicts, a.resultOf(snapshot, verdict))
+		list.Verdicts = append(list.Verdicts, a.resultOf(snapshot, verdict, nil))
 	}
 	writeJSON(w, http.StatusOK, list)
 }
--- a/cmd/persimmonline/operator_test.go
+++ b/cmd/persimmonline/operator_test.go
@@ -4,18 +4,23 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/config"
 	"github.com/persimmonline/persimmonline/demo"
 	"github.com/persimmonline/persimmonline/examples"
+	"github.com/persimmonline/persimmonline/operator"
 	"github.com/persimmonline/persimmonline/standin"
 	"github.com/persimmonline/persimmonline/telemetry"
 )
@@ -74,7 +79,7 @@
 		args []string
 		want []string
 	}{
-		{[]string{"status"}, []string{"node-1", "node-5", "ready", "follows the log", "live", "engine-01"}},
+		{[]string{"status"}, []string{"node-1", "node-5", "ready", "follows the log", "live", "engine-01", "HOST GROUP"}},
 		{[]string{"workspace", "list"}, []string{"incident-review", "WEIGHT"}},
 		{[]string{"workspace", "get", "incident-review"}, []string{"incident-review"}},
 		{[]string{"service", "list"}, []string{"rakes", "plain"}},
@@ -83,6 +88,7 @@
 		{[]string{"upstream", "list"}, []string{"engine-01", "nizwa"}},
 		{[]string{"upstream", "get", "engine-01"}, []string{"engine-01"}},
 		{[]string{"patch", "list"}, []string{"accepted", "everywhere"}},
+		{[]string{"plan"}, []string{"HOST GROUP", "WANTED", "review"}},
 	}
 	for _, c := range cases {
 		got := operator("", c.args...)
@@ -102,6 +108,40 @@
 	require.Contains(t, down.errOut, deadNode)
 }
 
+// TestNothingShowsAWholeKeyHash reads all that operators can read.
+func TestNothingShowsAWholeKeyHash(t *testing.T) {
+	cluster := startCluster(t)
+	operator := operatorOf(cluster)
+	announced := cluster.Announce()
+	var shown strings.Builder
+	for _, args := range [][]string{
+		{"status"}, {"workspace", "list"}, {"workspace", "get", "incident-review"}, {"patch", "list"}, {"plan"},
+	} {
+		for _, form := range []string{"table", "json"} {
+			got := operator("", append(args, "-o", form)...)
+			require.Equal(t, exitOK, got.code, got.errOut)
+			shown.WriteString(got.out)
+		}
+	}
+	client := operatorClient(announced)
+	defer client.Close()
+	report, err := client.Config(t.Context())
+	require.NoError(t, err)
+	encoded, err := json.Marshal(report)
+	require.NoError(t, err)
+	shown.Write(encoded)
+	require.NotEmpty(t, report.Configuration.Operators)
+	for _, key := range append(slices.Collect(maps.Values(announced.APIKeys)), announced.AdminKey) {
+		require.NotContains(t, shown.String(), key)
+		require.NotContains(t, shown.String(), config.HashKey(key))
+		require.Contains(t, string(encoded), config.HashKey(key)[:8], "enough to tell keys apart")
+	}
+}
+
+func operatorClient(announced demo.Announcement) *operator.Client {
+	return operator.NewClient(announced.Admin, announced.AdminKey)
+}
+
 func TestPatchVerdictsAndExitCodes(t *testing.T) {
 	cluster := startCluster(t)
 	operator := operatorOf(cluster)
@@ -114,6 +154,9 @@
 	for _, n := range cluster.Nodes {
 		require.EqualValues(t, 2, n.Heartbeat().ConfigVersion)
 	}
+	require.Eventually(t, func() bool {
+		return strings.Count(operator("", "patch", "list").out, "everywhere") == 2
+	}, 30*time.Second, 10*time.Millisecond, "the list says the same")
 	repeated := operator(weightPatch, "patch", "publish", "-", "--id", "p1", "--base", "1", "-o", "json")
 	require.Equal(t, exitOK, repeated.code)
 	var first api.PatchResult
@@ -155,6 +198,7 @@
 func TestRacingOperatorsGetOneAcceptance(t *testing.T) {
 	cluster := startCluster(t)
 	announced := cluster.Announce()
+	cluster.Standins.Log.LoseAnswers(3)
 	const operators = 10
 	codes := make([]int, operators)
 	var group sync.WaitGroup
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/persimmonline/persimmonline/api"
@@ -17,7 +18,7 @@
 	// class go while a reclaim wave runs through all of it.
 	waveReclaimsPerHour = 120
 	// peerSilentAfter is the age of a heartbeat after which a peer owns nothing new.
-	peerSilentAfter = 3 * time.Second
+	peerSilentAfter = 10 * time.Second
 	// defaultCacheTokens is the size of an engine's cache that it does not report.
 	defaultCacheTokens = 65536
 )
@@ -27,14 +28,15 @@
 	now := s.now()
 	view := s.members.View(now)
 	return &Snapshot{
-		Config:    s.config,
-		Index:     s.index,
-		LogReadAt: s.logReadAt,
-		Members:   view,
-		Fleet:     s.fleet(view, now),
-		Peers:     maps.Clone(s.peers),
-		Loads:     maps.Clone(s.loads),
-		Notices:   s.members.Notices(),
+		Config:          s.config,
+		Index:           s.index,
+		LogReadAt:       s.logReadAt,
+		ConfigCondition: s.condition,
+		Members:         view,
+		Fleet:           s.fleet(view, now),
+		Peers:           maps.Clone(s.peers),
+		Loads:           maps.Clone(s.loads),
+		Notices:         s.members.Notices(),
 	}
 }
 
@@ -63,6 +65,29 @@
 	return p.State == api.HeartbeatStateReady && now.Sub(p.HeardAt) < peerSilentAfter
 }
 
+// Lacks returns the services of the configuration for which this node sees no upstream
+// that may get work, sorted.
+func (s *Snapshot) Lacks() []string {
+	if s.Index == nil {
+		return nil
+	}
+	var lacking []string
+	for name := range s.Index.Config.Services {
+		if !s.Serves(name) {
+			lacking = append(lacking, name)
+		}
+	}
+	slices.Sort(lacking)
+	return lacking
+}
+
+// Serves says whether this node sees an upstream of a service that may get work.
+func (s *Snapshot) Serves(service string) bool {
+	return slices.ContainsFunc(s.Fleet.ByService[service], func(u *routing.Upstream) bool {
+		return u.Health != membership.StateLeaving
+	})
+}
+
 // LiveNodes returns the number of nodes that take requests, this one included.
 func (s *Snapshot) LiveNodes(now time.Time) int { return liveNodes(s.Peers, now) }
 
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -54,6 +54,7 @@
 	Nodes []*node.Node
 
 	options Options
+	tally   *tally
 }
 
 // Start starts a deployment and waits until all nodes are ready.
@@ -62,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Cluster{Standins: standins, options: options}
+	c := &Cluster{Standins: standins, options: options, tally: newTally()}
 	if options.Prepare != nil {
 		options.Prepare(standins)
 	}
@@ -128,26 +129,27 @@
 
 func (c *Cluster) settings(index int, described api.DeploymentNode) api.Settings {
 	settings := api.Settings{
-		NodeID:         described.ID,
-		DataCentre:     described.DataCentre,
-		Region:         c.options.Deployment.Region,
-		CallerAddress:  c.address(0, index),
-		AdminAddress:   c.address(adminPortOffset, index),
-		PeerAddress:    net.JoinHostPort(loopbackIP, "0"),
-		LogURL:         c.Standins.LogURL(),
-		HostsURL:       c.Standins.CloudURL(),
-		CloudURL:       c.Standins.CloudURL(),
-		WeightsURL:     c.Standins.WeightsURL(),
-		PeerKey:        c.options.Deployment.PeerKey,
-		ReadinessGrace: 500 * time.Millisecond,
-		DrainTimeout:   20 * time.Second,
-		MaxBodyBytes:   4 << 20,
-		MaxStreams:     4096,
-		ConfigPoll:     2 * time.Second,
-		HostsPoll:      500 * time.Millisecond,
-		Heartbeat:      500 * time.Millisecond,
-		TraceExporter:  "none",
-		LogLevel:       "info",
+		NodeID:           described.ID,
+		DataCentre:       described.DataCentre,
+		Region:           c.options.Deployment.Region,
+		CallerAddress:    c.address(0, index),
+		AdminAddress:     c.address(adminPortOffset, index),
+		PeerAddress:      net.JoinHostPort(loopbackIP, "0"),
+		LogURL:           c.Standins.LogURL(),
+		HostsURL:         c.Standins.CloudURL(),
+		CloudURL:         c.Standins.CloudURL(),
+		WeightsURL:       c.Standins.WeightsURL(),
+		PeerKey:          c.options.Deployment.PeerKey,
+		ReadinessGrace:   500 * time.Millisecond,
+		DrainTimeout:     20 * time.Second,
+		MaxBodyBytes:     4 << 20,
+		MaxStreams:       4096,
+		ConfigPoll:       2 * time.Second,
+		SnapshotInterval: time.Minute,
+		HostsPoll:        500 * time.Millisecond,
+		Heartbeat:        500 * time.Millisecond,
+		TraceExporter:    "none",
+		LogLevel:         "info",
 	}
 	if c.options.Adjust != nil {
 		c.options.Adjust(&settings)
@@ -222,6 +224,15 @@
 	return a
 }
 
+// deploymentName returns the name in the configuration.
+func (c *Cluster) deploymentName() string {
+	parsed, err := config.Parse(c.options.Deployment.Configuration)
+	if err != nil {
+		return ""
+	}
+	return parsed.Deployment
+}
+
 // Stop is the planned stop of all nodes, then the end of the stand-ins.
 func (c *Cluster) Stop(ctx context.Context) error {
 	failures := make(chan error, len(c.Nodes))
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -24,9 +25,13 @@
 var errNoReadyNode = errors.New("no other node is ready")
 
 // Drain makes this node own nothing new; its callers are served by other nodes
-// through it.
+// through it, or here as long as no other node is ready and Seal was not called.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
+// Seal ends all new work at this node. It is called when the balancer has had its
+// grace.
+func (g *Gateway) Seal() { g.sealed.Store(true) }
+
 // HandOverRequests gives every request that runs here to its successor, and relays the
 // answers to the callers of this node until they are served or ctx ends. Callers that
 // are left get an error event that says how to go on. It returns an error if no
@@ -64,7 +69,7 @@
 
 // endRelays ends what is left. A relayed request is not lost: its holder goes on.
 func (g *Gateway) endRelays() error {
-	cut := 0
+	cut := int(g.cut.Load())
 	g.flights.Range(func(_, value any) bool {
 		f := value.(*flight)
 		if !f.relays() {
@@ -111,17 +116,19 @@
 // as holders of a request: all nodes that see the same peers agree on it.
 func (g *Gateway) successorsOf(requestID string) []control.Peer {
 	now := time.Now()
-	var ready []control.Peer
-	for _, known := range g.Control.Snapshot().Peers {
-		if known.OwnsRequests(now) {
-			ready = append(ready, known)
-		}
-	}
-	weight := func(p control.Peer) uint64 { return xxhash.Sum64String(p.NodeID + "\x00" + requestID) }
-	slices.SortFunc(ready, func(a, b control.Peer) int { return cmp.Compare(weight(b), weight(a)) })
+	ready := g.peersByWeight(requestID)
+	ready = slices.DeleteFunc(ready, func(p control.Peer) bool { return !p.OwnsRequests(now) })
 	return ready[:min(len(ready), maxAsked)]
 }
 
+// peersByWeight returns all known nodes by their rendezvous weight for a request.
+func (g *Gateway) peersByWeight(requestID string) []control.Peer {
+	peers := slices.Collect(maps.Values(g.Control.Snapshot().Peers))
+	weight := func(p control.Peer) uint64 { return xxhash.Sum64String(p.NodeID + "\x00" + requestID) }
+	slices.SortFunc(peers, func(a, b control.Peer) int { return cmp.Compare(weight(b), weight(a)) })
+	return peers
+}
+
 // anyReady returns a ready peer for new work that this node would own.
 func (g *Gateway) anyReady() (api.Heartbeat, bool) {
 	ready := g.successorsOf(g.newRequestID("", ""))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,7 +71,12 @@
 	// running attempts, *attempt to its context.
 	running  sync.Map
 	suspects *suspects
+	// draining is set when new work is for other nodes.
 	draining atomic.Bool
+	// sealed is set when no new work may start here at all.
+	sealed atomic.Bool
+	// cut counts requests that no successor took.
+	cut atomic.Int64
 
 	mu       sync.Mutex
 	budget   *retry.Budget
@@ -115,6 +120,7 @@
 	return []rest.Route{
 		{Method: http.MethodPost, Path: peer.PathChat, Handler: peer.Authenticate(g.Settings.PeerKey, g.peerChat)},
 		{Method: http.MethodPost, Path: peer.PathExchange, Handler: peer.Authenticate(g.Settings.PeerKey, g.peerExchange)},
+		{Method: http.MethodPost, Path: peer.PathPrompt, Handler: peer.Authenticate(g.Settings.PeerKey, g.peerPrompt)},
 		{Method: http.MethodPost, Path: peer.PathRequests, Handler: peer.Authenticate(g.Settings.PeerKey, g.peerRequest)},
 		{Method: http.MethodPost, Path: peer.PathService, Handler: peer.Authenticate(g.Settings.PeerKey, g.peerService)},
 		{Method: http.MethodPost, Path: peer.PathHandover, Handler: peer.Authenticate(g.Settings.PeerKey, g.peerHandover)},
--- a/operator/client.go
+++ b/operator/client.go
@@ -86,6 +86,11 @@
 	return get[api.StatusReport](ctx, c, "/admin/v1/status")
 }
 
+// Plan returns what the planner wants and why.
+func (c *Client) Plan(ctx context.Context) (api.PlanReport, error) {
+	return get[api.PlanReport](ctx, c, "/admin/v1/plan")
+}
+
 // Config returns the configuration in force.
 func (c *Client) Config(ctx context.Context) (api.ConfigReport, error) {
 	return get[api.ConfigReport](ctx, c, "/admin/v1/config")
@@ -141,6 +146,12 @@
 	return get[api.PatchResult](ctx, c, "/admin/v1/patches/"+url.PathEscape(id))
 }
 
+// PatchInForce returns what is known of a patch after the node has waited a while for
+// it to be in force everywhere.
+func (c *Client) PatchInForce(ctx context.Context, id string) (api.PatchResult, error) {
+	return get[api.PatchResult](ctx, c, "/admin/v1/patches/"+url.PathEscape(id)+"?wait=1")
+}
+
 // Publish publishes a patch once. Any node may be tried after another has failed,
 // since a patch takes effect once by its id. sent says that a node may have got it.
 func (c *Client) Publish(ctx context.Context, request api.PatchRequest) (result api.PatchResult, sent bool, err error) {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -130,13 +130,6 @@
 	e.slow = factor
 }
 
-// Running returns the number of requests in the batch.
-func (e *Engine) Running() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return len(e.running)
-}
-
 // SetLoadLag is how old a load report is from now on.
 func (e *Engine) SetLoadLag(lag time.Duration) {
 	e.mu.Lock()
@@ -160,6 +153,13 @@
 	e.config.ChecksFencing = checks
 }
 
+// Running returns the number of requests in the batch.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.running)
+}
+
 // PrefilledTokens returns the number of prompt tokens that were computed.
 func (e *Engine) PrefilledTokens() int64 {
 	e.mu.Lock()
--- a/standin/engine_http.go
+++ b/standin/engine_http.go
@@ -46,11 +46,11 @@
 		panic(http.ErrAbortHandler)
 	}
 	j := newJob(r, request, text)
+	defer j.cancel()
 	if kv := request.Resume; kv != nil && kv.KV != nil && !importable(kv.KV.Data, j) {
 		http.Error(w, "the KV state is of another prompt", http.StatusUnprocessableEntity)
 		return
 	}
-	defer j.cancel()
 	if !e.submit(j) {
 		http.Error(w, "queue is full", http.StatusServiceUnavailable)
 		return
