--- a/control/claimshard.go
+++ b/control/claimshard.go
@@ -157,7 +157,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	decision := s.table.Decide(claim, time.Now(), runsFor)
-	if outcome, ok := s.own[decision.Attempt]; ok && decision.Verdict == idempotency.Wait {
+	if outcome, ok := s.own[decision.Attempt]; ok {
 		decision = idempotency.DecideOutcome(outcome)
 	}
 	return decision, s.readable, s.changed
--- a/gateway/servicecall_test.go
+++ b/gateway/servicecall_test.go
@@ -242,3 +242,21 @@
 	}, generous, 50*time.Millisecond, "the key is free again")
 	require.Equal(t, 1, c.runs("sweep"))
 }
+
+func TestNodeThatSentKnowsTheAnswerWhileTheLogIsDown(t *testing.T) {
+	c := start(t, 2)
+	c.Standins.Ledger.SetHook(func(_ *http.Request, ran bool) {
+		if ran {
+			c.Standins.Log.SetDown(true)
+		}
+	})
+	key := uuid.NewString()
+	first := c.call(0, http.MethodPost, trigger, key, "sweep")
+	require.Equal(t, http.StatusOK, first.status, first.body)
+	again := c.call(0, http.MethodPost, trigger, key, "sweep")
+	require.Equal(t, first.body, again.body)
+	require.Equal(t, "true", again.header.Get("Idempotent-Replayed"))
+	elsewhere := c.call(1, http.MethodPost, trigger, key, "sweep")
+	require.NotEqual(t, http.StatusOK, elsewhere.status)
+	require.Equal(t, 1, c.runs("sweep"))
+}
--- a/idempotency/decide.go
+++ b/idempotency/decide.go
@@ -34,7 +34,7 @@
 	Verdict Verdict
 	// Outcome of the first call, for Replay.
 	Outcome *api.Outcome
-	// Attempt that has won, for Wait.
+	// Attempt that has won, while its outcome is not recorded.
 	Attempt string
 	// Status of the first answer, for Unknown; 0 when there was none.
 	Status int
@@ -56,7 +56,7 @@
 	case known.state == finished:
 		return DecideOutcome(known.outcome)
 	case now.Sub(known.readAt) > runsFor:
-		return Decision{Verdict: Unknown}
+		return Decision{Verdict: Unknown, Attempt: known.attempt}
 	default:
 		return Decision{Verdict: Wait, Attempt: known.attempt}
 	}
