A node that alone can't read the log follows its peers while it waits

Cause: between two failed reads, up to 8 s apart, a node did not look at what its peers' heartbeats say.

Change: the wait after a failure takes the state of a peer that is ahead, looking once a second.

Result: with one node's way to the log cut, three patches in a row were in force at all five nodes, the cut one included (test of the running program).

--- a/control/configfeed.go
+++ b/control/configfeed.go
@@ -19,6 +19,9 @@
 	// configBackoffMost bounds the wait, so that a node follows the log again well
 	// within the time that a patch has to be in force.
 	configBackoffMost = 8 * time.Second
+	// peerAskEvery is the time between two looks at what peers have, while the log can't
+	// be followed.
+	peerAskEvery = time.Second
 	// recentRecords is the number of records that are kept for peers.
 	recentRecords = 256
 )
@@ -65,8 +68,9 @@
 }
 
 func newConfigFeed(f *Feeds) *configFeed {
-	feed := &configFeed{feeds: f, state: f.Loop.Snapshot().Config, wait: sleep}
+	feed := &configFeed{feeds: f, state: f.Loop.Snapshot().Config}
 	feed.snapshots.feed = feed
+	feed.wait = feed.waitForNews
 	return feed
 }
 
@@ -168,6 +172,39 @@
 	c.failures++
 }
 
+// waitForNews waits for d, and meanwhile takes the state of a peer whose heartbeat says
+// that it is ahead.
+func (c *configFeed) waitForNews(ctx context.Context, d time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	ticker := time.NewTicker(peerAskEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if !c.peerIsAhead() {
+			continue
+		}
+		before := c.state
+		c.askPeers(ctx)
+		if c.state != before {
+			c.post(ctx, time.Time{}, c.feeds.Loop.Snapshot().ConfigCondition)
+		}
+	}
+}
+
+func (c *configFeed) peerIsAhead() bool {
+	for _, known := range c.feeds.Loop.Snapshot().Peers {
+		if known.ConfigOffset > c.state.Offset {
+			return true
+		}
+	}
+	return false
+}
+
 // configBackoff returns a wait between half of and the whole of the bound, which
 // doubles with each failure. spread is between 0 and 1.
 func configBackoff(failures int, spread float64) time.Duration {
--- a/node/config_test.go
+++ b/node/config_test.go
@@ -17,6 +17,7 @@
 	"github.com/persimmonline/persimmonline/operator"
 	"github.com/persimmonline/persimmonline/peer"
 	"github.com/persimmonline/persimmonline/platform"
+	"github.com/persimmonline/persimmonline/standin"
 	"github.com/persimmonline/persimmonline/telemetry"
 )
 
@@ -100,6 +101,39 @@
 	require.EqualValues(t, version+1, publish(t, cluster, `{"policy":{"cost_weight":4}}`).Version)
 }
 
+// TestNodeThatAloneCanNotReadTheLogFollowsItsPeers gives one node a way to the log of
+// its own and cuts it.
+func TestNodeThatAloneCanNotReadTheLogFollowsItsPeers(t *testing.T) {
+	telemetry.BridgeLogx(zerolog.Nop())
+	deployment, err := examples.Load(examples.Falaj)
+	require.NoError(t, err)
+	const cut = 2
+	var own *standin.Server
+	cluster, err := demo.Start(t.Context(), demo.Options{
+		Deployment: deployment,
+		Logger:     zerolog.Nop(),
+		Prepare: func(standins *standin.Deployment) {
+			var err error
+			own, err = standin.Serve("127.0.0.1:0", standins.Log.Handler())
+			require.NoError(t, err)
+		},
+		Adjust: func(s *api.Settings) {
+			s.ReadinessGrace = 0
+			if s.NodeID == deployment.Nodes[cut].ID {
+				s.LogURL = own.URL()
+			}
+		},
+	})
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, cluster.Stop(context.Background())) })
+	own.Close()
+	for round := range int64(3) {
+		require.EqualValues(t, round+2, publish(t, cluster, `{"policy":{"cost_weight":3}}`).Version)
+		requireReadyAt(t, cluster, cut, round+2)
+	}
+	require.Equal(t, string(control.ConfigLogUnreachable), cluster.Nodes[cut].Heartbeat().ConfigState)
+}
+
 func TestReplacedFleetKeepsTheVersionAfterRecordsExpired(t *testing.T) {
 	cluster := startCluster(t)
 	version := publish(t, cluster, `{"policy":{"cost_weight":3}}`).Version
