--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,8 @@
 	draining atomic.Bool
 	// sealed is set when no new work may start here at all.
 	sealed atomic.Bool
+	// cut counts requests that no successor took.
+	cut atomic.Int64
 
 	mu       sync.Mutex
 	budget   *retry.Budget
--- a/node/node.go
+++ b/node/node.go
@@ -84,7 +84,7 @@
 	n.duties = n.newDuties()
 	n.feeds.Config = n.configSources()
 	n.plans = n.newPlanRunner()
-	n.claims = control.NewClaims(n.feeds.Log, n.duties, n.logger)
+	n.claims = control.NewClaims(n.feeds.Log, n.duties, n.liveNodes, n.logger)
 	n.gateway = gateway.New(gateway.Options{
 		Settings:    settings,
 		Incarnation: n.incarnation,
@@ -193,7 +193,7 @@
 // are ready.
 func (n *Node) Complete(peers int) bool {
 	snapshot := n.control.Snapshot()
-	if !n.caughtUp(snapshot) || !seesUpstreams(snapshot) || len(snapshot.Peers) < peers {
+	if !n.caughtUp(snapshot) || !n.seesUpstreams(snapshot) || len(snapshot.Peers) < peers {
 		return false
 	}
 	for _, known := range snapshot.Peers {
