--- a/e2e/manyengines_test.go
+++ b/e2e/manyengines_test.go
@@ -18,7 +18,7 @@
 
 const (
 	// manyEngines is more than a node watches on its own.
-	manyEngines = 40
+	manyEngines = 60
 	// manyModels is the number of models; each engine has one of them.
 	manyModels = 10
 )
