The first owner of a prompt decides where its copies and its trial run

Cause: under load, news of a crash took longer than a reservation is announced, and a third engine died of copies at another node.

Change: a node that runs a prompt in its first owner's place asks it where, and whether it may run it alone; the answer carries what is known against the prompt.

--- a/api/peer_gen.go
+++ b/api/peer_gen.go
@@ -163,11 +163,18 @@
 // PeerPrompt asks the first owner of a prompt where its copies run; the answer is
 // a PeerPrompt too.
 type PeerPrompt struct {
+	// Alone asks to run the suspected prompt alone.
+	Alone bool `json:"alone,omitempty,omitzero"`
+
 	// Fingerprint of the service and the prompt, in hex.
 	Fingerprint string `json:"fingerprint"`
 
-	// HostID of the upstream that was picked; in the answer, of the one to use.
+	// HostID of the upstream that was picked; in the answer, of the one to use, empty
+	// when the prompt must wait.
 	HostID string `json:"host_id"`
+
+	// Suspicion is what the first owner knows against the prompt, in the answer.
+	Suspicion *Suspicion `json:"suspicion,omitempty,omitzero"`
 }
 
 // PeerRefusal is a refusal as one node tells it to another.
--- a/gateway/alone.go
+++ b/gateway/alone.go
@@ -53,8 +53,10 @@
 		case quarantine.Normal:
 			return nil, nil
 		}
-		if chosen := g.reserveIdle(s, key); chosen != nil {
-			return chosen, nil
+		if g.mayTry(ctx, s) {
+			if chosen := g.reserveIdle(s, key); chosen != nil {
+				return chosen, nil
+			}
 		}
 		pause(ctx, alonePoll)
 		if ctx.Err() != nil {
@@ -65,6 +67,24 @@
 	}
 }
 
+// mayTry asks the first owner of a prompt to run it alone. The leave lasts while an
+// upstream is looked for, and is asked again after that.
+func (g *Gateway) mayTry(ctx context.Context, s *runState) bool {
+	if s.alonePending != nil || time.Since(s.grantedAt) < grantFor/2 {
+		return true
+	}
+	if time.Since(s.askedAt) < announceWait {
+		return false
+	}
+	s.askedAt = time.Now()
+	const anyHost = "any"
+	if g.askFirstOwner(ctx, s.call, api.PeerPrompt{HostID: anyHost, Alone: true}) == "" {
+		return false
+	}
+	s.grantedAt = time.Now()
+	return true
+}
+
 // reserveIdle reserves an idle upstream for one fingerprint; nil when there is none
 // yet. The reservation counts as soon as an upstream is chosen, so that it becomes
 // idle.
@@ -77,7 +97,7 @@
 	}
 	if s.alonePending == nil {
 		_, taken := g.suspects.reserved[key]
-		if taken || g.suspects.triedByPeer(key) || len(g.suspects.reserved) >= g.aloneLimit(s.call.service) {
+		if taken || time.Now().Before(g.suspects.granted[key]) || g.suspects.triedByPeer(key) || len(g.suspects.reserved) >= g.aloneLimit(s.call.service) {
 			return nil
 		}
 		picked, err := g.pickForAlone(s)
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -33,6 +33,7 @@
 // are left get an error event that says how to go on. It returns an error if no
 // successor took a request.
 func (g *Gateway) HandOverRequests(ctx context.Context) error {
+	g.handingOver.Store(true)
 	g.flights.Range(func(_, value any) bool {
 		value.(*flight).stopRunning(errHandOver)
 		return true
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,6 +72,8 @@
 	running  sync.Map
 	suspects *suspects
 	draining atomic.Bool
+	// handingOver is set once a stopping node runs nothing any more.
+	handingOver atomic.Bool
 	// cut counts requests that no successor took.
 	cut atomic.Int64
 
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -28,11 +28,7 @@
 	g.suspects.mu.Lock()
 	defer g.suspects.mu.Unlock()
 	for _, known := range g.suspects.table.Newest() {
-		own.Suspicions = append(own.Suspicions, api.Suspicion{
-			Fingerprint: strconv.FormatUint(known.Fingerprint, 16),
-			Upstreams:   append([]string{}, known.Upstreams...),
-			AtMS:        known.At.UnixMilli(),
-		})
+		own.Suspicions = append(own.Suspicions, suspicionOf(known))
 	}
 	for key, host := range g.suspects.reserved {
 		own.Reserved = append(own.Reserved, api.Reservation{HostID: host, Fingerprint: strconv.FormatUint(key, 16)})
@@ -45,13 +41,7 @@
 	defer g.suspects.mu.Unlock()
 	now := time.Now()
 	for _, told := range heard.Suspicions[:min(len(heard.Suspicions), quarantine.MaxShared)] {
-		key, err := strconv.ParseUint(told.Fingerprint, 16, 64)
-		if err != nil {
-			continue
-		}
-		g.suspects.table.Merge(quarantine.Suspicion{
-			Fingerprint: key, Upstreams: told.Upstreams, At: time.UnixMilli(told.AtMS),
-		}, now)
+		g.suspects.merge(told, now)
 	}
 	for _, reservation := range heard.Reserved {
 		g.suspects.try(reservation.HostID, now)
@@ -62,3 +52,32 @@
 		g.suspects.peers[heard.NodeID] = peerReservations{list: heard.Reserved, heardAt: now}
 	}
 }
+
+// merge takes what another node told of one request; what can't be read is passed over.
+// The caller holds the lock.
+func (s *suspects) merge(told api.Suspicion, now time.Time) {
+	key, err := strconv.ParseUint(told.Fingerprint, 16, 64)
+	if err != nil {
+		return
+	}
+	s.table.Merge(quarantine.Suspicion{Fingerprint: key, Upstreams: told.Upstreams, At: time.UnixMilli(told.AtMS)}, now)
+}
+
+// about returns what is known of one request; nil when nothing is. The caller holds the
+// lock.
+func (s *suspects) about(key uint64) *api.Suspicion {
+	known, ok := s.table.Get(key)
+	if !ok {
+		return nil
+	}
+	told := suspicionOf(known)
+	return &told
+}
+
+func suspicionOf(known quarantine.Suspicion) api.Suspicion {
+	return api.Suspicion{
+		Fingerprint: strconv.FormatUint(known.Fingerprint, 16),
+		Upstreams:   append([]string{}, known.Upstreams...),
+		AtMS:        known.At.UnixMilli(),
+	}
+}
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -45,6 +45,10 @@
 	alonePending *routing.Upstream
 	// aloneSince is when it was reserved.
 	aloneSince time.Time
+	// grantedAt is when the first owner of the prompt let it run here alone.
+	grantedAt time.Time
+	// askedAt is when it was asked last.
+	askedAt time.Time
 	// ran says whether any attempt may have run.
 	ran refusal.Ran
 }
@@ -162,9 +166,9 @@
 }
 
 // chooseUpstream returns the upstream of the next attempt. When the upstream that runs
-// the copies of a prompt is gone, it waits once for news of why.
+// the copies of a prompt is gone, it waits for news of why.
 func (g *Gateway) chooseUpstream(ctx context.Context, s *runState) (*choice, *refusal.Refusal) {
-	for waited := false; ; waited = true {
+	for tries := 0; ; tries++ {
 		chosen, refused := g.chooseBySuspicion(ctx, s)
 		if chosen != nil || refused != nil {
 			return chosen, refused
@@ -177,7 +181,7 @@
 			return nil, refusal.New(http.StatusServiceUnavailable, refusal.CodeNoUpstream,
 				"no upstream can take the request now").At("route", "", err).After(jittered(noUpstreamRetry))
 		}
-		if chosen := g.joinCopies(ctx, s, picked, waited); chosen != nil {
+		if chosen := g.joinCopies(ctx, s, picked, tries); chosen != nil {
 			return chosen, nil
 		}
 		pause(ctx, announceWait)
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -25,6 +25,8 @@
 	reserved map[uint64]string
 	// together holds prompts that never had a whole answer here and run now.
 	together map[uint64]*together
+	// granted are suspected prompts that another node runs alone, and until when.
+	granted map[uint64]time.Time
 	// examining counts the failed attempts of a prompt whose cause is not known yet.
 	examining map[uint64]int
 	// answered are prompts that had a whole answer, the newest last.
@@ -52,6 +54,7 @@
 		reserved:  map[uint64]string{},
 		tried:     map[string]time.Time{},
 		together:  map[uint64]*together{},
+		granted:   map[uint64]time.Time{},
 		examining: map[uint64]int{},
 		answered:  map[uint64]bool{},
 		peers:     map[string]peerReservations{},
--- a/gateway/together.go
+++ b/gateway/together.go
@@ -12,6 +12,7 @@
 	"github.com/persimmonline/persimmonline/control"
 	"github.com/persimmonline/persimmonline/membership"
 	"github.com/persimmonline/persimmonline/prompt"
+	"github.com/persimmonline/persimmonline/quarantine"
 	"github.com/persimmonline/persimmonline/refusal"
 	"github.com/persimmonline/persimmonline/routing"
 )
@@ -19,8 +20,13 @@
 const (
 	// maxAnswered bounds the prompts that are remembered as harmless.
 	maxAnswered = 8192
+	// maxWaits is how often a prompt waits for its first owner to find out why an
+	// upstream failed it.
+	maxWaits = 10
 	// elsewhereFor is how long a copy at another node counts as running.
 	elsewhereFor = 2 * time.Second
+	// grantFor is how long another node has a suspected prompt for itself.
+	grantFor = 3 * time.Second
 )
 
 // together is one prompt that several requests run at one upstream, so that a prompt
@@ -33,13 +39,16 @@
 // joinCopies returns the upstream that runs the copies of the same prompt already, or
 // else opens one at the picked upstream for later copies to join. A prompt that had a
 // whole answer before runs anywhere. It returns nil when the upstream of the copies is
-// gone, unless the request must go on now.
-func (g *Gateway) joinCopies(ctx context.Context, s *runState, picked *routing.Upstream, now bool) *choice {
+// gone, or the first owner lets the prompt wait; after enough tries it goes on.
+func (g *Gateway) joinCopies(ctx context.Context, s *runState, picked *routing.Upstream, tries int) *choice {
 	key := fingerprint(s.call)
 	if g.answeredBefore(key) {
 		return &choice{Upstream: picked, release: func() {}}
 	}
-	host := g.askFirstOwner(ctx, s.call, key, picked.ID)
+	host := g.askFirstOwner(ctx, s.call, api.PeerPrompt{HostID: picked.ID})
+	if host == "" && tries < maxWaits {
+		return nil
+	}
 	g.suspects.mu.Lock()
 	defer g.suspects.mu.Unlock()
 	known, open := g.suspects.together[key]
@@ -50,7 +59,7 @@
 	current := g.current(s.call.service, known.host)
 	gone := s.excluded[known.host] || current == nil || current.Health != membership.StateLive
 	switch {
-	case gone && !now:
+	case gone && tries == 0:
 		g.suspects.dropUnused(key, known)
 		return nil
 	case gone:
@@ -68,17 +77,26 @@
 	return g.suspects.answered[key]
 }
 
-// askFirstOwner returns the host on which a prompt's copies run, when this node runs one
-// in the place of its first owner: because that is full, or the nodes' views differ.
-func (g *Gateway) askFirstOwner(ctx context.Context, c *call, key uint64, host string) string {
+// askFirstOwner returns the host on which a prompt should run, when this node runs it in
+// the place of its first owner: because that is full, or the nodes' views differ. It is
+// empty when the prompt must wait; what the first owner knows against it is known here
+// then.
+func (g *Gateway) askFirstOwner(ctx context.Context, c *call, ask api.PeerPrompt) string {
 	first, elsewhere := g.firstOwner(c)
 	if !elsewhere {
-		return host
+		return ask.HostID
 	}
-	answer, err := g.Peers.Prompt(ctx, first.PeerAddress, api.PeerPrompt{Fingerprint: strconv.FormatUint(key, 16), HostID: host})
+	key := fingerprint(c)
+	ask.Fingerprint = strconv.FormatUint(key, 16)
+	answer, err := g.Peers.Prompt(ctx, first.PeerAddress, ask)
 	if err != nil {
 		g.Logger.Debug().Err(err).Str("peer", first.NodeID).Msg("first owner of a prompt not asked")
-		return host
+		return ask.HostID
+	}
+	if told := answer.Suspicion; told != nil {
+		g.suspects.mu.Lock()
+		g.suspects.merge(*told, time.Now())
+		g.suspects.mu.Unlock()
 	}
 	return answer.HostID
 }
@@ -111,22 +129,50 @@
 		refusal.Field("fingerprint", "fingerprint must be a number in hex").Write(w, "")
 		return
 	}
-	picked.HostID = g.meetHere(key, picked.HostID)
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(picked)
+	_ = json.NewEncoder(w).Encode(g.answerPrompt(key, picked))
 }
 
-// meetHere registers a copy at another node for a while and returns where it should run.
-func (g *Gateway) meetHere(key uint64, host string) string {
+// answerPrompt decides as the first owner of a prompt where another node may run it.
+func (g *Gateway) answerPrompt(key uint64, asked api.PeerPrompt) api.PeerPrompt {
+	verdict := g.verdict(key)
 	g.suspects.mu.Lock()
 	defer g.suspects.mu.Unlock()
-	known, open := g.suspects.together[key]
+	answer := api.PeerPrompt{Fingerprint: asked.Fingerprint, Suspicion: g.suspects.about(key)}
+	switch {
+	case verdict == quarantine.Normal:
+		answer.HostID = g.suspects.meet(key, asked.HostID)
+	case verdict == quarantine.Alone && asked.Alone && g.suspects.grant(key, time.Now()):
+		answer.HostID = asked.HostID
+	}
+	return answer
+}
+
+// grant lets another node run a suspected prompt alone, one node at a time. The caller
+// holds the lock.
+func (s *suspects) grant(key uint64, now time.Time) bool {
+	if _, here := s.reserved[key]; here || s.examining[key] > 0 || now.Before(s.granted[key]) {
+		return false
+	}
+	for known, until := range s.granted {
+		if now.After(until) {
+			delete(s.granted, known)
+		}
+	}
+	s.granted[key] = now.Add(grantFor)
+	return true
+}
+
+// meet registers a copy at another node for a while and returns where it should run. The
+// caller holds the lock.
+func (s *suspects) meet(key uint64, host string) string {
+	known, open := s.together[key]
 	if !open {
 		known = &together{host: host}
-		g.suspects.together[key] = known
+		s.together[key] = known
 	}
 	known.attempts++
-	time.AfterFunc(elsewhereFor, g.suspects.leave(key, known))
+	time.AfterFunc(elsewhereFor, s.leave(key, known))
 	return known.host
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -123,6 +123,12 @@
 	}
 }
 
+// Get returns what is known of one request.
+func (t *Table) Get(fingerprint uint64) (Suspicion, bool) {
+	known, ok := t.suspicions[fingerprint]
+	return known, ok
+}
+
 // Newest returns the newest suspicions and clearings for other nodes, at most
 // MaxShared.
 func (t *Table) Newest() []Suspicion {
