--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,9 +71,10 @@
 	// running attempts, *attempt to its context.
 	running  sync.Map
 	suspects *suspects
+	// draining is set when new work is for other nodes.
 	draining atomic.Bool
-	// handingOver is set once a stopping node runs nothing any more.
-	handingOver atomic.Bool
+	// sealed is set when no new work may start here at all.
+	sealed atomic.Bool
 	// cut counts requests that no successor took.
 	cut atomic.Int64
 
