Command test follows the plan's one line in status

Change: the test asks for the plan's line, that hosts are complete, and for the groups and models by name in 'plan', waiting until the first plan is made.

--- a/cmd/persimmonline/operator_test.go
+++ b/cmd/persimmonline/operator_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/persimmonline/persimmonline/api"
@@ -79,7 +80,7 @@
 		args []string
 		want []string
 	}{
-		{[]string{"status"}, []string{"node-1", "node-5", "ready", "follows the log", "live", "engine-01", "HOST GROUP"}},
+		{[]string{"status"}, []string{"node-1", "node-5", "ready", "follows the log", "live", "engine-01", "PLAN", "hosts complete"}},
 		{[]string{"workspace", "list"}, []string{"incident-review", "WEIGHT"}},
 		{[]string{"workspace", "get", "incident-review"}, []string{"incident-review"}},
 		{[]string{"service", "list"}, []string{"rakes", "plain"}},
@@ -88,14 +89,16 @@
 		{[]string{"upstream", "list"}, []string{"engine-01", "nizwa"}},
 		{[]string{"upstream", "get", "engine-01"}, []string{"engine-01"}},
 		{[]string{"patch", "list"}, []string{"accepted", "everywhere"}},
-		{[]string{"plan"}, []string{"HOST GROUP", "WANTED", "review"}},
+		{[]string{"plan"}, []string{"PLAN", "GROUP", "WANTED", "engines", "review"}},
 	}
 	for _, c := range cases {
-		got := operator("", c.args...)
-		require.Equal(t, exitOK, got.code, "%v: %s", c.args, got.errOut)
-		for _, want := range c.want {
-			require.Contains(t, got.out, want, "%v", c.args)
-		}
+		require.EventuallyWithT(t, func(t *assert.CollectT) {
+			got := operator("", c.args...)
+			require.Equal(t, exitOK, got.code, "%v: %s", c.args, got.errOut)
+			for _, want := range c.want {
+				require.Contains(t, got.out, want, "%v", c.args)
+			}
+		}, 30*time.Second, 20*time.Millisecond, "the plan is made after the start")
 		asJSON := operator("", append(c.args, "-o", "json")...)
 		require.Equal(t, exitOK, asJSON.code)
 		require.True(t, json.Valid([]byte(asJSON.out)), "%v", c.args)
