--- a/demo/membership_test.go
+++ b/demo/membership_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -56,6 +57,14 @@
 		}, generous, poll)
 	}
 	t.Logf("all nodes know after %v", time.Since(started))
+	leaving := cluster.Standins.Engine("engine-03")
+	before := leaving.PrefilledTokens()
+	for i := range 40 {
+		body := fmt.Sprintf(`{"model":"review","messages":[{"role":"user","content":"question %d of the rake log"}],"max_tokens":2}`, i)
+		response := call(t, http.MethodPost, known.Callers[i%len(known.Callers)]+"/v1/chat/completions", known.APIKeys[workspace], body)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
+	require.Equal(t, before, leaving.PrefilledTokens(), "a leaving engine gets no new work")
 }
 
 // upstreamState asks a node for the state of an upstream.
--- a/standin/deployment.go
+++ b/standin/deployment.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/persimmonline/persimmonline/api"
 )
 
@@ -262,6 +264,7 @@
 	d.servers[described.ID] = server
 	d.mu.Unlock()
 	host := hostOf(described.ID, api.HostRoleService, described.Service, server.Address(), described.DataCentre, d.description.Region, described.MachineClass)
+	host.Incarnation = uuid.NewString()[:8]
 	return host, func() { d.Kill(described.ID) }, nil
 }
 
