Nodes that were heard of and are not listed yet are partners too

Cause: news of a reclaim went to the nodes of the host list only. Change: a peer that was heard of within 10 s and is not listed is a partner for heartbeats. Conclusion: a lagging list delays nothing between nodes that know each other.

--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -59,10 +59,13 @@
 	return routing.NewFleet(byService, s.prefixes, liveNodes(s.peers, now), now)
 }
 
+// Alive says whether a peer was heard of lately.
+func (p Peer) Alive(now time.Time) bool { return now.Sub(p.HeardAt) < peerSilentAfter }
+
 // OwnsRequests says whether a peer may own new requests: it is ready and was heard
 // of lately.
 func (p Peer) OwnsRequests(now time.Time) bool {
-	return p.State == api.HeartbeatStateReady && now.Sub(p.HeardAt) < peerSilentAfter
+	return p.State == api.HeartbeatStateReady && p.Alive(now)
 }
 
 // Lacks returns the services of the configuration for which this node sees no upstream
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -180,7 +180,7 @@
 // sendHeartbeatRound sends to the partners whose turn it is, or that lack news. It
 // waits for none, so that a silent partner doesn't delay the news to others.
 func (n *Node) sendHeartbeatRound(ctx context.Context, snapshot *control.Snapshot) {
-	partners := membership.Partners(snapshot.Members.Nodes, n.settings.HostID, n.settings.DataCentre)
+	partners := n.partners(snapshot, time.Now())
 	period := max(n.settings.Heartbeat, secondsPerPartner*time.Duration(len(partners)))
 	n.beats.mu.Lock()
 	defer n.beats.mu.Unlock()
