--- a/config/entries_test.go
+++ b/config/entries_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/persimmonline/persimmonline/api"
+	_ "github.com/persimmonline/persimmonline/internal/fixedseed"
 )
 
 // seed makes the random tests the same in every run; -rapid.seed sets another.
--- a/control/claimshard.go
+++ b/control/claimshard.go
@@ -80,6 +80,9 @@
 	from, wait := int64(0), time.Duration(0)
 	for ctx.Err() == nil {
 		page, err := s.log.Read(ctx, s.stream, from, readLimit, wait)
+		if err != nil && ctx.Err() != nil {
+			return
+		}
 		if err != nil {
 			wait = 0
 			s.unreadable(err)
--- a/control/configfeed_test.go
+++ b/control/configfeed_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/config"
+	_ "github.com/persimmonline/persimmonline/internal/fixedseed"
 	"github.com/persimmonline/persimmonline/telemetry"
 )
 
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/exchange"
+	_ "github.com/persimmonline/persimmonline/internal/fixedseed"
 )
 
 // chunkOf is a chunk of an answer; its text names the request, attempt and offset.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"runtime"
 	"sync"
 	"time"
 
@@ -150,7 +151,12 @@
 		a.usage = &reported
 		chunk.Usage = wholeUsage(reported, journal.Tokens())
 	}
+	first := !a.progress
 	taken := journal.Append(a.number, chunk)
+	if first {
+		// The goroutine that writes to the caller runs before the next chunk is decoded.
+		runtime.Gosched()
+	}
 	a.progress = a.progress || (taken && chunk.TokenCount > 0)
 	if a.chosen.alone && journal.Tokens() >= a.offset+aloneTokens {
 		a.chosen.release()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 	"github.com/persimmonline/persimmonline/control"
 	"github.com/persimmonline/persimmonline/examples"
 	"github.com/persimmonline/persimmonline/exchange"
+	_ "github.com/persimmonline/persimmonline/internal/fixedseed"
 	"github.com/persimmonline/persimmonline/peer"
 	"github.com/persimmonline/persimmonline/prompt"
 	"github.com/persimmonline/persimmonline/standin"
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/persimmonline/persimmonline/api"
+	_ "github.com/persimmonline/persimmonline/internal/fixedseed"
 	"github.com/persimmonline/persimmonline/lease"
 )
 
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	_ "github.com/persimmonline/persimmonline/internal/fixedseed"
 	"github.com/persimmonline/persimmonline/limit"
 )
 
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/persimmonline/persimmonline/api"
+	_ "github.com/persimmonline/persimmonline/internal/fixedseed"
 	"github.com/persimmonline/persimmonline/membership"
 )
 
--- a/modelcheck/claims_test.go
+++ b/modelcheck/claims_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	_ "github.com/persimmonline/persimmonline/internal/fixedseed"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
