--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,8 @@
 bench: ## Measures the policies and the cost of a decision against their targets.
 	$(GO) test -count=1 -v -run 'TestGoals' ./bench/policy
 	$(GO) test -run '^$$' -bench Decision ./routing
+	$(GO) test -run '^$$' -bench . -benchtime 2s ./bench/overhead
+	$(GO) test -run '^$$' -bench ControlBytes -benchtime 1x ./demo
 
 slopes: ## Measures what control costs a node against the sizes that grow; some minutes.
 	./bench/slopes/run.sh docs/capacity/slopes.json
