--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -182,8 +182,8 @@
 	}
 	span.SetAttributes(
 		attribute.String("request.id", a.state.call.id),
-		attribute.String("peer.id", a.chosen.ID),
-		attribute.String("peer.data_centre", a.chosen.DataCentre),
+		attribute.String("upstream.id", a.chosen.ID),
+		attribute.String("upstream.data_centre", a.chosen.DataCentre),
 		attribute.String("step", a.way.String()),
 		attribute.Int("token_offset", a.offset),
 		attribute.Bool("alone", a.chosen.alone),
