Test of an old key lets node 1 read the outcome before the log is trimmed

Change: a repeat at node 1 comes before the trim; all asserts stay. Conclusion: the order that the test means is now the order that it makes.

--- a/gateway/servicecall_test.go
+++ b/gateway/servicecall_test.go
@@ -165,6 +165,7 @@
 	c := start(t, 2)
 	old := "order-17"
 	require.Equal(t, http.StatusOK, c.call(0, http.MethodPost, trigger, old, "old").status)
+	require.Equal(t, http.StatusOK, c.call(1, http.MethodPost, trigger, old, "old").status, "node 1 has read the outcome")
 	for i := range 4 {
 		c.Standins.Log.Trim("claims-"+string(rune('0'+i)), 1<<40)
 	}
