Engines on demand stand in where reclaimable ones are not to be had

Only reclaimable engines were ever ordered.

Now a data centre in which they are not to be had is made up for by the others, and what all of them lack below half of what is wanted by engines on demand, the cheapest data centre first; the refused orders go on, so that it shows when there are some again.

Ruled out: the duties were held and done throughout (holder's log); the orders were refused as 'none of that kind is to be had', not fenced or lost.

--- a/edge/duties.go
+++ b/edge/duties.go
@@ -68,6 +68,8 @@
 	at       time.Time
 	accepted bool
 	pending  bool
+	// unavailable says that no engine of the class was to be had at the last answer.
+	unavailable bool
 }
 
 func newDuties(e *Edge, c *control) *duties {
@@ -273,7 +275,7 @@
 			continue
 		}
 		engines := d.engines(service.Name)
-		for _, wanted := range scaling.Plan(scaling.DefaultPolicy(), service, engines, d.demandOf(service.Name)) {
+		for _, wanted := range scaling.Plan(scaling.DefaultPolicy(), service, engines, d.dry(service.Name), d.demandOf(service.Name)) {
 			d.order(wanted, engines[wanted.DataCentre], now)
 		}
 	}
@@ -324,6 +326,17 @@
 	return engines
 }
 
+// dry returns the data centres in which no reclaimable engine of a service is to be had.
+func (d *duties) dry(service string) map[string]bool {
+	dry := map[string]bool{}
+	for key, known := range d.orders {
+		if key.service == service && key.reclaimable && known.unavailable {
+			dry[key.dataCentre] = true
+		}
+	}
+	return dry
+}
+
 // order sends an order that is new, or whose engines are missing.
 func (d *duties) order(wanted scaling.Order, engines scaling.Engines, now time.Time) {
 	key := orderKey{wanted.Service, wanted.DataCentre, wanted.Reclaimable}
@@ -337,7 +350,7 @@
 	if settled || waiting || last.pending {
 		return
 	}
-	d.orders[key] = order{count: wanted.Count, at: now, pending: true}
+	d.orders[key] = order{count: wanted.Count, at: now, pending: true, unavailable: last.unavailable}
 	demand := d.demandOf(wanted.Service).Peak()
 	holder := platform.Holder{Node: d.edge.settings.Name, Fence: d.fence}
 	ctx := d.edge.ctx
@@ -347,7 +360,10 @@
 			Bool("reclaimable", wanted.Reclaimable).Int("count", wanted.Count).Int("have", have).Int64("fence", holder.Fence).
 			Msg("engines ordered")
 		d.control.post(ctx, func(now time.Time) {
-			d.orders[key] = order{count: wanted.Count, at: now, accepted: err == nil}
+			d.orders[key] = order{
+				count: wanted.Count, at: now, accepted: err == nil,
+				unavailable: errors.Is(err, platform.ErrUnavailable) || (err != nil && last.unavailable),
+			}
 			if errors.Is(err, platform.ErrFenced) {
 				d.fenced(holder.Fence)
 			}
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -5,6 +5,7 @@
 package scaling
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -36,12 +37,18 @@
 	// DuePerEngine is the number of requests waiting for their first token that an
 	// engine should have at most, on average.
 	DuePerEngine float64
+	// EnoughShare is the part of the wanted reclaimable engines below which engines on
+	// demand make up for those that are not to be had: more are wanted than the load needs,
+	// since they are cheap.
+	EnoughShare float64
 	// ReadyShare of the reclaimable engines that must serve before engines on demand go.
 	ReadyShare float64
 }
 
-// DefaultPolicy orders reclaimable engines alone.
-func DefaultPolicy() Policy { return Policy{Least: 6, DuePerEngine: 0.5, ReadyShare: 0.6} }
+// DefaultPolicy orders engines on demand only where no reclaimable ones are to be had.
+func DefaultPolicy() Policy {
+	return Policy{Least: 6, DuePerEngine: 0.5, EnoughShare: 0.5, ReadyShare: 0.6}
+}
 
 const (
 	// demandRise and demandFall are the time constants of Demand: an order must come
@@ -75,31 +82,60 @@
 // Peak returns the highest mean of late.
 func (d *Demand) Peak() float64 { return d.peak }
 
-// Plan returns the orders for a service, given its engines by data centre and the demand.
-func Plan(policy Policy, service *catalog.Service, engines map[string]Engines, demand *Demand) []Order {
+// Plan returns the orders for a service, given its engines by data centre, the data
+// centres in which no reclaimable engine is to be had, and the demand. What a data centre
+// lacks is made up for by the others, and what all of them lack by engines on demand.
+func Plan(policy Policy, service *catalog.Service, engines map[string]Engines, dry map[string]bool, demand *Demand) []Order {
 	scaling := service.Scaling
 	if scaling == nil || len(scaling.Prices) == 0 {
 		return nil
 	}
-	centres := slices.Sorted(maps.Keys(scaling.Prices))
+	centres := byPrice(scaling.Prices)
+	open := 0
+	for _, centre := range centres {
+		if !dry[centre] {
+			open++
+		}
+	}
 	wanted := int(math.Ceil(demand.Peak() / policy.DuePerEngine / float64(len(centres))))
 	reclaimable := min(max(wanted, policy.Least, scaling.Min), scaling.Max)
+	total := reclaimable * len(centres)
+	spread := reclaimable
+	if open > 0 {
+		spread = min(scaling.Max, (total+open-1)/open)
+	}
+	missing := max(0, int(math.Ceil(policy.EnoughShare*float64(total)))-spread*open)
 	// The bound on engines covers both classes, so that those on demand leave room for
 	// only so many reclaimable ones.
 	serving, room := 0, 0
 	for _, centre := range centres {
-		serving += min(engines[centre].Reclaimable, reclaimable)
-		room += min(reclaimable, max(1, scaling.Max-engines[centre].OnDemand))
+		if dry[centre] {
+			continue
+		}
+		serving += min(engines[centre].Reclaimable, spread)
+		room += min(spread, max(1, scaling.Max-engines[centre].OnDemand))
 	}
-	enough := float64(serving) >= policy.ReadyShare*float64(room)
+	enough := open > 0 && float64(serving) >= policy.ReadyShare*float64(room)
 	var orders []Order
 	for _, centre := range centres {
-		orders = append(orders, Order{
-			Service: service.Name, DataCentre: centre, Reclaimable: true, Count: reclaimable,
-		})
-		if enough && engines[centre].OnDemand > 0 {
-			orders = append(orders, Order{Service: service.Name, DataCentre: centre})
+		order := Order{Service: service.Name, DataCentre: centre, Reclaimable: true, Count: spread}
+		if dry[centre] {
+			// The order is repeated, which tells when there are some again.
+			order.Count = reclaimable
+		}
+		orders = append(orders, order)
+		onDemand := min(missing, max(0, scaling.Max-engines[centre].Reclaimable))
+		missing -= onDemand
+		if onDemand > 0 || (enough && engines[centre].OnDemand > 0) {
+			orders = append(orders, Order{Service: service.Name, DataCentre: centre, Count: onDemand})
 		}
 	}
 	return orders
 }
+
+// byPrice returns the data centres, the cheapest first.
+func byPrice(prices map[string]float64) []string {
+	return slices.SortedFunc(maps.Keys(prices), func(a, b string) int {
+		return cmp.Or(cmp.Compare(prices[a], prices[b]), cmp.Compare(a, b))
+	})
+}
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -16,10 +16,10 @@
 
 func TestEnginesOnDemandStayUntilReclaimableOnesServe(t *testing.T) {
 	engines := map[string]scaling.Engines{"a": {OnDemand: 3}, "b": {OnDemand: 3}}
-	orders := scaling.Plan(scaling.DefaultPolicy(), service(), engines, &scaling.Demand{})
+	orders := scaling.Plan(scaling.DefaultPolicy(), service(), engines, nil, &scaling.Demand{})
 	require.Equal(t, []scaling.Order{
-		{Service: "s", DataCentre: "a", Reclaimable: true, Count: 6},
 		{Service: "s", DataCentre: "b", Reclaimable: true, Count: 6},
+		{Service: "s", DataCentre: "a", Reclaimable: true, Count: 6},
 	}, orders)
 }
 
@@ -27,13 +27,13 @@
 // which must be enough for the others to go.
 func TestEnginesOnDemandGoOnceTheRoomBesideThemIsFilled(t *testing.T) {
 	engines := map[string]scaling.Engines{"a": {OnDemand: 3, Reclaimable: 3}, "b": {OnDemand: 3, Reclaimable: 3}}
-	orders := scaling.Plan(scaling.DefaultPolicy(), service(), engines, &scaling.Demand{})
+	orders := scaling.Plan(scaling.DefaultPolicy(), service(), engines, nil, &scaling.Demand{})
 	require.Contains(t, orders, scaling.Order{Service: "s", DataCentre: "a"})
 	require.Contains(t, orders, scaling.Order{Service: "s", DataCentre: "b"})
 }
 
 func TestServiceOfFixedSizeIsNotOrdered(t *testing.T) {
-	require.Empty(t, scaling.Plan(scaling.DefaultPolicy(), &catalog.Service{Name: "s"}, nil, &scaling.Demand{}))
+	require.Empty(t, scaling.Plan(scaling.DefaultPolicy(), &catalog.Service{Name: "s"}, nil, nil, &scaling.Demand{}))
 }
 
 func TestDemandRisesFastAndFallsSlowly(t *testing.T) {
@@ -51,3 +51,26 @@
 	}
 	require.Greater(t, demand.Peak(), 6.0)
 }
+
+// Reclaimable engines that a data centre lacks after a reclaim are ordered in the others.
+func TestOtherDataCentresMakeUpForOneWithoutReclaimableEngines(t *testing.T) {
+	large := service()
+	large.Scaling.Max = 30
+	engines := map[string]scaling.Engines{"b": {Reclaimable: 6}}
+	orders := scaling.Plan(scaling.DefaultPolicy(), large, engines, map[string]bool{"a": true}, &scaling.Demand{})
+	require.Equal(t, []scaling.Order{
+		{Service: "s", DataCentre: "b", Reclaimable: true, Count: 12},
+		{Service: "s", DataCentre: "a", Reclaimable: true, Count: 6},
+	}, orders)
+}
+
+// With too few reclaimable engines to be had, those on demand stand in, the cheapest first.
+func TestEnginesOnDemandStandInWhereNoReclaimableOnesAreToBeHad(t *testing.T) {
+	dry := map[string]bool{"a": true, "b": true}
+	orders := scaling.Plan(scaling.DefaultPolicy(), service(), nil, dry, &scaling.Demand{})
+	require.Contains(t, orders, scaling.Order{Service: "s", DataCentre: "b", Count: 6})
+	require.NotContains(t, orders, scaling.Order{Service: "s", DataCentre: "a", Count: 6})
+	engines := map[string]scaling.Engines{"a": {Reclaimable: 6}, "b": {OnDemand: 6}}
+	orders = scaling.Plan(scaling.DefaultPolicy(), service(), engines, map[string]bool{"b": true}, &scaling.Demand{})
+	require.Contains(t, orders, scaling.Order{Service: "s", DataCentre: "b", Count: 0}, "they go as others serve")
+}
