Engines: half of a service's bound from the start, and those that are kept count

After a reclaim in one data centre the platform has no reclaimable engine in any for about 20 s, while the others keep theirs, which the plan took for none: up to 60 on demand were ordered beside 38.

Now at least half of the service's bound is wanted in each data centre, and where none are to be had, what is there counts. Reads of the registry and of the duties are spaced by the number of nodes, and a node that learns of a leaving upstream tells peers at once, who pass it on.

--- a/edge/control.go
+++ b/edge/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/persimmonline/persimmonline/api"
@@ -62,18 +63,20 @@
 	rawConfig  []byte
 	peers      map[string]*peerState
 	quotaNodes int
-	mostNodes  int
-	mostAt     time.Time
-	suspects   map[string]time.Time
-	trackers   map[string]*routing.Tracker
-	holders    map[string]routing.Holder
-	prefixes   *routing.Prefixes
-	placed     []placement
-	sequence   int64
-	duties     *duties
-	poison     *quarantine.Table
-	draining   bool
-	closed     bool
+	// fleetSize is the number of nodes as the feeds see it.
+	fleetSize atomic.Int64
+	mostNodes int
+	mostAt    time.Time
+	suspects  map[string]time.Time
+	trackers  map[string]*routing.Tracker
+	holders   map[string]routing.Holder
+	prefixes  *routing.Prefixes
+	placed    []placement
+	sequence  int64
+	duties    *duties
+	poison    *quarantine.Table
+	draining  bool
+	closed    bool
 	// dirty says that the view must be published at once, stale that it may wait.
 	dirty, stale bool
 }
@@ -164,13 +167,16 @@
 	return ok
 }
 
-// changed logs what became of upstreams.
+// changed logs what became of upstreams, and has peers told of those that leave.
 func (c *control) changed(changes []fleet.Change) {
 	for _, change := range changes {
+		if change.What == fleet.Draining {
+			c.edge.peers.wake()
+		}
 		u := change.Upstream
 		c.edge.logger.Info().Str("upstream", u.ID).Int64("born_ms", u.BornMS).Str("service", u.Service).
 			Str("address", u.Address).Str("data_centre", u.DataCentre).Bool("reclaimable", u.Reclaimable).
-			Dur("leaves_ms", u.Leaves).Str("change", change.What).Msg("upstream changed")
+			Dur("leaves_ms", u.Leaves).Str("change", string(change.What)).Msg("upstream changed")
 		c.dirty = true
 	}
 }
@@ -224,6 +230,7 @@
 	c.edge.ledgerLock.Lock()
 	defer c.edge.ledgerLock.Unlock()
 	c.quotaNodes = c.nodes(now)
+	c.fleetSize.Store(int64(c.quotaNodes))
 	c.edge.ledger.Configure(limits, c.quotaNodes, silentCycles*cycle(len(c.peers)), now)
 }
 
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -88,7 +88,7 @@
 // feed follows the topic of duties.
 func (d *duties) feed(ctx context.Context) *feed {
 	return &feed{
-		edge: d.edge, topic: topicDuties, wait: dutiesWait,
+		edge: d.edge, topic: topicDuties, wait: dutiesWait, pause: d.edge.paced(dutiesPause, 0, mostDutiesPause),
 		page: func(page platform.Page) {
 			d.control.post(ctx, func(now time.Time) { d.read(page, now) })
 		},
--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -16,8 +16,18 @@
 	configWait = 4 * time.Second
 	// registryWait is the same for the registry, on which a shorter bound rests.
 	registryWait = 2 * time.Second
-	// registryPause spaces reads of the registry, so that a wave of changes costs few calls.
-	registryPause = 150 * time.Millisecond
+	// registryPause spaces reads of the registry, whose upstreams write all the time, for
+	// each node of the fleet: all together read it so often, whatever their number, and
+	// tell each other of upstreams that leave.
+	registryPause = 30 * time.Millisecond
+	// leastRegistryPause and mostRegistryPause bound it; a node that hears no other must
+	// still learn of a notice well before the bound on draining, 2 s.
+	leastRegistryPause = 150 * time.Millisecond
+	mostRegistryPause  = 800 * time.Millisecond
+	// dutiesPause is the same for the topic of duties, on which only their passing on waits.
+	dutiesPause = 20 * time.Millisecond
+	// mostDutiesPause is well within the life of a lease.
+	mostDutiesPause = 500 * time.Millisecond
 	// nodesWait is the same for the topic of nodes, which peers also tell of.
 	nodesWait = 15 * time.Second
 	// retryPause and longRetryPause space the calls to a store that fails.
@@ -34,7 +44,8 @@
 	edge  *Edge
 	topic string
 	wait  time.Duration
-	pause time.Duration
+	// pause between two reads; nil for none.
+	pause func() time.Duration
 	// reset takes the newest record of each key, page the records that follow.
 	reset func(records []platform.KeyedRecord)
 	page  func(page platform.Page)
@@ -54,7 +65,10 @@
 			return
 		}
 		f.note(err)
-		pause := f.pause
+		pause := time.Duration(0)
+		if f.pause != nil {
+			pause = f.pause()
+		}
 		if err != nil {
 			pause = retryPause
 			if f.failures > shortOutage {
@@ -102,6 +116,13 @@
 	return nil
 }
 
+// paced returns a pause that grows with the fleet.
+func (e *Edge) paced(perNode, least, most time.Duration) func() time.Duration {
+	return func() time.Duration {
+		return min(most, max(least, perNode*time.Duration(e.control.fleetSize.Load())))
+	}
+}
+
 // note logs the loss and the return of the store.
 func (f *feed) note(err error) {
 	if err == nil {
@@ -156,7 +177,7 @@
 func (e *Edge) registryFeed(ctx context.Context) *feed {
 	c := e.control
 	return &feed{
-		edge: e, topic: platform.TopicRegistry, wait: registryWait, pause: registryPause,
+		edge: e, topic: platform.TopicRegistry, wait: registryWait, pause: e.paced(registryPause, leastRegistryPause, mostRegistryPause),
 		reset: func(records []platform.KeyedRecord) {
 			var entries []fleet.Entry
 			for _, record := range records {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -56,10 +56,29 @@
 type Change struct {
 	// Upstream after the change.
 	Upstream Upstream
-	// What changed: added, draining, lapsed, back, gone or replaced.
-	What string
+	// What changed.
+	What What
 }
 
+// What became of an upstream.
+type What string
+
+// What may become of an upstream.
+const (
+	// Added: it may get work.
+	Added What = "added"
+	// Draining: it leaves and gets no new work.
+	Draining What = "draining"
+	// Lapsed: its entry vanished while the registry could not be read.
+	Lapsed What = "lapsed"
+	// Back: a lapsed entry is there again.
+	Back What = "back"
+	// Gone: it does not exist any more.
+	Gone What = "gone"
+	// Replaced: another incarnation has its id.
+	Replaced What = "replaced"
+)
+
 // Registry holds the upstreams by id.
 type Registry struct {
 	upstreams map[string]*Upstream
@@ -123,9 +142,9 @@
 		return nil
 	case entry.Draining:
 		known.LeavingAt = now
-		return []Change{{Upstream: *known, What: "draining"}}
+		return []Change{{Upstream: *known, What: Draining}}
 	case lapsed:
-		return []Change{{Upstream: *known, What: "back"}}
+		return []Change{{Upstream: *known, What: Back}}
 	}
 	return nil
 }
@@ -141,14 +160,14 @@
 func (r *Registry) add(known *Upstream, entry Entry, now time.Time) []Change {
 	var changes []Change
 	if known != nil {
-		changes = append(changes, Change{Upstream: *known, What: "replaced"})
+		changes = append(changes, Change{Upstream: *known, What: Replaced})
 	}
 	added := &Upstream{Entry: entry, SeenAt: now}
 	if entry.Draining {
 		added.LeavingAt = now
 	}
 	r.upstreams[entry.ID] = added
-	return append(changes, Change{Upstream: *added, What: "added"})
+	return append(changes, Change{Upstream: *added, What: Added})
 }
 
 // Leave notes that an incarnation leaves, as a peer has read.
@@ -158,7 +177,7 @@
 		return nil
 	}
 	known.LeavingAt, known.Draining = now, true
-	return []Change{{Upstream: *known, What: "draining"}}
+	return []Change{{Upstream: *known, What: Draining}}
 }
 
 // Remove takes the removal of an entry. Within the grace after an outage the entry may
@@ -174,7 +193,7 @@
 			return nil
 		}
 		known.LapsedAt = now
-		return []Change{{Upstream: *known, What: "lapsed"}}
+		return []Change{{Upstream: *known, What: Lapsed}}
 	}
 	return r.drop(known, now)
 }
@@ -184,7 +203,7 @@
 	r.gone[known.ID] = goneIncarnation{
 		bornMS: known.BornMS, sequence: known.Sequence, left: known.Leaving(), at: now,
 	}
-	return []Change{{Upstream: *known, What: "gone"}}
+	return []Change{{Upstream: *known, What: Gone}}
 }
 
 // Replace takes the whole registry as it was read: what is missing is removed.
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -32,8 +32,10 @@
 
 // Policy holds the figures of the decision.
 type Policy struct {
-	// Least reclaimable engines wanted in each data centre.
-	Least int
+	// Least reclaimable engines wanted in each data centre, and LeastShare the same as a
+	// part of the service's bound: engines that are ordered when the load comes are late.
+	Least      int
+	LeastShare float64
 	// DuePerEngine is the number of requests waiting for their first token that an
 	// engine should have at most, on average.
 	DuePerEngine float64
@@ -45,9 +47,10 @@
 	ReadyShare float64
 }
 
-// DefaultPolicy orders engines on demand only where no reclaimable ones are to be had.
+// DefaultPolicy orders engines on demand only where no reclaimable ones are to be had. Operators
+// bound a service at about twice what its usual load needs.
 func DefaultPolicy() Policy {
-	return Policy{Least: 6, DuePerEngine: 0.5, EnoughShare: 0.5, ReadyShare: 0.6}
+	return Policy{Least: 6, LeastShare: 0.5, DuePerEngine: 0.5, EnoughShare: 0.5, ReadyShare: 0.6}
 }
 
 const (
@@ -83,47 +86,44 @@
 func (d *Demand) Peak() float64 { return d.peak }
 
 // Plan returns the orders for a service, given its engines by data centre, the data
-// centres in which no reclaimable engine is to be had, and the demand. What a data centre
-// lacks is made up for by the others, and what all of them lack by engines on demand.
+// centres in which no reclaimable engine is to be had, and the demand. The other data
+// centres do not make up for those: engines crowded into one of them would go all at once.
 func Plan(policy Policy, service *catalog.Service, engines map[string]Engines, dry map[string]bool, demand *Demand) []Order {
 	scaling := service.Scaling
 	if scaling == nil || len(scaling.Prices) == 0 {
 		return nil
 	}
 	centres := byPrice(scaling.Prices)
-	open := 0
+	wanted := int(math.Ceil(demand.Peak() / policy.DuePerEngine / float64(len(centres))))
+	least := max(policy.Least, int(policy.LeastShare*float64(scaling.Max)), scaling.Min)
+	reclaimable := min(max(wanted, least), scaling.Max)
+	missing := int(math.Ceil(policy.EnoughShare * float64(reclaimable*len(centres))))
 	for _, centre := range centres {
-		if !dry[centre] {
-			open++
+		if dry[centre] {
+			missing -= min(engines[centre].Reclaimable, reclaimable)
+		} else {
+			missing -= reclaimable
 		}
 	}
-	wanted := int(math.Ceil(demand.Peak() / policy.DuePerEngine / float64(len(centres))))
-	reclaimable := min(max(wanted, policy.Least, scaling.Min), scaling.Max)
-	total := reclaimable * len(centres)
-	spread := reclaimable
-	if open > 0 {
-		spread = min(scaling.Max, (total+open-1)/open)
-	}
-	missing := max(0, int(math.Ceil(policy.EnoughShare*float64(total)))-spread*open)
+	missing = max(0, missing)
 	// The bound on engines covers both classes, so that those on demand leave room for
 	// only so many reclaimable ones.
 	serving, room := 0, 0
 	for _, centre := range centres {
+		serving += min(engines[centre].Reclaimable, reclaimable)
 		if dry[centre] {
+			room += min(engines[centre].Reclaimable, reclaimable)
 			continue
 		}
-		serving += min(engines[centre].Reclaimable, spread)
-		room += min(spread, max(1, scaling.Max-engines[centre].OnDemand))
+		room += min(reclaimable, max(1, scaling.Max-engines[centre].OnDemand))
 	}
-	enough := open > 0 && float64(serving) >= policy.ReadyShare*float64(room)
+	enough := serving > 0 && float64(serving) >= policy.ReadyShare*float64(room)
 	var orders []Order
 	for _, centre := range centres {
-		order := Order{Service: service.Name, DataCentre: centre, Reclaimable: true, Count: spread}
-		if dry[centre] {
-			// The order is repeated, which tells when there are some again.
-			order.Count = reclaimable
-		}
-		orders = append(orders, order)
+		// In a dry data centre the order is repeated, which tells when there are some again.
+		orders = append(orders, Order{
+			Service: service.Name, DataCentre: centre, Reclaimable: true, Count: reclaimable,
+		})
 		onDemand := min(missing, max(0, scaling.Max-engines[centre].Reclaimable))
 		missing -= onDemand
 		if onDemand > 0 || (enough && engines[centre].OnDemand > 0) {
