A fault soak: the daemon as processes on loopback, and what must hold while they fail

soak/ runs three nodes as real processes with the platform's stand-ins behind proxies, draws planned and unplanned faults from a seed, and checks what callers and engines saw. platform/platformtest holds the stand-ins, which speak the published protocol; the edge's tests use its store in place of their own.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"encoding/base64"
-	"encoding/binary"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -22,111 +19,35 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/persimmonline/persimmonline/platform"
+	"github.com/persimmonline/persimmonline/platform/platformtest"
 )
 
-// storeStub is a small stand-in of the platform's log store: one partition a topic.
-type storeStub struct {
-	mu     sync.Mutex
-	topics map[string][][]byte
-	// refuses are the remote hosts that it turns away.
-	refuses map[string]bool
-	server  *httptest.Server
-}
-
-func newStoreStub(t *testing.T) *storeStub {
-	s := &storeStub{topics: map[string][][]byte{}, refuses: map[string]bool{}}
-	s.server = httptest.NewServer(http.HandlerFunc(s.serve))
-	t.Cleanup(s.server.Close)
-	return s
-}
-
-func (s *storeStub) address() string { return strings.TrimPrefix(s.server.URL, "http://") }
-
-func (s *storeStub) put(topic string, record []byte) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.topics[topic] = append(s.topics[topic], record)
-}
-
-func (s *storeStub) serve(w http.ResponseWriter, r *http.Request) {
-	topic := r.URL.Query().Get("topic")
-	switch r.URL.Path {
-	case "/log-append":
-		body, _ := io.ReadAll(r.Body)
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if at := r.URL.Query().Get("at"); at != "" && at != strconv.Itoa(len(s.topics[topic])) {
-			w.WriteHeader(http.StatusPreconditionFailed)
-			return
-		}
-		offset := len(s.topics[topic])
-		for len(body) > 0 {
-			length := binary.BigEndian.Uint32(body)
-			s.topics[topic] = append(s.topics[topic], body[4:4+length])
-			body = body[4+length:]
-		}
-		_, _ = fmt.Fprintf(w, `{"offset":%d,"endOffset":%d}`, offset, len(s.topics[topic]))
-	case "/log-newest":
-		s.newest(w, topic)
-	case "/log-read":
-		s.read(w, r, topic)
-	}
-}
+const configText = `{"version":%d,"routes":[{"name":"r","host":"h.example","pathPrefix":"/a/","type":"unsafe","timeoutMs":3000,
+ "service":"s","maxAttempts":1}],"services":[{"name":"s","healthPath":"/healthz"}],"limits":{},
+ "tenants":[{"name":"w","apiKeys":["%s"],"ratePerS":1000,"burst":1000}]}`
 
-func (s *storeStub) newest(w http.ResponseWriter, topic string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	type entry struct {
-		Key    string `json:"key"`
-		Value  string `json:"value"`
-		Offset int    `json:"offset"`
-	}
-	entries := map[string]entry{}
-	for i, record := range s.topics[topic] {
-		end := 1 + int(record[0])
-		key := string(record[1:end])
-		entries[key] = entry{key, base64.StdEncoding.EncodeToString(record[end:]), i}
-	}
-	list := []entry{}
-	for _, known := range entries {
-		list = append(list, known)
-	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"entries": list, "hasMore": false, "endOffset": len(s.topics[topic])})
+// storeServer is a stand-in of the platform's store on an address.
+type storeServer struct {
+	*platformtest.Store
+	*httptest.Server
 }
 
-func (s *storeStub) read(w http.ResponseWriter, r *http.Request, topic string) {
-	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
-	wait, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
-	deadline := time.Now().Add(time.Duration(wait) * time.Millisecond)
-	for {
-		s.mu.Lock()
-		records := s.topics[topic]
-		s.mu.Unlock()
-		if len(records) > from || time.Now().After(deadline) || r.Context().Err() != nil {
-			raw := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
-			raw = binary.BigEndian.AppendUint64(raw, 0)
-			for _, record := range records[min(from, len(records)):] {
-				raw = binary.BigEndian.AppendUint32(raw, uint32(len(record)))
-				raw = append(raw, record...)
-			}
-			_, _ = w.Write(raw)
-			return
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
+func newStore(t *testing.T) storeServer {
+	store := platformtest.NewStore()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	return storeServer{store, server}
 }
 
-const configText = `{"version":%d,"routes":[{"name":"r","host":"h.example","pathPrefix":"/a/","type":"unsafe","timeoutMs":3000,
- "service":"s","maxAttempts":1}],"services":[{"name":"s","healthPath":"/healthz"}],"limits":{},
- "tenants":[{"name":"w","apiKeys":["%s"],"ratePerS":1000,"burst":1000}]}`
+func (s storeServer) address() string { return strings.TrimPrefix(s.URL, "http://") }
 
-func (s *storeStub) configure(version int, key string) {
-	s.put(platform.TopicOperator, platform.EncodeKeyed(platform.KeyConfig, fmt.Appendf(nil, configText, version, key)))
+func (s storeServer) configure(version int, key string) {
+	s.Configure(fmt.Appendf(nil, configText, version, key))
 }
 
-func (s *storeStub) register(id, address string) {
-	s.put(platform.TopicRegistry, platform.EncodeKeyed(id, fmt.Appendf(nil,
-		`{"service":"s","address":"%s","zone":"z","slots":4,"phase":"ready","sequence":1,"born":1700000000000}`, address)))
+func (s storeServer) register(id, address string) {
+	s.Put(platform.TopicRegistry, id, fmt.Appendf(nil,
+		`{"service":"s","address":"%s","zone":"z","slots":4,"phase":"ready","sequence":1,"born":1700000000000}`, address))
 }
 
 // freePort returns a port that was free a moment ago.
@@ -219,7 +140,7 @@
 const eventually = 8 * time.Second
 
 func TestNodeServesFromTheStoresConfigurationAndRegistry(t *testing.T) {
-	store := newStoreStub(t)
+	store := newStore(t)
 	e, stop := start(t, settings(t, "n1", store.address()))
 	require.False(t, ready(e), "nothing is known yet")
 	require.NotEqual(t, 404, call(t, e, "k1"))
@@ -237,7 +158,7 @@
 }
 
 func TestStoppingNodeFinishesWhatItHasTaken(t *testing.T) {
-	store := newStoreStub(t)
+	store := newStore(t)
 	store.configure(1, "k")
 	store.register("i-1", upstream(t, 800*time.Millisecond))
 	e, stop := start(t, settings(t, "n1", store.address()))
@@ -265,7 +186,7 @@
 
 // A node that the store turns away applies what its peers have.
 func TestNodeWithoutTheStoreTakesTheConfigurationFromAPeer(t *testing.T) {
-	store := newStoreStub(t)
+	store := newStore(t)
 	store.configure(4, "k")
 	store.register("i-1", upstream(t, 0))
 	first, _ := start(t, settings(t, "n1", store.address()))
--- /dev/null
+++ b/soak/world_test.go
@@ -0,0 +1,284 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonline/persimmonline/platform"
+	"github.com/persimmonline/persimmonline/platform/platformtest"
+)
+
+const (
+	nodesInWorld      = 3
+	enginesPerService = 4
+	heartbeatEvery    = 1200 * time.Millisecond
+	// lingers is how long an engine serves on after its notice; the platform's engines do
+	// so for the bound on draining and a little longer.
+	lingers = drainBound + time.Second
+
+	serviceCalls   = "calls"
+	serviceStreams = "streams"
+	workspace      = "w"
+)
+
+// world is a deployment on loopback: stand-ins of the platform, engines and nodes.
+type world struct {
+	store   *platformtest.Store
+	cloud   *platformtest.Cloud
+	nodes   []*node
+	callers *callers
+	notes   *notes
+	key     atomic.Pointer[string]
+
+	mu       sync.Mutex
+	engines  []*engineHost
+	version  int
+	keys     []string
+	lastID   int
+	versions []published
+}
+
+// engineHost is an engine behind its proxy.
+type engineHost struct {
+	*platformtest.Engine
+	service  string
+	proxy    *proxy
+	draining bool
+}
+
+// published is a version of the configuration with the time of its acknowledgement.
+type published struct {
+	version int
+	at      time.Time
+	// revoked is the key that it takes away; empty if none.
+	revoked string
+}
+
+// newWorld starts the stand-ins and the nodes. The slot keeps worlds that run at the same
+// time apart: it is a part of the nodes' addresses.
+func newWorld(t *testing.T, slot int, dir string) *world {
+	w := &world{store: platformtest.NewStore(), cloud: platformtest.NewCloud(), notes: newNotes(), keys: []string{"key-0"}}
+	w.key.Store(&w.keys[0])
+	w.callers = &callers{world: w}
+	store, cloud := httptest.NewServer(w.store), httptest.NewServer(w.cloud)
+	t.Cleanup(func() { store.CloseClientConnections(); cloud.CloseClientConnections() })
+	for i := range nodesInWorld {
+		n := &node{name: fmt.Sprintf("edge-%d", i), ip: fmt.Sprintf("127.0.%d.%d", 10+slot, i+1), zone: string("ab"[i%2]), dir: dir}
+		var err error
+		n.store, err = startProxy(strings.TrimPrefix(store.URL, "http://"))
+		require.NoError(t, err)
+		n.cloud, err = startProxy(strings.TrimPrefix(cloud.URL, "http://"))
+		require.NoError(t, err)
+		require.NoError(t, n.writeSettings("first"))
+		w.nodes = append(w.nodes, n)
+		t.Cleanup(func() { n.kill(); n.store.close(); n.cloud.close() })
+	}
+	for range enginesPerService {
+		for _, service := range []string{serviceCalls, serviceStreams} {
+			require.NoError(t, w.addEngine(service))
+		}
+	}
+	t.Cleanup(func() {
+		for _, engine := range w.serving() {
+			w.endEngine(engine)
+		}
+	})
+	w.publish("")
+	for _, n := range w.nodes {
+		require.NoError(t, n.start())
+	}
+	return w
+}
+
+// addEngine starts an engine and registers it.
+func (w *world) addEngine(service string) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lastID++
+	settings := platformtest.EngineSettings{
+		ID: fmt.Sprintf("i-%d", w.lastID), Service: service, DataCentre: string("ab"[w.lastID%2]), Slots: 16,
+		Work: 15 * time.Millisecond, Recorder: w.notes,
+	}
+	if service == serviceStreams {
+		settings.Events, settings.Pause = streamEvents, 30*time.Millisecond
+	}
+	engine, err := platformtest.StartEngine("127.0.0.1", settings)
+	if err != nil {
+		return err
+	}
+	front, err := startProxy(engine.Address())
+	if err != nil {
+		return err
+	}
+	host := &engineHost{Engine: engine, service: service, proxy: front}
+	w.engines = append(w.engines, host)
+	w.store.Put(platform.TopicRegistry, host.ID(), host.Entry(front.address(), false))
+	return nil
+}
+
+// serving returns the engines that have not ended.
+func (w *world) serving() []*engineHost {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]*engineHost(nil), w.engines...)
+}
+
+// pickEngine returns an engine that is not draining.
+func (w *world) pickEngine(random *rand.Rand) *engineHost {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for {
+		if engine := w.engines[random.IntN(len(w.engines))]; !engine.draining {
+			return engine
+		}
+	}
+}
+
+// drainEngine announces that an engine leaves, and returns when the store has acknowledged.
+func (w *world) drainEngine(engine *engineHost) {
+	w.mu.Lock()
+	engine.draining = true
+	w.mu.Unlock()
+	w.store.Put(platform.TopicRegistry, engine.ID(), engine.Entry(engine.proxy.address(), true))
+	w.notes.drained(engine.ID(), time.Now())
+}
+
+// endEngine ends an engine at once; its entry stays.
+func (w *world) endEngine(engine *engineHost) {
+	w.mu.Lock()
+	for i, known := range w.engines {
+		if known == engine {
+			w.engines = append(w.engines[:i:i], w.engines[i+1:]...)
+			break
+		}
+	}
+	w.mu.Unlock()
+	engine.Crash()
+	engine.proxy.close()
+}
+
+func (w *world) removeEntry(engine *engineHost) {
+	w.store.Put(platform.TopicRegistry, engine.ID(), nil)
+}
+
+// heartbeat renews the entries of the engines that serve.
+func (w *world) heartbeat(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, heartbeatEvery)
+		w.mu.Lock()
+		for _, engine := range w.engines {
+			w.store.Put(platform.TopicRegistry, engine.ID(), engine.Entry(engine.proxy.address(), engine.draining))
+		}
+		w.mu.Unlock()
+	}
+}
+
+// publish writes the next version of the configuration: it adds a route of its own and
+// removes that of the version before. A key that is revoked is not in it.
+func (w *world) publish(revoked string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version += 1 + w.version%2
+	if revoked != "" {
+		for i, key := range w.keys {
+			if key == revoked {
+				w.keys = append(w.keys[:i:i], w.keys[i+1:]...)
+				break
+			}
+		}
+	}
+	route := func(path string, service, kind string, resume bool) map[string]any {
+		return map[string]any{
+			"name": strings.Trim(path, "/"), "host": "soak.example", "pathPrefix": path, "type": kind, "service": service,
+			"timeoutMs": callerWait.Milliseconds(), "targetLatencyMs": 200, "gapTargetMs": 300, "maxAttempts": 3, "streamResume": resume,
+		}
+	}
+	config, err := json.Marshal(map[string]any{
+		"version": w.version,
+		"routes": []any{
+			route("/unsafe/", serviceCalls, "unsafe", false), route("/safe/", serviceCalls, "safe", false),
+			route("/resumable/", serviceStreams, "streaming", true), route("/nonresumable/", serviceStreams, "streaming", false),
+			route(marker(w.version), serviceCalls, "safe", false),
+		},
+		"services": []any{
+			map[string]any{"name": serviceCalls, "healthPath": "/healthz"}, map[string]any{"name": serviceStreams, "healthPath": "/healthz"},
+		},
+		"limits":  map[string]any{"idleTimeoutMs": 20000},
+		"tenants": []any{map[string]any{"name": workspace, "apiKeys": w.keys}},
+	})
+	if err != nil {
+		panic(err) // A map of plain values is always encoded.
+	}
+	w.store.Configure(config)
+	w.versions = append(w.versions, published{version: w.version, at: time.Now(), revoked: revoked})
+}
+
+// marker is the path that only one version has.
+func marker(version int) string { return fmt.Sprintf("/only-%d/", version) }
+
+// latest returns the last two versions.
+func (w *world) latest() (newest, before published) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	last := len(w.versions) - 1
+	return w.versions[last], w.versions[max(0, last-1)]
+}
+
+// rotateKey gives the callers another key and revokes the one before.
+func (w *world) rotateKey(ctx context.Context) {
+	w.mu.Lock()
+	old, fresh := *w.key.Load(), fmt.Sprintf("key-%d", w.version)
+	w.keys = append(w.keys, fresh)
+	w.mu.Unlock()
+	w.publish("")
+	sleep(ctx, applyBound+contactSpan)
+	w.key.Store(&fresh)
+	sleep(ctx, callerWait)
+	w.publish(old)
+}
+
+// probe asks nodes for the routes of the newest two versions, in turn.
+func (w *world) probe(ctx context.Context, random *rand.Rand) {
+	defer w.callers.workers.Done()
+	for ctx.Err() == nil {
+		sleep(ctx, 40*time.Millisecond)
+		n := w.nodes[random.IntN(len(w.nodes))]
+		newest, before := w.latest()
+		for _, version := range []int{newest.version, before.version} {
+			conn := dial(n)
+			if conn == nil {
+				break
+			}
+			s := &sent{
+				id: fmt.Sprintf("p-%d", w.callers.next.Add(1)), kind: safeCall, method: http.MethodGet, target: marker(version) + "probe",
+			}
+			w.callers.send(conn, s)
+			conn.close()
+			w.notes.probed(s, version)
+		}
+	}
+}
+
+// logDir returns the directory of a world's logs.
+func logDir(t *testing.T, seed uint64) string {
+	base := *keepLogs
+	if base == "" {
+		return t.TempDir()
+	}
+	dir := filepath.Join(base, fmt.Sprintf("seed-%d", seed))
+	require.NoError(t, os.MkdirAll(dir, 0o755))
+	return dir
+}
