Peers tell of removed entries, and no read of the registry is held for 2 s

Notices were passed on by peers, removals were not.

Now removals are told like notices, a read waits 1 s at most, and a read that brought nothing is not followed by a pause.

Tests: a removal that a peer has read (fleet), and passed on by a node (edge); neither call existed before.

--- a/api/edge_gen.go
+++ b/api/edge_gen.go
@@ -55,13 +55,19 @@
 	Usage map[string]map[int64]map[string]int64 `json:"usage"`
 }
 
-// EdgeLeaving names an upstream that leaves.
+// EdgeLeaving names an upstream that leaves, or whose entry was removed.
 type EdgeLeaving struct {
 	// BornMS names the incarnation.
 	BornMS int64 `json:"born_ms"`
 
 	// ID of the upstream.
 	ID string `json:"id"`
+
+	// Removed says that its entry is not there any more.
+	Removed bool `json:"removed"`
+
+	// Sequence of the entry that was removed.
+	Sequence int64 `json:"sequence"`
 }
 
 // EdgeLoad is what a node has under way at one upstream.
--- a/edge/control.go
+++ b/edge/control.go
@@ -29,6 +29,8 @@
 	// usageWindowsTold are the newest windows of usage that every message carries; older
 	// ones have been told before.
 	usageWindowsTold = 2
+	// removalTold is how long peers are told of a removed entry, or two cycles of a large fleet.
+	removalTold = time.Second
 	// peersTold bounds the addresses of other nodes in a message.
 	peersTold = 8
 	// suspectFor is how long an upstream that could not be reached gets only work that no
@@ -170,7 +172,7 @@
 // changed logs what became of upstreams, and has peers told of those that leave.
 func (c *control) changed(changes []fleet.Change) {
 	for _, change := range changes {
-		if change.What == fleet.Draining {
+		if change.What == fleet.Draining || change.What == fleet.Gone {
 			c.edge.peers.wake()
 		}
 		u := change.Upstream
@@ -357,9 +359,15 @@
 			message.Load = append(message.Load, api.EdgeLoad{Upstream: key, Running: int(running), Due: due, QueuedTokens: queued})
 		}
 	}
-	for _, member := range c.registry.Leaving() {
+	leaving, removed := c.registry.Leaving(now.Add(-max(removalTold, toldCycles*cycle(len(c.peers)))))
+	for _, member := range leaving {
 		message.Leaving = append(message.Leaving, api.EdgeLeaving{ID: member.ID, BornMS: member.BornMS})
 	}
+	for _, removal := range removed {
+		message.Leaving = append(message.Leaving, api.EdgeLeaving{
+			ID: removal.ID, BornMS: removal.BornMS, Removed: true, Sequence: removal.Sequence,
+		})
+	}
 	// The order of a map differs with each message, so that all addresses are told in time.
 	for name, peer := range c.peers {
 		if len(message.Peers) == peersTold {
--- a/edge/exchange_test.go
+++ b/edge/exchange_test.go
@@ -56,6 +56,20 @@
 	require.Equal(t, api.EdgeLoad{Upstream: "u", Running: 200, Due: 100, QueuedTokens: 100_000}, c.othersLoad(now)["u"])
 }
 
+// A node whose read of the registry is held up learns of a removal from its peers.
+func TestPeersTellOfRemovedUpstreams(t *testing.T) {
+	told, _ := benchNode(t, 1)
+	other, _ := benchNode(t, 1)
+	other.edge.settings.Name = "other"
+	now := other.edge.clock.steady()
+	other.changed(other.registry.Remove("i-0000000002", now))
+	require.Len(t, told.registry.Upstreams(), 4)
+	told.heard(other.exchange(now), told.edge.clock.steady())
+	require.Len(t, told.registry.Upstreams(), 3)
+	require.Len(t, told.exchange(told.edge.clock.steady()).Leaving, 1, "and passes it on")
+	require.Empty(t, other.exchange(now.Add(time.Minute)).Leaving)
+}
+
 // benchNode returns the control state of a node that has heard all its peers and knows
 // four engines for each of them.
 func benchNode(tb testing.TB, peers int) (*control, func(i int) *api.EdgeExchange) {
--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -14,8 +14,9 @@
 	// configWait is how long the store may hold a read of the configuration; a read that
 	// falls silent is noticed after it.
 	configWait = 4 * time.Second
-	// registryWait is the same for the registry, on which a shorter bound rests.
-	registryWait = 2 * time.Second
+	// registryWait is the same for the registry, on which the bound on draining rests, 2 s: a
+	// read that arrives while an append is under way may be held for the whole of it.
+	registryWait = time.Second
 	// registryPause spaces reads of the registry, whose upstreams write all the time, for
 	// each node of the fleet: all together read it so often, whatever their number, and
 	// tell each other of upstreams that leave.
@@ -52,8 +53,10 @@
 	// outage is told when the store stops and starts to answer; nil if nobody asks.
 	outage func(active bool)
 
-	next     int64
-	synced   bool
+	next   int64
+	synced bool
+	// quiet says that the last read brought nothing, and so has waited already.
+	quiet    bool
 	failures int
 }
 
@@ -66,7 +69,7 @@
 		}
 		f.note(err)
 		pause := time.Duration(0)
-		if f.pause != nil {
+		if f.pause != nil && !f.quiet {
 			pause = f.pause()
 		}
 		if err != nil {
@@ -109,7 +112,8 @@
 		f.synced, f.next = false, 0
 		return nil
 	}
-	if len(page.Records) > 0 {
+	f.quiet = len(page.Records) == 0
+	if !f.quiet {
 		f.page(page)
 		f.next += int64(len(page.Records))
 	}
--- a/edge/peerstate.go
+++ b/edge/peerstate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/fleet"
 )
 
 const (
@@ -98,6 +99,12 @@
 		time.UnixMilli(message.ClockMS), now)
 	e.ledgerLock.Unlock()
 	for _, leaving := range message.Leaving {
+		if leaving.Removed {
+			c.changed(c.registry.RemovedElsewhere(fleet.Removal{
+				ID: leaving.ID, BornMS: leaving.BornMS, Sequence: leaving.Sequence,
+			}, now))
+			continue
+		}
 		c.changed(c.registry.Leave(leaving.ID, leaving.BornMS, now))
 	}
 	c.takeSuspicions(message.Suspicions, now)
--- a/edge/placement.go
+++ b/edge/placement.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// placementFresh is how long a placement is told to peers, and placementCycles the same
-	// in cycles of a large fleet: each peer is told of it at least once.
-	placementFresh  = 300 * time.Millisecond
-	placementCycles = 2
+	// placementFresh is how long a placement is told to peers, and toldCycles the same in
+	// cycles of a large fleet: each peer is told of it at least once.
+	placementFresh = 300 * time.Millisecond
+	toldCycles     = 2
 	// maxPlacements bounds the placements of one message.
 	maxPlacements = 256
 	// heavyTokens is the prompt whose reading delays an engine's other requests so much
@@ -43,7 +43,7 @@
 
 // placements returns the fresh placements of this node.
 func (c *control) placements(now time.Time) []api.EdgePlacement {
-	told := max(placementFresh, placementCycles*cycle(len(c.peers)))
+	told := max(placementFresh, toldCycles*cycle(len(c.peers)))
 	for len(c.placed) > 0 && (now.Sub(c.placed[0].at) > told || len(c.placed) > maxPlacements) {
 		c.placed = c.placed[1:]
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -249,15 +249,38 @@
 	return all
 }
 
-// Leaving returns the upstreams that leave.
-func (r *Registry) Leaving() []Upstream {
-	var leaving []Upstream
+// Removal is an incarnation whose entry was removed.
+type Removal struct {
+	// ID and BornMS name the incarnation.
+	ID     string
+	BornMS int64
+	// Sequence of the entry that was removed.
+	Sequence int64
+}
+
+// Leaving returns the upstreams that leave, and those whose entries were removed since a time.
+func (r *Registry) Leaving(since time.Time) (leaving []Upstream, removed []Removal) {
 	for _, known := range r.upstreams {
 		if known.Leaving() {
 			leaving = append(leaving, *known)
 		}
 	}
-	return leaving
+	for id, gone := range r.gone {
+		if !gone.at.Before(since) {
+			removed = append(removed, Removal{ID: id, BornMS: gone.bornMS, Sequence: gone.sequence})
+		}
+	}
+	return leaving, removed
+}
+
+// RemovedElsewhere takes the removal of an entry that a peer has read: it may be read here
+// only later. What is newer than the removal stays.
+func (r *Registry) RemovedElsewhere(removal Removal, now time.Time) []Change {
+	known := r.upstreams[removal.ID]
+	if known == nil || known.BornMS != removal.BornMS || known.Sequence > removal.Sequence {
+		return nil
+	}
+	return r.drop(known, now)
 }
 
 // Leaving says whether the upstream must not get new work that another can take.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -93,3 +93,22 @@
 	require.ElementsMatch(t, []string{"added", "gone"}, what(r.Replace([]fleet.Entry{other}, at(100))))
 	require.Equal(t, "i-2", r.Upstreams()[0].ID)
 }
+
+// The record of a removal may reach this node later than a peer.
+func TestRemovalThatAPeerHasReadIsTaken(t *testing.T) {
+	r := fleet.NewRegistry()
+	r.Put(entry(5, false), at(0))
+	other := fleet.NewRegistry()
+	other.Put(entry(5, false), at(0))
+	other.Remove("i-1", at(10))
+	leaving, removed := other.Leaving(at(0))
+	require.Empty(t, leaving)
+	require.Len(t, removed, 1)
+	require.Equal(t, []string{"gone"}, what(r.RemovedElsewhere(removed[0], at(20))))
+	require.Empty(t, r.Remove("i-1", at(30)))
+	require.Empty(t, r.Put(entry(5, false), at(40)), "an older entry does not bring it back")
+	require.Equal(t, []string{"added"}, what(r.Put(entry(6, false), at(50))), "it was only silent")
+	require.Empty(t, r.RemovedElsewhere(removed[0], at(60)), "the removal is older than the entry")
+	_, removed = other.Leaving(at(11))
+	require.Empty(t, removed)
+}
