A node is not charged twice when it hears levels late, and refunds of peers are credited

Since levels are told only to nodes that are behind, a node that had run for ten seconds heard some for the first time when it pushed with the older version, took them over and charged its whole use a second time. A bucket that never fills keeps such a debt.

Found beside it: a peer's use that shrank by a refund was ignored, and charged again as it rose.

Now a bucket out of which the node has taken something keeps its level, and less use than before is credited. Two tests, which failed before (-300 for 100, 700 for 1000).

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -86,7 +86,8 @@
 	l.join(l.joinLevels)
 }
 
-// join takes over the levels of a peer once.
+// join takes over the levels of a peer once, but for buckets out of which this node has
+// taken something: the peer may have taken that out already.
 func (l *Ledger) join(levels map[string]float64) {
 	if l.joined || len(levels) == 0 {
 		return
@@ -97,8 +98,8 @@
 	}
 	l.joined, l.joinLevels = true, nil
 	for name, level := range levels {
-		if b := l.buckets[name]; b != nil {
-			b.level = level - b.used
+		if b := l.buckets[name]; b != nil && b.used == 0 {
+			b.level = level
 		}
 	}
 }
@@ -173,7 +174,8 @@
 		if b := l.buckets[name]; b != nil {
 			l.refill(b, now)
 			if !apart {
-				b.level -= max(0, total-known.used[name])
+				// Less than before means that requests which did not run were refunded.
+				b.level = min(b.level-(total-known.used[name]), b.limit.Burst)
 			}
 		}
 		known.used[name] = total
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -118,3 +118,20 @@
 	l.Heard("b", "b1", map[string]float64{"a": 520}, nil, start.Add(100*time.Millisecond), start.Add(100*time.Millisecond))
 	require.InDelta(t, 11, l.Levels(start.Add(100 * time.Millisecond))["a"], 0.5)
 }
+
+// A node that has admitted requests before it first hears levels must not be charged for
+// them again: the peer that tells its levels has charged them.
+func TestLevelsHeardLateDoNotChargeTwice(t *testing.T) {
+	l := ledger(2, quota.Limit{Rate: 10, Burst: 1000})
+	require.True(t, l.Admit("a", 400, start).Admitted)
+	l.Heard("b", "b1", map[string]float64{"a": 0}, map[string]float64{"a": 100}, start, start)
+	require.InDelta(t, 100, l.Levels(start)["a"], 0.1)
+}
+
+func TestRefundOfAPeerIsCredited(t *testing.T) {
+	l := ledger(1, quota.Limit{Rate: 10, Burst: 1000})
+	l.Heard("b", "b1", map[string]float64{"a": 0}, nil, start, start)
+	l.Heard("b", "b1", map[string]float64{"a": 300}, nil, start.Add(10*time.Millisecond), start)
+	l.Heard("b", "b1", map[string]float64{"a": 0}, nil, start.Add(20*time.Millisecond), start)
+	require.InDelta(t, 1000, l.Levels(start)["a"], 0.1)
+}
