One form for usage counts, and one number of nodes

Usage counts were copied into maps of another name on every message, every renewal and every merge, since their types were defined apart from those of the messages; they are aliases now and the copies are gone. The ledger's number of nodes stood beside the same number for the feeds. The reading of the topic of duties has one kind of record left and no branch for others.

Behaviour is the same; no test changed.

--- a/edge/control.go
+++ b/edge/control.go
@@ -64,8 +64,7 @@
 	table      *catalog.Table
 	rawConfig  []byte
 	peers      map[string]*peerState
-	quotaNodes int
-	// fleetSize is the number of nodes as the feeds see it.
+	// fleetSize is the number of nodes that the ledger and the feeds go by.
 	fleetSize atomic.Int64
 	mostNodes int
 	mostAt    time.Time
@@ -212,7 +211,7 @@
 
 // followNodes tells the ledger when the number of nodes has changed.
 func (c *control) followNodes(now time.Time) {
-	if c.nodes(now) != c.quotaNodes {
+	if int64(c.nodes(now)) != c.fleetSize.Load() {
 		c.configureQuota(now)
 	}
 }
@@ -231,9 +230,9 @@
 	}
 	c.edge.ledgerLock.Lock()
 	defer c.edge.ledgerLock.Unlock()
-	c.quotaNodes = c.nodes(now)
-	c.fleetSize.Store(int64(c.quotaNodes))
-	c.edge.ledger.Configure(limits, c.quotaNodes, silentCycles*cycle(len(c.peers)), now)
+	nodes := c.nodes(now)
+	c.fleetSize.Store(int64(nodes))
+	c.edge.ledger.Configure(limits, nodes, silentCycles*cycle(len(c.peers)), now)
 }
 
 // quotaLimit returns what a workspace may use. A part of the tolerance goes to callers, so
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -94,34 +94,24 @@
 			d.holder.Table().Skip(offset)
 			continue
 		}
-		switch {
-		case record.Lease != nil:
-			before := d.holder.Table().Lease(dutyName)
-			d.holder.Read(offset, record.Lease.Record, now)
-			after := d.holder.Table().Lease(dutyName)
-			if before.Fence != after.Fence || before.Holder != after.Holder {
-				d.edge.logger.Info().Str("holder", after.Holder).Int64("fence", after.Fence).Int64("offset", offset).Msg("duties pass on")
-			}
-			d.edge.meter(func() {
-				for incarnation, windows := range record.Lease.Usage {
-					mergeUsage(d.edge.usage, incarnation, windows)
-				}
-			})
-		default:
+		if record.Lease == nil {
 			d.holder.Table().Skip(offset)
+			continue
 		}
+		before := d.holder.Table().Lease(dutyName)
+		d.holder.Read(offset, record.Lease.Record, now)
+		after := d.holder.Table().Lease(dutyName)
+		if before.Fence != after.Fence || before.Holder != after.Holder {
+			d.edge.logger.Info().Str("holder", after.Holder).Int64("fence", after.Fence).Int64("offset", offset).Msg("duties pass on")
+		}
+		d.edge.meter(func() {
+			for incarnation, windows := range record.Lease.Usage {
+				d.edge.usage.Merge(incarnation, windows)
+			}
+		})
 	}
 }
 
-// mergeUsage takes the counts of an incarnation from a message.
-func mergeUsage(meter *usage.Meter, incarnation string, windows map[int64]map[string]int64) {
-	merged := make(usage.Windows, len(windows))
-	for window, counts := range windows {
-		merged[window] = counts
-	}
-	meter.Merge(incarnation, merged)
-}
-
 // tick claims and renews the lease, and does the duties while it is held.
 func (d *duties) tick(now time.Time) {
 	d.observe(now)
@@ -148,16 +138,8 @@
 	d.planEngines(now)
 }
 
-func (d *duties) allUsage() map[string]map[int64]map[string]int64 {
-	all := map[string]map[int64]map[string]int64{}
-	d.edge.meter(func() {
-		for incarnation, windows := range d.edge.usage.All() {
-			all[incarnation] = map[int64]map[string]int64{}
-			for window, counts := range windows {
-				all[incarnation][window] = counts
-			}
-		}
-	})
+func (d *duties) allUsage() (all map[string]usage.Windows) {
+	d.edge.meter(func() { all = d.edge.usage.All() })
 	return all
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -265,12 +265,7 @@
 }
 
 // ownUsage returns this node's counts of the newest windows.
-func (e *Edge) ownUsage(windows int) map[int64]map[string]int64 {
-	own := map[int64]map[string]int64{}
-	e.meter(func() {
-		for window, counts := range e.usage.Own(windows) {
-			own[window] = counts
-		}
-	})
+func (e *Edge) ownUsage(windows int) (own usage.Windows) {
+	e.meter(func() { own = e.usage.Own(windows) })
 	return own
 }
--- a/edge/peerstate.go
+++ b/edge/peerstate.go
@@ -72,7 +72,7 @@
 	if message.Node == e.settings.Name && message.Incarnation == e.incarnation {
 		return
 	}
-	e.meter(func() { mergeUsage(e.usage, message.Incarnation, message.Usage) })
+	e.meter(func() { e.usage.Merge(message.Incarnation, message.Usage) })
 	if message.Node == e.settings.Name {
 		return
 	}
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -11,11 +11,12 @@
 // KeepWindows is the number of windows that are kept.
 const KeepWindows = 6
 
-// Counts are requests by workspace.
-type Counts map[string]int64
+// Counts are requests by workspace. They and Windows are aliases, so that messages carry
+// them as they are.
+type Counts = map[string]int64
 
 // Windows are counts by the number of the window.
-type Windows map[int64]Counts
+type Windows = map[int64]Counts
 
 // Meter holds the counts of all nodes that this one knows of. It is not safe for
 // concurrent use.
