--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -62,21 +62,21 @@
 		n.signal(syscall.SIGCONT)
 	}},
 	{"store down", false, func(ctx context.Context, w *world, random *rand.Rand) {
-		w.storeFault(ctx, random, platformtest.StoreFaults{Down: true})
+		w.storeFault(ctx, random, platformtest.Faults{Down: true})
 	}},
 	{"store slow", false, func(ctx context.Context, w *world, random *rand.Rand) {
-		w.storeFault(ctx, random, platformtest.StoreFaults{Delay: time.Duration(random.IntN(700)) * time.Millisecond})
+		w.storeFault(ctx, random, platformtest.Faults{Delay: time.Duration(random.IntN(700)) * time.Millisecond})
 	}},
 	{"store loses answers", false, func(ctx context.Context, w *world, random *rand.Rand) {
-		w.storeFault(ctx, random, platformtest.StoreFaults{LoseAnswers: 0.5})
+		w.storeFault(ctx, random, platformtest.Faults{LoseAnswers: 0.5})
 	}},
 	{"store forgets", false, func(_ context.Context, w *world, _ *rand.Rand) { w.store.Forget() }},
 	{"cloud", false, func(ctx context.Context, w *world, random *rand.Rand) {
-		w.cloud.SetFaults(platformtest.CloudFaults{Delay: time.Duration(random.IntN(500)) * time.Millisecond, LoseAnswers: 0.3})
+		w.cloud.SetFaults(platformtest.Faults{Delay: time.Duration(random.IntN(500)) * time.Millisecond, LoseAnswers: 0.3})
 		sleep(ctx, aWhile(random))
-		w.cloud.SetFaults(platformtest.CloudFaults{Down: random.IntN(2) == 0})
+		w.cloud.SetFaults(platformtest.Faults{Down: random.IntN(2) == 0})
 		sleep(ctx, aWhile(random))
-		w.cloud.SetFaults(platformtest.CloudFaults{})
+		w.cloud.SetFaults(platformtest.Faults{})
 	}},
 	{"link to the store", false, func(ctx context.Context, w *world, random *rand.Rand) {
 		harm(ctx, w.pickNode(random).store, random)
@@ -143,10 +143,10 @@
 	}
 }
 
-func (w *world) storeFault(ctx context.Context, random *rand.Rand, faults platformtest.StoreFaults) {
+func (w *world) storeFault(ctx context.Context, random *rand.Rand, faults platformtest.Faults) {
 	w.store.SetFaults(faults)
 	sleep(ctx, aWhile(random))
-	w.store.SetFaults(platformtest.StoreFaults{})
+	w.store.SetFaults(platformtest.Faults{})
 }
 
 // harm delays, cuts, silences or resets what goes through a proxy.
--- a/soak/node_test.go
+++ b/soak/node_test.go
@@ -65,7 +65,6 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	exited  chan struct{}
-	log     *os.File
 	starts  int
 }
 
@@ -108,7 +107,7 @@
 		return err
 	}
 	exited := make(chan struct{})
-	n.process, n.exited, n.log = process, exited, log
+	n.process, n.exited = process, exited
 	go func() {
 		_ = process.Wait() // Its state tells how it ended.
 		n.mu.Lock()
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -12,7 +12,7 @@
 // proxy forwards connections on loopback, and delays, resets or silences them on demand.
 type proxy struct {
 	listener net.Listener
-	target   atomic.Pointer[string]
+	target   string
 	delay    atomic.Int64
 	// up and down are cut when set: bytes toward the target or back are swallowed.
 	cutUp, cutDown atomic.Bool
@@ -32,8 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, pairs: map[*pair]bool{}}
-	p.target.Store(&target)
+	p := &proxy{listener: listener, target: target, pairs: map[*pair]bool{}}
 	go p.accept()
 	return p, nil
 }
@@ -51,7 +50,7 @@
 }
 
 func (p *proxy) forward(near net.Conn) {
-	far, err := net.DialTimeout("tcp", *p.target.Load(), time.Second)
+	far, err := net.DialTimeout("tcp", p.target, time.Second)
 	if err != nil {
 		reset(near)
 		return
