Logs and metrics that tell why a version came late

The incident's record shows that a read of the operator's topic failed twice and that one then worked; not what was asked, how long it took, on what connection, what it brought, nor how old the view was that decided a request.

A read of the newest records is logged with their highest offset beside the end. A version in force carries its offset and its wait for the control loop, and one that is not newer gets a line. Lines of requests carry the age of the view. Metrics: silence and call times by topic, wait of events, age of views. The feed moves to a file of its own, its behaviour unchanged.

--- a/edge/control.go
+++ b/edge/control.go
@@ -57,7 +57,7 @@
 type control struct {
 	edge   *Edge
 	bounds platform.Bounds
-	events chan func(now time.Time)
+	events chan event
 
 	registry   *fleet.Registry
 	registryAt time.Time
@@ -84,7 +84,7 @@
 
 func newControl(e *Edge) *control {
 	c := &control{
-		edge: e, bounds: e.settings.Bounds, events: make(chan func(time.Time), eventQueue),
+		edge: e, bounds: e.settings.Bounds, events: make(chan event, eventQueue),
 		registry: fleet.NewRegistry(), peers: map[string]*peerState{}, suspects: map[string]time.Time{},
 		trackers: map[string]*routing.Tracker{}, holders: map[string]routing.Holder{},
 		prefixes: routing.NewPrefixes(maxPrefixBlocks), dirty: true,
@@ -94,10 +94,16 @@
 	return c
 }
 
+// event is something that the control loop does.
+type event struct {
+	do       func(now time.Time)
+	postedAt time.Time
+}
+
 // post hands an event to the control loop; it gives up when the node stops.
-func (c *control) post(ctx context.Context, event func(now time.Time)) {
+func (c *control) post(ctx context.Context, do func(now time.Time)) {
 	select {
-	case c.events <- event:
+	case c.events <- event{do, time.Now()}:
 	case <-ctx.Done():
 	}
 }
@@ -116,9 +122,9 @@
 }
 
 // tryPost hands over an event that may be lost, so that traffic never waits.
-func (c *control) tryPost(event func(now time.Time)) {
+func (c *control) tryPost(do func(now time.Time)) {
 	select {
-	case c.events <- event:
+	case c.events <- event{do, time.Now()}:
 	default:
 		c.edge.metrics.eventsDropped.Inc()
 	}
@@ -133,7 +139,8 @@
 		case <-ctx.Done():
 			return
 		case event := <-c.events:
-			event(c.edge.clock.steady())
+			c.edge.metrics.eventWait.Observe(time.Since(event.postedAt).Seconds())
+			event.do(c.edge.clock.steady())
 		case <-ticker.C:
 			c.dirty = c.dirty || c.stale
 			if beats++; time.Duration(beats)*publishEvery >= controlTick {
@@ -190,18 +197,31 @@
 	return c.table.Config.Version
 }
 
+// configSource says where a configuration was read.
+type configSource struct {
+	// from is the store, or the address of a peer.
+	from string
+	// offset of the record in the store; unknown, -1, from a peer.
+	offset int64
+	// readAt is when it was read, by the steady clock.
+	readAt time.Time
+}
+
 // applyConfig takes a version of the configuration if it is newer than that in force.
-func (c *control) applyConfig(raw []byte, source string, now time.Time) {
+func (c *control) applyConfig(raw []byte, source configSource, now time.Time) {
+	logger := c.edge.logger.With().Str("source", source.from).Int64("offset", source.offset).
+		Dur("queued_ms", now.Sub(source.readAt)).Logger()
 	config, err := platform.DecodeConfig(raw)
 	if err != nil {
-		c.edge.logger.Error().Err(err).Str("source", source).Msg("configuration not taken")
+		logger.Error().Err(err).Msg("configuration not taken")
 		return
 	}
 	if c.table != nil && config.Version <= c.table.Config.Version {
+		logger.Info().Int64("version", config.Version).Int64("in_force", c.table.Config.Version).Msg("configuration is not newer")
 		return
 	}
 	c.table, c.rawConfig = catalog.NewTable(config), raw
-	c.edge.logger.Info().Int64("version", config.Version).Str("source", source).Int("routes", len(config.Routes)).
+	logger.Info().Int64("version", config.Version).Int("routes", len(config.Routes)).
 		Int("workspaces", len(config.Workspaces)).Msg("configuration in force")
 	c.edge.metrics.configVersion.Set(float64(config.Version))
 	c.configureQuota(now)
@@ -254,7 +274,7 @@
 	view := &serving.View{
 		Table: c.table, FleetAt: time.Now().Add(-now.Sub(c.registryAt)), DataCentre: c.edge.settings.DataCentre,
 		RetryBurst: c.retryBurst(now), Draining: c.draining, Closed: c.closed,
-		Poisoned: c.poisoned(now),
+		Poisoned: c.poisoned(now), At: time.Now(),
 	}
 	byService := map[string][]*routing.Upstream{}
 	others := c.othersLoad(now)
--- /dev/null
+++ b/edge/feed.go
@@ -0,0 +1,194 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/persimmonline/persimmonline/platform"
+)
+
+// Calls by which a feed reads.
+const (
+	callNewest = "newest"
+	callRead   = "read"
+)
+
+// feed follows partition 0 of a topic.
+type feed struct {
+	edge  *Edge
+	topic string
+	wait  time.Duration
+	// pause between two reads; nil for none.
+	pause func() time.Duration
+	// reset takes the newest record of each key, page the records that follow.
+	reset func(records []platform.KeyedRecord)
+	page  func(page platform.Page)
+	// outage is told when the store stops and starts to answer; nil if nobody asks.
+	outage func(active bool)
+
+	next   int64
+	synced bool
+	// quiet says that the last read brought nothing, and so has waited already.
+	quiet    bool
+	failures int
+	// last is the call that was made last.
+	last storeCall
+	// answeredAt is when the store answered last, in nanoseconds of the steady clock; 0
+	// before the first answer. Metrics read it.
+	answeredAt atomic.Int64
+}
+
+// storeCall is one call of a feed and what came of it.
+type storeCall struct {
+	call string
+	// from is the offset asked for, end the end that the store told.
+	from, end int64
+	records   int
+	took      time.Duration
+}
+
+// fields adds the call to a log line.
+func (s storeCall) fields(line *zerolog.Event) *zerolog.Event {
+	return line.Str("call", s.call).Int64("from", s.from).Int64("end", s.end).Int("records", s.records).Dur("took_ms", s.took)
+}
+
+// follow reads until ctx ends.
+func (f *feed) follow(ctx context.Context) {
+	f.edge.metrics.follow(f)
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := f.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		f.last.took = time.Since(began)
+		f.note(err)
+		pause := time.Duration(0)
+		if f.pause != nil && !f.quiet {
+			pause = f.pause()
+		}
+		if err != nil {
+			pause = retryPause
+			if f.failures > shortOutage {
+				pause = longRetryPause
+			}
+			pause += rand.N(pause / 2)
+		}
+		sleep(ctx, pause)
+	}
+}
+
+// step reads once.
+func (f *feed) step(ctx context.Context) error {
+	if !f.synced && f.reset != nil {
+		return f.readNewest(ctx)
+	}
+	f.last = storeCall{call: callRead, from: f.next}
+	page, err := f.edge.store.Read(ctx, f.topic, f.next, f.wait)
+	if errors.Is(err, platform.ErrTrimmed) {
+		f.edge.logger.Warn().Str("topic", f.topic).Int64("from", f.next).Int64("oldest", page.First).
+			Msg("records were deleted before they were read")
+		f.synced = false
+		if f.reset == nil {
+			f.next = page.First
+		}
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	f.last.end, f.last.records = page.End, len(page.Records)
+	if page.End < f.next {
+		f.edge.logger.Warn().Str("topic", f.topic).Int64("from", f.next).Int64("end", page.End).Msg("the topic began anew")
+		f.synced, f.next = false, 0
+		return nil
+	}
+	f.quiet = len(page.Records) == 0
+	if !f.quiet {
+		f.page(page)
+		f.next += int64(len(page.Records))
+	}
+	return nil
+}
+
+// readNewest takes the newest record of each key, from where the topic is read on.
+func (f *feed) readNewest(ctx context.Context) error {
+	f.last = storeCall{call: callNewest}
+	records, end, err := f.edge.store.Newest(ctx, f.topic)
+	if err != nil {
+		return err
+	}
+	f.last.end, f.last.records = end, len(records)
+	f.edge.logger.Info().Str("topic", f.topic).Int("records", len(records)).Int64("newest", newestOffset(records)).
+		Int64("end", end).Msg("newest records read")
+	f.reset(records)
+	f.next, f.synced = end, true
+	return nil
+}
+
+// newestOffset returns the highest offset among records; -1 if there are none.
+func newestOffset(records []platform.KeyedRecord) int64 {
+	newest := int64(-1)
+	for _, record := range records {
+		newest = max(newest, record.Offset)
+	}
+	return newest
+}
+
+// note logs the loss and the return of the store.
+func (f *feed) note(err error) {
+	f.edge.metrics.storeCall(f.topic, f.last, err)
+	logger := &f.edge.logger
+	if err == nil {
+		if f.failures > 0 {
+			f.last.fields(logger.Info()).Str("dependency", "store").Str("topic", f.topic).Int("failures", f.failures).
+				Dur("silent_ms", f.silentFor()).Msg("dependency regained")
+			if f.outage != nil {
+				f.outage(false)
+			}
+		}
+		f.failures = 0
+		f.answeredAt.Store(f.edge.clock.steady().UnixNano())
+		return
+	}
+	f.failures++
+	// A long outage is told by its first failures and its end.
+	if f.failures <= shortOutage {
+		message := "dependency still lost"
+		if f.failures == 1 {
+			message = "dependency lost"
+		}
+		f.last.fields(logger.Warn()).Err(err).Str("dependency", "store").Str("topic", f.topic).Int("failures", f.failures).
+			Dur("silent_ms", f.silentFor()).Msg(message)
+	}
+	if f.failures == 1 && f.outage != nil {
+		f.outage(true)
+	}
+}
+
+// silentFor returns the time since the store answered last; 0 before the first answer.
+func (f *feed) silentFor() time.Duration {
+	at := f.answeredAt.Load()
+	if at == 0 {
+		return 0
+	}
+	return time.Duration(f.edge.clock.steady().UnixNano() - at)
+}
+
+// sleep waits, at most until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/persimmonline/persimmonline/fleet"
@@ -40,86 +38,6 @@
 	topicNodes = "keyed.persimmon-nodes"
 )
 
-// feed follows partition 0 of a topic.
-type feed struct {
-	edge  *Edge
-	topic string
-	wait  time.Duration
-	// pause between two reads; nil for none.
-	pause func() time.Duration
-	// reset takes the newest record of each key, page the records that follow.
-	reset func(records []platform.KeyedRecord)
-	page  func(page platform.Page)
-	// outage is told when the store stops and starts to answer; nil if nobody asks.
-	outage func(active bool)
-
-	next   int64
-	synced bool
-	// quiet says that the last read brought nothing, and so has waited already.
-	quiet    bool
-	failures int
-}
-
-// follow reads until ctx ends.
-func (f *feed) follow(ctx context.Context) {
-	for ctx.Err() == nil {
-		err := f.step(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-		f.note(err)
-		pause := time.Duration(0)
-		if f.pause != nil && !f.quiet {
-			pause = f.pause()
-		}
-		if err != nil {
-			pause = retryPause
-			if f.failures > shortOutage {
-				pause = longRetryPause
-			}
-			pause += rand.N(pause / 2)
-		}
-		sleep(ctx, pause)
-	}
-}
-
-// step reads once.
-func (f *feed) step(ctx context.Context) error {
-	if !f.synced && f.reset != nil {
-		records, end, err := f.edge.store.Newest(ctx, f.topic)
-		if err != nil {
-			return err
-		}
-		f.reset(records)
-		f.next, f.synced = end, true
-		return nil
-	}
-	page, err := f.edge.store.Read(ctx, f.topic, f.next, f.wait)
-	if errors.Is(err, platform.ErrTrimmed) {
-		f.edge.logger.Warn().Str("topic", f.topic).Int64("from", f.next).Int64("oldest", page.First).
-			Msg("records were deleted before they were read")
-		f.synced = false
-		if f.reset == nil {
-			f.next = page.First
-		}
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	if page.End < f.next {
-		f.edge.logger.Warn().Str("topic", f.topic).Int64("from", f.next).Int64("end", page.End).Msg("the topic began anew")
-		f.synced, f.next = false, 0
-		return nil
-	}
-	f.quiet = len(page.Records) == 0
-	if !f.quiet {
-		f.page(page)
-		f.next += int64(len(page.Records))
-	}
-	return nil
-}
-
 // paced returns a pause that grows with the fleet.
 func (e *Edge) paced(perNode, least, most time.Duration) func() time.Duration {
 	return func() time.Duration {
@@ -127,47 +45,13 @@
 	}
 }
 
-// note logs the loss and the return of the store.
-func (f *feed) note(err error) {
-	if err == nil {
-		if f.failures > 0 {
-			f.edge.logger.Info().Str("dependency", "store").Str("topic", f.topic).Int("failures", f.failures).Msg("dependency regained")
-			if f.outage != nil {
-				f.outage(false)
-			}
-		}
-		f.failures = 0
-		return
-	}
-	f.edge.metrics.storeFailures.WithLabelValues(f.topic).Inc()
-	f.failures++
-	if f.failures == 1 {
-		f.edge.logger.Warn().Err(err).Str("dependency", "store").Str("topic", f.topic).Msg("dependency lost")
-		if f.outage != nil {
-			f.outage(true)
-		}
-	}
-}
-
-// sleep waits, at most until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // configFeed follows the operator's configuration.
 func (e *Edge) configFeed(ctx context.Context) *feed {
 	take := func(records []platform.KeyedRecord) {
 		for _, record := range records {
 			if record.Key == platform.KeyConfig && len(record.Value) > 0 {
-				e.control.post(ctx, func(now time.Time) { e.control.applyConfig(record.Value, "store", now) })
+				source := configSource{from: "store", offset: record.Offset, readAt: e.clock.steady()}
+				e.control.post(ctx, func(now time.Time) { e.control.applyConfig(record.Value, source, now) })
 			}
 		}
 	}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -1,12 +1,23 @@
 package edge
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+var (
+	// callBuckets are in seconds and straddle plain calls of the store and reads that wait.
+	callBuckets = []float64{.005, .01, .025, .05, .1, .25, .5, 1, 1.5, 2.5, 4, 5.5, 10}
+	// eventWaitBuckets are in seconds, up to the time in which a version must be in force.
+	eventWaitBuckets = []float64{.0001, .001, .005, .01, .025, .05, .1, .25, .5, 1, 2}
+)
 
 // metrics of a node's control side.
 type metrics struct {
 	registry      *prometheus.Registry
 	configVersion prometheus.Gauge
 	storeFailures *prometheus.CounterVec
+	storeCalls    *prometheus.HistogramVec
+	eventWait     prometheus.Histogram
 	peerFailures  prometheus.Counter
 	eventsDropped prometheus.Counter
 	logDropped    prometheus.Counter
@@ -21,6 +32,12 @@
 		storeFailures: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "persimmonline_edge_store_failures_total", Help: "Failed reads of the store by topic.",
 		}, []string{"topic"}),
+		storeCalls: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "persimmonline_edge_store_call_seconds", Help: "Time of the feeds' calls to the store.", Buckets: callBuckets,
+		}, []string{"topic", "call", "result"}),
+		eventWait: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "persimmonline_edge_event_wait_seconds", Help: "Time that an event waited for the control loop.", Buckets: eventWaitBuckets,
+		}),
 		peerFailures: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "persimmonline_edge_peer_failures_total", Help: "Failed exchanges with peers.",
 		}),
@@ -31,9 +48,27 @@
 			Name: "persimmonline_edge_log_lines_dropped_total", Help: "Log lines that the output was too slow for.",
 		}),
 	}
-	registry.MustRegister(m.configVersion, m.storeFailures, m.peerFailures, m.eventsDropped, m.logDropped)
+	registry.MustRegister(m.configVersion, m.storeFailures, m.storeCalls, m.eventWait, m.peerFailures, m.eventsDropped, m.logDropped)
 	return m
 }
 
+// follow exposes how long a feed has been without an answer.
+func (m *metrics) follow(f *feed) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "persimmonline_edge_store_silence_seconds", Help: "Time since the store last answered a feed.",
+		ConstLabels: prometheus.Labels{"topic": f.topic},
+	}, func() float64 { return f.silentFor().Seconds() }))
+}
+
+// storeCall counts a call of a feed.
+func (m *metrics) storeCall(topic string, call storeCall, err error) {
+	result := "answered"
+	if err != nil {
+		result = "failed"
+		m.storeFailures.WithLabelValues(topic).Inc()
+	}
+	m.storeCalls.WithLabelValues(topic, call.call, result).Observe(call.took.Seconds())
+}
+
 // LogDropped counts log lines that were lost.
 func (e *Edge) LogDropped(lines int) { e.metrics.logDropped.Add(float64(lines)) }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -195,7 +195,8 @@
 			p.edge.logger.Warn().Err(err).Msg("configuration of a peer not fetched")
 			return
 		}
-		p.edge.control.post(ctx, func(now time.Time) { p.edge.control.applyConfig(raw, address, now) })
+		source := configSource{from: address, offset: -1, readAt: p.edge.clock.steady()}
+		p.edge.control.post(ctx, func(now time.Time) { p.edge.control.applyConfig(raw, source, now) })
 	}()
 }
 
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -105,6 +105,7 @@
 	defer h.inFlight.Add(-1)
 	arrived := time.Now()
 	view := h.View()
+	h.Metrics.viewAge.Observe(arrived.Sub(view.At).Seconds())
 	if view.Draining || len(r.TransferEncoding) > 0 {
 		// After a chunked body nothing else is read from the connection, so that bytes
 		// that another parser takes for a part of the body can't become a request.
@@ -112,17 +113,17 @@
 	}
 	request, refused := h.admit(view, w, r, arrived)
 	if refused != nil {
-		h.refuse(w, request, refused)
+		h.refuse(w, view, request, refused)
 		return
 	}
 	if len(view.Poisoned) > 0 && view.Poisoned[fingerprint(request)] {
-		h.refuse(w, request, refusal.New(http.StatusServiceUnavailable, refusal.CodePoison,
+		h.refuse(w, view, request, refusal.New(http.StatusServiceUnavailable, refusal.CodePoison,
 			"the request crashes the upstreams that run it").After(comeBackLate))
 		return
 	}
 	cost := quotaCost(view.Table, request)
 	if refused := h.takeQuota(request, cost); refused != nil {
-		h.refuse(w, request, refused)
+		h.refuse(w, view, request, refused)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), deadlineOf(request))
@@ -323,7 +324,7 @@
 }
 
 // refuse answers a request that no upstream is asked for, and logs it.
-func (h *Handler) refuse(w http.ResponseWriter, request *Request, refused *refusal.Refusal) {
+func (h *Handler) refuse(w http.ResponseWriter, view *View, request *Request, refused *refusal.Refusal) {
 	id := ""
 	if request != nil {
 		id = request.ID
@@ -335,7 +336,8 @@
 	event := h.Logger.Info().Str("request", id).Int("status", refused.Status).Str("code", string(refused.Code)).
 		Str("ran", string(refused.Ran)).Dur("retry_after", refused.RetryAfter)
 	if request != nil {
-		event = event.Str("workspace", request.Workspace).Int64("config_version", request.Version)
+		event = event.Str("workspace", request.Workspace).Int64("config_version", request.Version).
+			Dur("view_age_ms", request.ArrivedAt.Sub(view.At))
 		if request.Route != nil {
 			event = event.Str("route", request.Route.Name)
 		}
--- a/serving/metrics.go
+++ b/serving/metrics.go
@@ -16,6 +16,7 @@
 	attempts   *prometheus.CounterVec
 	firstByte  *prometheus.HistogramVec
 	suppressed prometheus.Counter
+	viewAge    prometheus.Histogram
 }
 
 // NewMetrics registers the metrics.
@@ -37,7 +38,10 @@
 			Name: "persimmonline_edge_log_lines_suppressed_total", Help: "Lines of successful requests that were left out.",
 		}),
 	}
-	registry.MustRegister(m.requests, m.refusals, m.attempts, m.firstByte, m.suppressed)
+	m.viewAge = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "persimmonline_edge_view_age_seconds", Help: "Age of the view that a request was decided by.", Buckets: latencyBuckets,
+	})
+	registry.MustRegister(m.requests, m.refusals, m.attempts, m.firstByte, m.suppressed, m.viewAge)
 	return m
 }
 
--- a/serving/run.go
+++ b/serving/run.go
@@ -305,6 +305,7 @@
 		Str("route", route.Name).Str("workspace", r.request.Workspace).
 		Str("service", r.service).Str("result", r.result).Int("status", r.status).
 		Int64("config_version", r.request.Version).Dur("fleet_age_ms", time.Since(r.view.FleetAt)).
+		Dur("view_age_ms", r.request.ArrivedAt.Sub(r.view.At)).
 		Dur("took_ms", time.Since(r.request.ArrivedAt)).Array("attempts", attempts).Msg("request ended")
 }
 
--- a/serving/view.go
+++ b/serving/view.go
@@ -9,6 +9,8 @@
 
 // View is what the serving path reads for its decisions. It is immutable.
 type View struct {
+	// At is when the view was published.
+	At time.Time
 	// Table is the configuration in force; nil before the first.
 	Table *catalog.Table
 	// Fleet holds the upstreams that may get work.
