--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,8 @@
 vet:
 	$(GO) vet ./...
 
-test:
-	$(GO) test -race ./...
+test: ## All tests but those that KNOWN-RED.txt names.
+	GO=$(GO) ./tools/test.sh
 
 bench: ## Measures the policies and the cost of a decision against their targets.
 	$(GO) test -count=1 -v -run 'TestGoals' ./bench/policy
--- /dev/null
+++ b/edge/staleness_test.go
@@ -0,0 +1,199 @@
+package edge
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/platform"
+	"github.com/persimmonline/persimmonline/platform/platformtest"
+)
+
+// Bounds of the deployments' pages; a node that was harmed is in touch after contactBound.
+const (
+	applyBound   = 2 * time.Second
+	contactBound = 3 * time.Second
+	drainBound   = 2 * time.Second
+	// storeLag is how far newest records lag behind by the kinds of trouble.
+	storeLag = 3 * time.Second
+)
+
+// proxied starts a proxy before the store and a node that reaches the store through it.
+func proxied(t *testing.T, store storeServer) (*Edge, *platformtest.Proxy) {
+	proxy, err := platformtest.StartProxy(store.address())
+	require.NoError(t, err)
+	t.Cleanup(proxy.Close)
+	e, _ := start(t, bounded(t, "n1", proxy.Address()))
+	return e, proxy
+}
+
+func bounded(t *testing.T, name, store string) platform.Settings {
+	s := settings(t, name, store)
+	s.Bounds.Contact, s.Bounds.ConfigApply, s.Bounds.Drain = contactBound, applyBound, drainBound
+	return s
+}
+
+func version(e *Edge) int64 {
+	if table := e.view.Load().Table; table != nil {
+		return table.Config.Version
+	}
+	return 0
+}
+
+func inForce(t *testing.T, e *Edge, want int64, within time.Duration, message string) {
+	t.Helper()
+	require.Eventually(t, func() bool { return version(e) == want }, within, 5*time.Millisecond, message)
+}
+
+// Guards against a version that comes late because the read that waits for it is on a
+// connection that fell silent.
+func TestVersionIsNotLateWhenConnectionsToTheStoreFallSilent(t *testing.T) {
+	store := newStore(t)
+	store.configure(1, "k")
+	e, proxy := proxied(t, store)
+	inForce(t, e, 1, eventually, "the first version")
+	for round := range 3 {
+		// The next read has just begun, so that its wait is the longest.
+		time.Sleep(50 * time.Millisecond)
+		proxy.Silence()
+		store.configure(2+round, "k")
+		inForce(t, e, int64(2+round), contactBound, "no read may wait longer than the node takes to be in touch")
+	}
+}
+
+// Guards against a version that comes late because a read began while the store was silent,
+// whose answer never comes.
+func TestVersionIsNotLateAfterTheStoreWasSilent(t *testing.T) {
+	for _, silent := range []time.Duration{600 * time.Millisecond, 3 * time.Second, 5900 * time.Millisecond} {
+		t.Run(silent.String(), func(t *testing.T) {
+			t.Parallel()
+			store := newStore(t)
+			store.configure(1, "k")
+			e, proxy := proxied(t, store)
+			inForce(t, e, 1, eventually, "the first version")
+			proxy.CutUp()
+			proxy.CutDown()
+			time.Sleep(silent)
+			store.configure(2, "k")
+			proxy.Heal()
+			inForce(t, e, 2, contactBound, "the store answers again")
+		})
+	}
+}
+
+// loseHistory makes changes that no read hears of, and deletes the records; the newest ones
+// that the store tells are storeLag old from then on.
+func loseHistory(store storeServer, lagging platformtest.Faults, change func()) {
+	store.SetFaults(platformtest.Faults{Deaf: true})
+	change()
+	store.Forget()
+	lagging.NewestLag = storeLag
+	store.SetFaults(lagging)
+	store.CloseClientConnections()
+}
+
+// Guards against a version that is never in force: the newest records lag, and reading goes on
+// from the end that was told beside them.
+func TestVersionIsNotMissedWhenNewestRecordsLag(t *testing.T) {
+	for name, lagging := range map[string]platformtest.Faults{"true end": {}, "old end": {EndLags: true}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := newStore(t)
+			store.configure(1, "k")
+			e, _ := start(t, bounded(t, "n1", store.address()))
+			inForce(t, e, 1, eventually, "the first version")
+			time.Sleep(storeLag) // The first version is old enough to be told.
+			loseHistory(store, lagging, func() { store.configure(2, "k") })
+			before := store.Calls()
+			inForce(t, e, 2, storeLag+contactBound, "the newest records tell it by now")
+			// Registry, nodes and configuration are each read some times a second.
+			require.Less(t, store.Calls()-before, 150, "reads of records that lag are paced")
+		})
+	}
+}
+
+// Guards against requests to an upstream whose removal fell into the lost history.
+func TestUpstreamThatLeftIsNotKeptWhenNewestRecordsLag(t *testing.T) {
+	store := newStore(t)
+	store.configure(1, "k")
+	store.register("i-1", upstream(t, 0))
+	store.register("i-2", upstream(t, 0))
+	e, _ := start(t, bounded(t, "n1", store.address()))
+	known := func() int { return len(e.view.Load().Fleet.ByService["s"]) }
+	require.Eventually(t, func() bool { return known() == 2 }, eventually, 5*time.Millisecond)
+	time.Sleep(storeLag)
+	loseHistory(store, platformtest.Faults{}, func() { store.Put(platform.TopicRegistry, "i-1", nil) })
+	require.Eventually(t, func() bool { return known() == 1 }, storeLag+contactBound, 5*time.Millisecond)
+}
+
+// Guards against an upstream that is dropped because newest records that lag do not hold it yet.
+func TestNewUpstreamIsNotDroppedWhenNewestRecordsLag(t *testing.T) {
+	store := newStore(t)
+	store.configure(1, "k")
+	store.register("i-1", upstream(t, 0))
+	e, _ := start(t, bounded(t, "n1", store.address()))
+	known := func() int { return len(e.view.Load().Fleet.ByService["s"]) }
+	require.Eventually(t, func() bool { return known() == 1 }, eventually, 5*time.Millisecond)
+	time.Sleep(storeLag)
+	store.register("i-2", upstream(t, 0))
+	require.Eventually(t, func() bool { return known() == 2 }, eventually, 5*time.Millisecond)
+	loseHistory(store, platformtest.Faults{}, func() { store.Put(platform.TopicRegistry, "i-9", []byte("{}")) })
+	require.Never(t, func() bool { return known() < 2 }, storeLag+time.Second, 5*time.Millisecond)
+}
+
+// Guards against two usage reports of one window: the reports that were fixed are read from
+// records that lag, and the write that fixes others succeeds at the true end.
+func TestUsageIsNotFixedAgainstReportsThatLag(t *testing.T) {
+	store := newStore(t)
+	fixed := func(windows ...int64) []byte {
+		var usage api.FixedUsage
+		for _, window := range windows {
+			usage.Reports = append(usage.Reports, api.UsageReport{Window: window, Counts: map[string]int64{"w": 1}})
+		}
+		raw, err := json.Marshal(usage)
+		require.NoError(t, err)
+		return raw
+	}
+	store.Put(topicUsage, keyUsage, fixed(1))
+	time.Sleep(100 * time.Millisecond)
+	store.Put(topicUsage, keyUsage, fixed(1, 2))
+	store.SetFaults(platformtest.Faults{NewestLag: 50 * time.Millisecond})
+	e := New(bounded(t, "n1", store.address()), zerolog.Nop())
+	e.ctx = t.Context()
+	go e.control.run(e.ctx)
+	r := e.control.duties.reports
+	type state struct {
+		known, calling bool
+		windows        int
+	}
+	read := func() state {
+		s, _ := ask(e.ctx, e.control, func(time.Time) state { return state{r.known, r.calling, len(r.fixed)} })
+		return s
+	}
+	e.control.post(e.ctx, func(time.Time) { r.read() })
+	require.Eventually(t, func() bool { return !read().calling }, eventually, time.Millisecond)
+	if state := read(); state.known {
+		require.Equal(t, 2, state.windows, "what the store holds")
+	}
+}
+
+// Guards against 404 and 401 from a node that can't know whether its configuration is current.
+func TestNodeThatMayBeBehindDeniesNothing(t *testing.T) {
+	store := newStore(t)
+	store.configure(1, "k")
+	store.register("i-1", upstream(t, 0))
+	e, proxy := proxied(t, store)
+	require.Eventually(t, func() bool { return call(t, e, "k") == 200 }, eventually, 5*time.Millisecond)
+	require.Equal(t, http.StatusUnauthorized, call(t, e, "unknown"))
+	proxy.CutUp()
+	time.Sleep(contactBound)
+	require.Equal(t, 200, call(t, e, "k"), "what it knows is served")
+	require.Equal(t, http.StatusServiceUnavailable, call(t, e, "unknown"), "a newer version may hold the key")
+	proxy.Heal()
+	require.Eventually(t, func() bool { return call(t, e, "unknown") == http.StatusUnauthorized }, contactBound, 20*time.Millisecond)
+}
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -114,7 +114,7 @@
 func (w *world) checkDraining() {
 	for _, a := range w.notes.arrivals {
 		notice, leaving := w.notes.leaving[a.engine]
-		if leaving && a.at.Sub(notice) > drainBound && w.notes.calm(notice, a.at) {
+		if leaving && a.at.Sub(notice) > drainBound && w.notes.calm(notice, notice) && w.notes.calm(a.at, a.at) {
 			w.notes.breach("drain: %s reached %s %s after its notice", a.request, a.engine, a.at.Sub(notice))
 		}
 	}
@@ -142,7 +142,8 @@
 		}
 		known, served := versions[p.version], p.status == http.StatusOK
 		next, superseded := successor[p.version]
-		calm := w.notes.calm(known.at, p.ended)
+		// A node counts as in touch by what went wrong before the request, not before the version.
+		calm := w.notes.calm(p.began, p.ended)
 		switch {
 		case served && superseded && p.began.Sub(next.at) > applyBound && calm:
 			w.notes.breach("config: %s served a route of version %d %s after version %d", p.node, p.version, p.began.Sub(next.at), next.version)
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -71,6 +71,18 @@
 		w.storeFault(ctx, random, platformtest.Faults{LoseAnswers: 0.5})
 	}},
 	{"store forgets", false, func(_ context.Context, w *world, _ *rand.Rand) { w.store.Forget() }},
+	{"store forgets and lags", false, func(ctx context.Context, w *world, random *rand.Rand) {
+		w.store.SetFaults(platformtest.Faults{Deaf: true})
+		w.publish("")
+		sleep(ctx, time.Duration(random.IntN(1000))*time.Millisecond)
+		w.store.Forget()
+		w.store.SetFaults(platformtest.Faults{NewestLag: aWhile(random), EndLags: random.IntN(2) == 0})
+		for _, link := range w.storeLinks() {
+			link.ResetAll()
+		}
+		sleep(ctx, aWhile(random))
+		w.store.SetFaults(platformtest.Faults{})
+	}},
 	{"cloud", false, func(ctx context.Context, w *world, random *rand.Rand) {
 		w.cloud.SetFaults(platformtest.Faults{Delay: time.Duration(random.IntN(500)) * time.Millisecond, LoseAnswers: 0.3})
 		sleep(ctx, aWhile(random))
@@ -79,10 +91,19 @@
 		w.cloud.SetFaults(platformtest.Faults{})
 	}},
 	{"link to the store", false, func(ctx context.Context, w *world, random *rand.Rand) {
-		harm(ctx, w.pickNode(random).store, random)
+		harm(ctx, random, w.pickNode(random).store)
+	}},
+	{"links to the store", false, func(ctx context.Context, w *world, random *rand.Rand) {
+		harm(ctx, random, w.storeLinks()...)
+	}},
+	{"silent links to the store and a version", false, func(_ context.Context, w *world, _ *rand.Rand) {
+		for _, link := range w.storeLinks() {
+			link.Silence()
+		}
+		w.publish("")
 	}},
 	{"link to an engine", false, func(ctx context.Context, w *world, random *rand.Rand) {
-		harm(ctx, w.pickEngine(random).proxy, random)
+		harm(ctx, random, w.pickEngine(random).proxy)
 	}},
 	{"engine crash", false, func(ctx context.Context, w *world, random *rand.Rand) {
 		engine := w.pickEngine(random)
@@ -106,6 +127,15 @@
 
 func (w *world) pickNode(random *rand.Rand) *node { return w.nodes[random.IntN(len(w.nodes))] }
 
+// storeLinks are the nodes' links to the store.
+func (w *world) storeLinks() []*platformtest.Proxy {
+	var links []*platformtest.Proxy
+	for _, n := range w.nodes {
+		links = append(links, n.store)
+	}
+	return links
+}
+
 // replace adds an engine before another goes.
 func (w *world) replace(service string) {
 	if err := w.addEngine(service); err != nil {
@@ -149,21 +179,30 @@
 	w.store.SetFaults(platformtest.Faults{})
 }
 
-// harm delays, cuts, silences or resets what goes through a proxy.
-func harm(ctx context.Context, p *proxy, random *rand.Rand) {
-	switch random.IntN(5) {
-	case 0:
-		p.delay.Store(int64(time.Duration(random.IntN(400)) * time.Millisecond))
-	case 1:
-		p.cutUp.Store(true)
-	case 2:
-		p.cutDown.Store(true)
-	case 3:
-		p.silence()
-	case 4:
-		p.resetAll()
+// harm delays, cuts, silences or resets what goes through proxies. Silence and reset strike
+// for a moment; connections that fell silent stay so.
+func harm(ctx context.Context, random *rand.Rand, proxies ...*platformtest.Proxy) {
+	way := random.IntN(5)
+	delay := time.Duration(random.IntN(400)) * time.Millisecond
+	lasts := aWhile(random)
+	for _, p := range proxies {
+		switch way {
+		case 0:
+			p.Delay(delay)
+		case 1:
+			p.CutUp()
+		case 2:
+			p.CutDown()
+		case 3:
+			p.Silence()
+			lasts = 0
+		case 4:
+			p.ResetAll()
+			lasts = 0
+		}
+	}
+	sleep(ctx, lasts)
+	for _, p := range proxies {
+		p.Heal()
 	}
-	sleep(ctx, aWhile(random))
-	p.heal()
-	p.resetAll()
 }
--- a/soak/node_test.go
+++ b/soak/node_test.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonline/persimmonline/platform/platformtest"
 )
 
 // Ports of all nodes; each node has an IP address of its own.
@@ -60,7 +62,7 @@
 type node struct {
 	name, ip, zone string
 	dir            string
-	store, cloud   *proxy
+	store, cloud   *platformtest.Proxy
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -77,7 +79,7 @@
 	var text bytes.Buffer
 	err := settingsFile.Execute(&text, map[string]any{
 		"Name": n.name, "IP": n.ip, "Zone": n.zone, "Caller": callerPort, "Ready": readinessPort, "Peer": peerPort,
-		"PeerEnd": peerPort + 15, "Store": n.store.address(), "Cloud": n.cloud.address(), "Note": note,
+		"PeerEnd": peerPort + 15, "Store": n.store.Address(), "Cloud": n.cloud.Address(), "Note": note,
 		"Ratio": retryRatio, "Burst": retryBurst,
 	})
 	if err != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -69,6 +69,8 @@
 // regressions are seeds that failed once, with the cause.
 var regressions = map[uint64]string{
 	1033: "the store forgot its history and all nodes were killed: a window was reported again with other counts",
+	7004: "all links to the store fell silent as a version was published: it was in force 5.5 s late",
+	7007: "the store lost its history and its newest records lagged: a version was never in force",
 }
 
 func TestSoak(t *testing.T) {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -55,7 +55,7 @@
 type engineHost struct {
 	*platformtest.Engine
 	service  string
-	proxy    *proxy
+	proxy    *platformtest.Proxy
 	draining bool
 }
 
@@ -78,13 +78,13 @@
 	for i := range nodesInWorld {
 		n := &node{name: fmt.Sprintf("edge-%d", i), ip: fmt.Sprintf("127.0.%d.%d", 10+slot, i+1), zone: string("ab"[i%2]), dir: dir}
 		var err error
-		n.store, err = startProxy(strings.TrimPrefix(store.URL, "http://"))
+		n.store, err = platformtest.StartProxy(strings.TrimPrefix(store.URL, "http://"))
 		require.NoError(t, err)
-		n.cloud, err = startProxy(strings.TrimPrefix(cloud.URL, "http://"))
+		n.cloud, err = platformtest.StartProxy(strings.TrimPrefix(cloud.URL, "http://"))
 		require.NoError(t, err)
 		require.NoError(t, n.writeSettings("first"))
 		w.nodes = append(w.nodes, n)
-		t.Cleanup(func() { n.kill(); n.store.close(); n.cloud.close() })
+		t.Cleanup(func() { n.kill(); n.store.Close(); n.cloud.Close() })
 	}
 	for range enginesPerService {
 		for _, service := range []string{serviceCalls, serviceStreams} {
@@ -119,13 +119,13 @@
 	if err != nil {
 		return err
 	}
-	front, err := startProxy(engine.Address())
+	front, err := platformtest.StartProxy(engine.Address())
 	if err != nil {
 		return err
 	}
 	host := &engineHost{Engine: engine, service: service, proxy: front}
 	w.engines = append(w.engines, host)
-	w.store.Put(platform.TopicRegistry, host.ID(), host.Entry(front.address(), false))
+	w.store.Put(platform.TopicRegistry, host.ID(), host.Entry(front.Address(), false))
 	return nil
 }
 
@@ -152,7 +152,7 @@
 	w.mu.Lock()
 	engine.draining = true
 	w.mu.Unlock()
-	w.store.Put(platform.TopicRegistry, engine.ID(), engine.Entry(engine.proxy.address(), true))
+	w.store.Put(platform.TopicRegistry, engine.ID(), engine.Entry(engine.proxy.Address(), true))
 	w.notes.drained(engine.ID(), time.Now())
 }
 
@@ -167,7 +167,7 @@
 	}
 	w.mu.Unlock()
 	engine.Crash()
-	engine.proxy.close()
+	engine.proxy.Close()
 }
 
 func (w *world) removeEntry(engine *engineHost) {
@@ -180,7 +180,7 @@
 		sleep(ctx, heartbeatEvery)
 		w.mu.Lock()
 		for _, engine := range w.engines {
-			w.store.Put(platform.TopicRegistry, engine.ID(), engine.Entry(engine.proxy.address(), engine.draining))
+			w.store.Put(platform.TopicRegistry, engine.ID(), engine.Entry(engine.proxy.Address(), engine.draining))
 		}
 		w.mu.Unlock()
 	}
--- /dev/null
+++ b/tools/test.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Runs all tests with the race detector, but for those that KNOWN-RED.txt names as
+#   go test PACKAGE -run ^NAME$: ...
+# which are printed instead.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+red=$(sed -nE 's/^go test [^ ]+ -run \^(Test[A-Za-z0-9_]+)\$:.*/\1/p' KNOWN-RED.txt)
+skip=()
+if [ -n "$red" ]; then
+  echo "not run, known to fail (KNOWN-RED.txt):"
+  printf '  %s\n' $red
+  skip=(-skip "^($(printf '%s\n' $red | paste -sd '|'))\$")
+fi
+exec "${GO:-go}" test -race "${skip[@]}" ./...
