Reads of the store that fall silent are given up within the bounds they serve

Callers got answers by an old configuration, and 404 for routes that were there, for seconds at all nodes at once.

Cause: a read of the configuration could be held for 4 s and was then waited for 1.5 s more, 5.5 s in all, while a version must be in force after 2 s and a node that was harmed is in touch after 3 s. A connection that falls silent without a reset is shown by nothing else: keep-alive probes and TCP_USER_TIMEOUT are answered by the kernel at the other end, or by that of a proxy. The next call could take another idle connection that was as silent, and a read that began while the store was silent waited just as long after its return.

Now the waits follow from the deployment's bounds: the store may hold a read for half of the time within which the node must know (1 s of 2 s), and the answer may stay out for a quarter more (0.5 s). The registry's read, on which the bound on draining rests (2.5 s before, bound 2 s), follows the same rule. After a call without an answer the idle connections are closed, and until the store answers reads are not held. Patience doubles only when the call on a new connection got no answer either, so that a slow store is still read. All nodes together make at most 400 such reads a second, whatever the size of the fleet.

--- a/edge/duties.go
+++ b/edge/duties.go
@@ -21,8 +21,9 @@
 	topicDuties = "persimmon-duties"
 	// dutyName is the one lease under which all duties are done.
 	dutyName = "platform"
-	// dutiesWait is how long the store may hold a read of the topic.
-	dutiesWait = 4 * time.Second
+	// dutiesWait is how long the store may hold a read of the topic. A renewal comes sooner, and
+	// a read that falls silent is noticed well within the life of a lease.
+	dutiesWait = 2 * time.Second
 	// leaseRenewals is the number of renewals in the life of a lease.
 	leaseRenewals = 3
 	// resendEvery spaces the sends of a report or an order that was not accepted.
@@ -76,7 +77,8 @@
 // feed follows the topic of duties.
 func (d *duties) feed(ctx context.Context) *feed {
 	return &feed{
-		edge: d.edge, topic: topicDuties, wait: dutiesWait, pause: d.edge.paced(dutiesPause, 0, mostDutiesPause),
+		edge: d.edge, topic: topicDuties, patience: newPatience(d.edge.settings.Bounds.Lease),
+		wait: func() time.Duration { return dutiesWait }, pause: d.edge.paced(dutiesPause, 0, mostDutiesPause),
 		page: func(page platform.Page) {
 			d.control.post(ctx, func(now time.Time) { d.read(page, now) })
 		},
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -65,7 +65,7 @@
 		CallerAddress: "127.0.0.1:" + strconv.Itoa(freePort(t)), ReadinessAddress: "127.0.0.1:" + strconv.Itoa(freePort(t)),
 		StoreAddress: store,
 		Bounds: platform.Bounds{
-			Contact: 3 * time.Second, Grace: 5 * time.Second, Lease: 3 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second,
+			Contact: contactBound, ConfigApply: applyBound, Drain: drainBound, Grace: 5 * time.Second, Lease: 3 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second,
 			RetryBurst: 10, UsageWindow: 5 * time.Second, UsageDelay: 10 * time.Second,
 		},
 	}
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/persimmonline/persimmonline/infra"
 	"github.com/persimmonline/persimmonline/platform"
 )
 
@@ -22,7 +23,10 @@
 type feed struct {
 	edge  *Edge
 	topic string
-	wait  time.Duration
+	// wait is how long the store may hold a read.
+	wait func() time.Duration
+	// patience with calls that get no answer.
+	patience patience
 	// pause between two reads; nil for none.
 	pause func() time.Duration
 	// reset takes the newest record of each key, page the records that follow.
@@ -89,7 +93,7 @@
 		return f.readNewest(ctx)
 	}
 	f.last = storeCall{call: callRead, from: f.next}
-	page, err := f.edge.store.Read(ctx, f.topic, f.next, f.wait)
+	page, err := f.edge.store.Read(ctx, f.topic, f.next, f.held(), f.patience.at(time.Now()))
 	if errors.Is(err, platform.ErrTrimmed) {
 		f.edge.logger.Warn().Str("topic", f.topic).Int64("from", f.next).Int64("oldest", page.First).
 			Msg("records were deleted before they were read")
@@ -116,10 +120,19 @@
 	return nil
 }
 
+// held is how long the store may hold the next read. While the store does not answer
+// reads are not held, so that the first one after its return tells at once.
+func (f *feed) held() time.Duration {
+	if f.failures > 0 {
+		return 0
+	}
+	return f.wait()
+}
+
 // readNewest takes the newest record of each key, from where the topic is read on.
 func (f *feed) readNewest(ctx context.Context) error {
 	f.last = storeCall{call: callNewest}
-	records, end, err := f.edge.store.Newest(ctx, f.topic)
+	records, end, err := f.edge.store.Newest(ctx, f.topic, f.patience.at(time.Now()))
 	if err != nil {
 		return err
 	}
@@ -157,6 +170,9 @@
 		return
 	}
 	f.failures++
+	if unanswered(err) {
+		f.patience.unanswered(f.failures, time.Now())
+	}
 	// A long outage is told by its first failures and its end.
 	if f.failures <= shortOutage {
 		message := "dependency still lost"
@@ -171,6 +187,12 @@
 	}
 }
 
+// unanswered says whether a call failed without an answer of the store.
+func unanswered(err error) bool {
+	var failure *infra.Error
+	return errors.As(err, &failure) && failure.Status == 0
+}
+
 // silentFor returns the time since the store answered last; 0 before the first answer.
 func (f *feed) silentFor() time.Duration {
 	at := f.answeredAt.Load()
--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -9,11 +9,13 @@
 )
 
 const (
-	// configWait is how long the store may hold a read of the configuration; a read that
-	// falls silent is noticed after it.
+	// configWait is how long the store may hold a read of the configuration at most, and
+	// configPace its least for each node of the fleet: all nodes together make 400 such reads a
+	// second at most, a fifth of what the store bears.
 	configWait = 4 * time.Second
-	// registryWait is the same for the registry, on which the bound on draining rests, 2 s: a
-	// read that arrives while an append is under way may be held for the whole of it.
+	configPace = 2500 * time.Microsecond
+	// registryWait is the most for the registry: a read that arrives while an append is under
+	// way may be held for the whole of it.
 	registryWait = time.Second
 	// registryPause spaces reads of the registry, whose upstreams write all the time, for
 	// each node of the fleet: all together read it so often, whatever their number, and
@@ -55,8 +57,10 @@
 			}
 		}
 	}
+	bound := freshness(e.settings.Bounds, e.settings.Bounds.ConfigApply)
 	return &feed{
-		edge: e, topic: platform.TopicOperator, wait: configWait, reset: take,
+		edge: e, topic: platform.TopicOperator, reset: take, patience: newPatience(bound),
+		wait: e.paced(configPace, heldFor(bound, configWait), configWait),
 		page: func(page platform.Page) { take(page.Keyed()) },
 	}
 }
@@ -64,8 +68,11 @@
 // registryFeed follows the upstreams' entries.
 func (e *Edge) registryFeed(ctx context.Context) *feed {
 	c := e.control
+	bound := freshness(e.settings.Bounds, e.settings.Bounds.Drain)
 	return &feed{
-		edge: e, topic: platform.TopicRegistry, wait: registryWait, pause: e.paced(registryPause, leastRegistryPause, mostRegistryPause),
+		edge: e, topic: platform.TopicRegistry, patience: newPatience(bound),
+		wait:  func() time.Duration { return heldFor(bound, registryWait) },
+		pause: e.paced(registryPause, leastRegistryPause, mostRegistryPause),
 		reset: func(records []platform.KeyedRecord) {
 			var entries []fleet.Entry
 			for _, record := range records {
@@ -125,7 +132,8 @@
 		})
 	}
 	return &feed{
-		edge: e, topic: topicNodes, wait: nodesWait, reset: take,
+		edge: e, topic: topicNodes, reset: take, patience: newPatience(e.settings.Bounds.Contact),
+		wait: func() time.Duration { return nodesWait },
 		page: func(page platform.Page) { take(page.Keyed()) },
 	}
 }
--- a/edge/reports.go
+++ b/edge/reports.go
@@ -77,7 +77,7 @@
 // read asks the store for the reports that are fixed.
 func (r *reports) read() {
 	r.call(func(ctx context.Context) (func(), error) {
-		records, end, err := r.edge.store.Newest(ctx, topicUsage)
+		records, end, err := r.edge.store.Newest(ctx, topicUsage, mostPatience)
 		if err != nil {
 			return nil, err
 		}
--- a/edge/staleness_test.go
+++ b/edge/staleness_test.go
@@ -28,16 +28,10 @@
 	proxy, err := platformtest.StartProxy(store.address())
 	require.NoError(t, err)
 	t.Cleanup(proxy.Close)
-	e, _ := start(t, bounded(t, "n1", proxy.Address()))
+	e, _ := start(t, settings(t, "n1", proxy.Address()))
 	return e, proxy
 }
 
-func bounded(t *testing.T, name, store string) platform.Settings {
-	s := settings(t, name, store)
-	s.Bounds.Contact, s.Bounds.ConfigApply, s.Bounds.Drain = contactBound, applyBound, drainBound
-	return s
-}
-
 func version(e *Edge) int64 {
 	if table := e.view.Load().Table; table != nil {
 		return table.Config.Version
@@ -86,6 +80,22 @@
 	}
 }
 
+func TestPatienceGrowsOnlyWhenNewConnectionsAreSilentToo(t *testing.T) {
+	p := newPatience(2 * time.Second)
+	now := time.Now()
+	require.Equal(t, 500*time.Millisecond, p.at(now))
+	p.unanswered(1, now)
+	require.Equal(t, 500*time.Millisecond, p.at(now), "the connection alone may be silent")
+	p.unanswered(2, now)
+	require.Equal(t, time.Second, p.at(now))
+	p.unanswered(3, now)
+	p.unanswered(4, now)
+	require.Equal(t, mostPatience, p.at(now))
+	require.Equal(t, 500*time.Millisecond, p.at(now.Add(patienceMemory+time.Second)))
+	require.Equal(t, mostPatience, newPatience(time.Minute).base)
+	require.Equal(t, leastPatience, newPatience(time.Millisecond).base)
+}
+
 // loseHistory makes changes that no read hears of, and deletes the records; the newest ones
 // that the store tells are storeLag old from then on.
 func loseHistory(store storeServer, lagging platformtest.Faults, change func()) {
@@ -105,7 +115,7 @@
 			t.Parallel()
 			store := newStore(t)
 			store.configure(1, "k")
-			e, _ := start(t, bounded(t, "n1", store.address()))
+			e, _ := start(t, settings(t, "n1", store.address()))
 			inForce(t, e, 1, eventually, "the first version")
 			time.Sleep(storeLag) // The first version is old enough to be told.
 			loseHistory(store, lagging, func() { store.configure(2, "k") })
@@ -123,7 +133,7 @@
 	store.configure(1, "k")
 	store.register("i-1", upstream(t, 0))
 	store.register("i-2", upstream(t, 0))
-	e, _ := start(t, bounded(t, "n1", store.address()))
+	e, _ := start(t, settings(t, "n1", store.address()))
 	known := func() int { return len(e.view.Load().Fleet.ByService["s"]) }
 	require.Eventually(t, func() bool { return known() == 2 }, eventually, 5*time.Millisecond)
 	time.Sleep(storeLag)
@@ -136,7 +146,7 @@
 	store := newStore(t)
 	store.configure(1, "k")
 	store.register("i-1", upstream(t, 0))
-	e, _ := start(t, bounded(t, "n1", store.address()))
+	e, _ := start(t, settings(t, "n1", store.address()))
 	known := func() int { return len(e.view.Load().Fleet.ByService["s"]) }
 	require.Eventually(t, func() bool { return known() == 1 }, eventually, 5*time.Millisecond)
 	time.Sleep(storeLag)
@@ -163,7 +173,7 @@
 	time.Sleep(100 * time.Millisecond)
 	store.Put(topicUsage, keyUsage, fixed(1, 2))
 	store.SetFaults(platformtest.Faults{NewestLag: 50 * time.Millisecond})
-	e := New(bounded(t, "n1", store.address()), zerolog.Nop())
+	e := New(settings(t, "n1", store.address()), zerolog.Nop())
 	e.ctx = t.Context()
 	go e.control.run(e.ctx)
 	r := e.control.duties.reports
