Newest records are believed only as far as they reach

Callers of the whole fleet got answers by an old configuration until the next change, and 404 for routes that had been added.

Cause: after the history of a topic was lost, a node took the newest record of each key and read on from the end told beside them. Where the records lagged, a version between them and that end was never read. Where the end lagged as well, the node asked for deleted records and looked again at once, 10,000 calls a second. The same gap kept upstreams that had left, and dropped new ones.

Now a cursor, free of clock and calls, holds that newest records are whole up to the highest offset among them: reading goes on from there, and what was deleted before it was read makes the feed look again, after 0.25 s and up to 2 s, until the records reach past it. After 30 s they are taken as whole, since the last record may have deleted a key. Removals of upstreams go by offsets: a copy that lags drops nothing that was written later, and brings nothing back. An end before what was read is an answer to repeat; only after four of them in a row does the topic count as begun anew.

--- /dev/null
+++ b/edge/cursor_test.go
@@ -0,0 +1,114 @@
+package edge
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonline/persimmonline/platform"
+)
+
+func TestCursorReadsOnFromTheNewestRecordsNotFromTheEnd(t *testing.T) {
+	now := time.Now()
+	var c cursor
+	require.True(t, c.newestDue(now))
+	c.newest(3, 7, now)
+	require.Equal(t, int64(4), c.next, "records 4 to 6 may hold newer values")
+	require.True(t, c.whole())
+	c.read(3)
+	require.Equal(t, int64(7), c.next)
+	c = cursor{}
+	c.newest(9, 7, now)
+	require.Equal(t, int64(7), c.next, "pages after the first may hold later records")
+	c = cursor{}
+	c.newest(-1, 0, now)
+	require.Equal(t, int64(0), c.next)
+	require.True(t, c.whole())
+}
+
+func TestCursorLooksAgainUntilTheNewestRecordsReachPastWhatWasDeleted(t *testing.T) {
+	now := time.Now()
+	c := cursor{next: 4, synced: true}
+	c.trimmed(9, now)
+	require.Equal(t, int64(9), c.next)
+	require.True(t, c.newestDue(now), "at once")
+	c.newest(3, 9, now)
+	require.False(t, c.whole())
+	require.False(t, c.newestDue(now))
+	require.Equal(t, firstLook, c.held(time.Second, now))
+	c.read(2)
+	var looks int
+	at := now
+	for ; c.missed > 0; at = at.Add(10 * time.Millisecond) {
+		if !c.newestDue(at) {
+			continue
+		}
+		looks++
+		highest := int64(3)
+		if at.Sub(now) > 3*time.Second {
+			highest = 8
+		}
+		c.newest(highest, 11, at)
+	}
+	require.Equal(t, int64(11), c.next, "what was read since is not read again")
+	require.Equal(t, 4, looks)
+	require.Less(t, at.Sub(now), 6*time.Second)
+	require.Equal(t, time.Second, c.held(time.Second, at))
+}
+
+func TestCursorTakesNewestRecordsThatNeverCatchUpAsWhole(t *testing.T) {
+	now := time.Now()
+	c := cursor{next: 4, synced: true}
+	c.trimmed(9, now)
+	c.newest(3, 9, now.Add(lagMemory/2))
+	require.False(t, c.whole())
+	c.newest(3, 9, now.Add(lagMemory+time.Second))
+	require.True(t, c.whole(), "the last record deleted a key")
+}
+
+// Guards against polling, and against a position before the records that are left.
+func TestTopicWithoutKeysIsReadOnAfterDeletedRecords(t *testing.T) {
+	store := newStore(t)
+	store.Put("plain", "", []byte("first"))
+	store.Forget()
+	e := New(settings(t, "n1", store.address()), zerolog.Nop())
+	var first, reads atomic.Int64
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	f := &feed{
+		edge: e, topic: "plain", patience: newPatience(time.Second), wait: func() time.Duration { return time.Second },
+		page: func(page platform.Page) { first.Store(page.First); reads.Add(1) },
+	}
+	go f.follow(ctx)
+	require.Eventually(t, func() bool { return store.Calls() >= 2 }, eventually, time.Millisecond)
+	before := store.Calls()
+	time.Sleep(500 * time.Millisecond)
+	require.Equal(t, before, store.Calls(), "the read after the deleted records is held")
+	store.Put("plain", "", []byte("second"))
+	require.Eventually(t, func() bool { return reads.Load() == 1 && first.Load() == 1 }, eventually, time.Millisecond)
+}
+
+// Guards against a topic that is given up for one answer of a copy that lags.
+func TestTopicBeginsAnewOnlyWhenItsEndStaysBehind(t *testing.T) {
+	store := newStore(t)
+	store.configure(3, "k")
+	e := New(settings(t, "n1", store.address()), zerolog.Nop())
+	e.ctx = t.Context()
+	go e.control.run(e.ctx)
+	f := e.configFeed(e.ctx)
+	f.cursor = cursor{next: 40, synced: true}
+	for range shortOutage {
+		err := f.step(e.ctx)
+		require.ErrorIs(t, err, errEndsBefore)
+		f.note(err)
+		require.Equal(t, int64(40), f.cursor.next)
+	}
+	require.ErrorIs(t, f.step(e.ctx), errEndsBefore)
+	require.NoError(t, f.step(e.ctx), "the newest records are read")
+	require.Equal(t, int64(1), f.cursor.next)
+	require.Eventually(t, func() bool { return version(e) == 3 }, eventually, time.Millisecond)
+}
--- a/edge/exchange_test.go
+++ b/edge/exchange_test.go
@@ -62,7 +62,7 @@
 	other, _ := benchNode(t, 1)
 	other.edge.settings.Name = "other"
 	now := other.edge.clock.steady()
-	other.changed(other.registry.Remove("i-0000000002", now))
+	other.changed(other.registry.Remove("i-0000000002", 0, now))
 	require.Len(t, told.registry.Upstreams(), 4)
 	told.heard(other.exchange(now), told.edge.clock.steady())
 	require.Len(t, told.registry.Upstreams(), 3)
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -29,14 +30,16 @@
 	patience patience
 	// pause between two reads; nil for none.
 	pause func() time.Duration
-	// reset takes the newest record of each key, page the records that follow.
-	reset func(records []platform.KeyedRecord)
-	page  func(page platform.Page)
+	// newest takes the newest record of each key as they were up to an offset, page the
+	// records that follow. newest is nil for a topic without keys.
+	newest func(records []platform.KeyedRecord, upTo int64)
+	page   func(page platform.Page)
+	// restarted is told when the topic's records are numbered anew; nil if nobody asks.
+	restarted func()
 	// outage is told when the store stops and starts to answer; nil if nobody asks.
 	outage func(active bool)
 
-	next   int64
-	synced bool
+	cursor cursor
 	// quiet says that the last read brought nothing, and so has waited already.
 	quiet    bool
 	failures int
@@ -89,44 +92,60 @@
 
 // step reads once.
 func (f *feed) step(ctx context.Context) error {
-	if !f.synced && f.reset != nil {
+	if f.newest != nil && f.cursor.newestDue(time.Now()) {
 		return f.readNewest(ctx)
 	}
-	f.last = storeCall{call: callRead, from: f.next}
-	page, err := f.edge.store.Read(ctx, f.topic, f.next, f.held(), f.patience.at(time.Now()))
+	from := f.cursor.next
+	f.last = storeCall{call: callRead, from: from}
+	page, err := f.edge.store.Read(ctx, f.topic, from, f.held(), f.patience.at(time.Now()))
 	if errors.Is(err, platform.ErrTrimmed) {
-		f.edge.logger.Warn().Str("topic", f.topic).Int64("from", f.next).Int64("oldest", page.First).
+		f.edge.logger.Warn().Str("topic", f.topic).Int64("from", from).Int64("oldest", page.First).
 			Msg("records were deleted before they were read")
-		f.synced = false
-		if f.reset == nil {
-			f.next = page.First
+		if f.newest == nil {
+			f.cursor.skip(page.First)
+			return nil
 		}
+		f.cursor.trimmed(page.First, time.Now())
 		return nil
 	}
 	if err != nil {
 		return err
 	}
 	f.last.end, f.last.records = page.End, len(page.Records)
-	if page.End < f.next {
-		f.edge.logger.Warn().Str("topic", f.topic).Int64("from", f.next).Int64("end", page.End).Msg("the topic began anew")
-		f.synced, f.next = false, 0
-		return nil
+	if page.End < from {
+		return f.endsBefore(from)
 	}
 	f.quiet = len(page.Records) == 0
 	if !f.quiet {
 		f.page(page)
-		f.next += int64(len(page.Records))
+		f.cursor.read(len(page.Records))
 	}
 	return nil
 }
 
+// errEndsBefore means that the store tells an end before what was read.
+var errEndsBefore = errors.New("the topic ends before what was read of it")
+
+// endsBefore takes the answer that the topic ends before what was read: told by a copy that
+// lags, or if it is told again and again, by a topic that began anew.
+func (f *feed) endsBefore(from int64) error {
+	if f.failures >= shortOutage {
+		f.edge.logger.Warn().Str("topic", f.topic).Int64("from", from).Int64("end", f.last.end).Msg("the topic began anew")
+		f.cursor.restart()
+		if f.restarted != nil {
+			f.restarted()
+		}
+	}
+	return fmt.Errorf("read %s from offset %d, end %d: %w", f.topic, from, f.last.end, errEndsBefore)
+}
+
 // held is how long the store may hold the next read. While the store does not answer
 // reads are not held, so that the first one after its return tells at once.
 func (f *feed) held() time.Duration {
 	if f.failures > 0 {
 		return 0
 	}
-	return f.wait()
+	return f.cursor.held(f.wait(), time.Now())
 }
 
 // readNewest takes the newest record of each key, from where the topic is read on.
@@ -137,10 +156,11 @@
 		return err
 	}
 	f.last.end, f.last.records = end, len(records)
-	f.edge.logger.Info().Str("topic", f.topic).Int("records", len(records)).Int64("newest", newestOffset(records)).
-		Int64("end", end).Msg("newest records read")
-	f.reset(records)
-	f.next, f.synced = end, true
+	upTo := newestOffset(records)
+	f.newest(records, upTo)
+	f.cursor.newest(upTo, end, time.Now())
+	f.edge.logger.Info().Str("topic", f.topic).Int("records", len(records)).Int64("newest", upTo).Int64("end", end).
+		Int64("missed", f.cursor.missed).Int("looks", f.cursor.looks).Msg("newest records read")
 	return nil
 }
 
--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -59,9 +59,10 @@
 	}
 	bound := freshness(e.settings.Bounds, e.settings.Bounds.ConfigApply)
 	return &feed{
-		edge: e, topic: platform.TopicOperator, reset: take, patience: newPatience(bound),
-		wait: e.paced(configPace, heldFor(bound, configWait), configWait),
-		page: func(page platform.Page) { take(page.Keyed()) },
+		edge: e, topic: platform.TopicOperator, patience: newPatience(bound),
+		wait:   e.paced(configPace, heldFor(bound, configWait), configWait),
+		newest: func(records []platform.KeyedRecord, _ int64) { take(records) },
+		page:   func(page platform.Page) { take(page.Keyed()) },
 	}
 }
 
@@ -73,7 +74,7 @@
 		edge: e, topic: platform.TopicRegistry, patience: newPatience(bound),
 		wait:  func() time.Duration { return heldFor(bound, registryWait) },
 		pause: e.paced(registryPause, leastRegistryPause, mostRegistryPause),
-		reset: func(records []platform.KeyedRecord) {
+		newest: func(records []platform.KeyedRecord, upTo int64) {
 			var entries []fleet.Entry
 			for _, record := range records {
 				if entry, ok := e.decodeEntry(record); ok {
@@ -81,7 +82,7 @@
 				}
 			}
 			c.post(ctx, func(now time.Time) {
-				c.changed(c.registry.Replace(entries, now))
+				c.changed(c.registry.Replace(entries, upTo, now))
 				c.registryAt = now
 				c.dirty = true
 			})
@@ -95,6 +96,7 @@
 				c.registryAt = now
 			})
 		},
+		restarted: func() { c.post(ctx, func(time.Time) { c.registry.Renumbered() }) },
 		outage: func(active bool) {
 			c.post(ctx, func(now time.Time) { c.registry.Outage(active, now) })
 		},
@@ -104,7 +106,7 @@
 // registryRecord takes one change of the registry.
 func (c *control) registryRecord(record platform.KeyedRecord, now time.Time) {
 	if len(record.Value) == 0 {
-		c.changed(c.registry.Remove(record.Key, now))
+		c.changed(c.registry.Remove(record.Key, record.Offset, now))
 		return
 	}
 	if entry, ok := c.edge.decodeEntry(record); ok {
@@ -118,6 +120,7 @@
 		e.logger.Warn().Err(err).Msg("registry entry left out")
 		return entry, false
 	}
+	entry.Offset = record.Offset
 	return entry, true
 }
 
@@ -132,9 +135,10 @@
 		})
 	}
 	return &feed{
-		edge: e, topic: topicNodes, reset: take, patience: newPatience(e.settings.Bounds.Contact),
-		wait: func() time.Duration { return nodesWait },
-		page: func(page platform.Page) { take(page.Keyed()) },
+		edge: e, topic: topicNodes, patience: newPatience(e.settings.Bounds.Contact),
+		wait:   func() time.Duration { return nodesWait },
+		newest: func(records []platform.KeyedRecord, _ int64) { take(records) },
+		page:   func(page platform.Page) { take(page.Keyed()) },
 	}
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -39,6 +39,8 @@
 	Leaves time.Duration
 	// Sequence rises with each heartbeat of one incarnation.
 	Sequence int64
+	// Offset of the entry's record in the registry; later records have higher ones.
+	Offset int64
 }
 
 // Upstream is one incarnation of an upstream as this node believes it to be.
@@ -95,11 +97,16 @@
 	sequence int64
 	left     bool
 	at       time.Time
+	// offset up to which the registry was known when the entry was gone; -1 if unknown.
+	offset int64
 }
 
 // supersedes says whether an entry is older than the removal. An upstream that was
 // only silent comes back with a later heartbeat; one that announced its leaving doesn't.
 func (g goneIncarnation) supersedes(entry Entry) bool {
+	if entry.Offset < g.offset {
+		return true
+	}
 	if entry.BornMS != g.bornMS {
 		return entry.BornMS < g.bornMS
 	}
@@ -180,9 +187,9 @@
 	return []Change{{Upstream: *known, What: Draining}}
 }
 
-// Remove takes the removal of an entry. Within the grace after an outage the entry may
-// have lapsed while its upstream lives.
-func (r *Registry) Remove(id string, now time.Time) []Change {
+// Remove takes the removal of an entry, by the record at an offset. Within the grace after an
+// outage the entry may have lapsed while its upstream lives.
+func (r *Registry) Remove(id string, offset int64, now time.Time) []Change {
 	known := r.upstreams[id]
 	if known == nil {
 		return nil
@@ -195,19 +202,23 @@
 		known.LapsedAt = now
 		return []Change{{Upstream: *known, What: Lapsed}}
 	}
-	return r.drop(known, now)
+	return r.drop(known, offset, now)
 }
 
-func (r *Registry) drop(known *Upstream, now time.Time) []Change {
+// unknownOffset is the offset of a removal that was not read in the registry.
+const unknownOffset = -1
+
+func (r *Registry) drop(known *Upstream, offset int64, now time.Time) []Change {
 	delete(r.upstreams, known.ID)
 	r.gone[known.ID] = goneIncarnation{
-		bornMS: known.BornMS, sequence: known.Sequence, left: known.Leaving(), at: now,
+		bornMS: known.BornMS, sequence: known.Sequence, left: known.Leaving(), at: now, offset: offset,
 	}
 	return []Change{{Upstream: *known, What: Gone}}
 }
 
-// Replace takes the whole registry as it was read: what is missing is removed.
-func (r *Registry) Replace(entries []Entry, now time.Time) []Change {
+// Replace takes the whole registry as it was up to an offset: what is missing is removed,
+// but for entries that were written later.
+func (r *Registry) Replace(entries []Entry, upTo int64, now time.Time) []Change {
 	present := map[string]bool{}
 	var changes []Change
 	for _, entry := range entries {
@@ -215,8 +226,8 @@
 		changes = append(changes, r.Put(entry, now)...)
 	}
 	for _, id := range slices.Sorted(maps.Keys(r.upstreams)) {
-		if !present[id] {
-			changes = append(changes, r.Remove(id, now)...)
+		if !present[id] && r.upstreams[id].Offset <= upTo {
+			changes = append(changes, r.Remove(id, upTo, now)...)
 		}
 	}
 	return changes
@@ -230,7 +241,7 @@
 		if known.LapsedAt.IsZero() || r.outage || now.Sub(r.outageEnded) < lapseGrace {
 			continue
 		}
-		changes = append(changes, r.drop(known, now)...)
+		changes = append(changes, r.drop(known, unknownOffset, now)...)
 	}
 	for id, gone := range r.gone {
 		if now.Sub(gone.at) > goneMemory {
@@ -280,7 +291,18 @@
 	if known == nil || known.BornMS != removal.BornMS || known.Sequence > removal.Sequence {
 		return nil
 	}
-	return r.drop(known, now)
+	return r.drop(known, unknownOffset, now)
+}
+
+// Renumbered notes that the registry's records are numbered anew.
+func (r *Registry) Renumbered() {
+	for _, known := range r.upstreams {
+		known.Offset = unknownOffset
+	}
+	for id, gone := range r.gone {
+		gone.offset = unknownOffset
+		r.gone[id] = gone
+	}
 }
 
 // Leaving says whether the upstream must not get new work that another can take.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -55,13 +55,13 @@
 	r.Put(entry(1, false), at(0))
 	r.Outage(true, at(1000))
 	r.Outage(false, at(6000))
-	require.Equal(t, []string{"lapsed"}, what(r.Remove("i-1", at(6100))))
+	require.Equal(t, []string{"lapsed"}, what(r.Remove("i-1", 0, at(6100))))
 	require.Len(t, r.Upstreams(), 1)
 	require.Empty(t, r.Tick(at(7900)))
 	require.Equal(t, []string{"back"}, what(r.Put(entry(2, false), at(7950))))
 	require.Empty(t, r.Tick(at(9000)))
 
-	require.Equal(t, []string{"gone"}, what(r.Remove("i-1", at(9000))), "long after the outage")
+	require.Equal(t, []string{"gone"}, what(r.Remove("i-1", 0, at(9000))), "long after the outage")
 }
 
 func TestEntryThatDoesNotComeBackAfterAnOutageIsGone(t *testing.T) {
@@ -69,7 +69,7 @@
 	r.Put(entry(1, false), at(0))
 	r.Outage(true, at(1000))
 	r.Outage(false, at(6000))
-	r.Remove("i-1", at(6100))
+	r.Remove("i-1", 0, at(6100))
 	require.Equal(t, []string{"gone"}, what(r.Tick(at(8000))))
 	require.Empty(t, r.Upstreams())
 }
@@ -77,12 +77,12 @@
 func TestUpstreamThatWasOnlySilentComesBackWithALaterHeartbeat(t *testing.T) {
 	r := fleet.NewRegistry()
 	r.Put(entry(5, false), at(0))
-	r.Remove("i-1", at(100))
+	r.Remove("i-1", 0, at(100))
 	require.Empty(t, r.Put(entry(5, false), at(200)), "the heartbeat that was known")
 	require.Equal(t, []string{"added"}, what(r.Put(entry(6, false), at(300))))
 
 	r.Put(entry(7, true), at(400))
-	r.Remove("i-1", at(500))
+	r.Remove("i-1", 0, at(500))
 	require.Empty(t, r.Put(entry(8, false), at(600)), "it had announced its leaving")
 }
 
@@ -90,7 +90,7 @@
 	r := fleet.NewRegistry()
 	r.Put(entry(1, false), at(0))
 	other := fleet.Entry{ID: "i-2", BornMS: 1, Address: "10.0.0.2:80"}
-	require.ElementsMatch(t, []string{"added", "gone"}, what(r.Replace([]fleet.Entry{other}, at(100))))
+	require.ElementsMatch(t, []string{"added", "gone"}, what(r.Replace([]fleet.Entry{other}, 0, at(100))))
 	require.Equal(t, "i-2", r.Upstreams()[0].ID)
 }
 
@@ -100,15 +100,34 @@
 	r.Put(entry(5, false), at(0))
 	other := fleet.NewRegistry()
 	other.Put(entry(5, false), at(0))
-	other.Remove("i-1", at(10))
+	other.Remove("i-1", 0, at(10))
 	leaving, removed := other.Leaving(at(0))
 	require.Empty(t, leaving)
 	require.Len(t, removed, 1)
 	require.Equal(t, []string{"gone"}, what(r.RemovedElsewhere(removed[0], at(20))))
-	require.Empty(t, r.Remove("i-1", at(30)))
+	require.Empty(t, r.Remove("i-1", 0, at(30)))
 	require.Empty(t, r.Put(entry(5, false), at(40)), "an older entry does not bring it back")
 	require.Equal(t, []string{"added"}, what(r.Put(entry(6, false), at(50))), "it was only silent")
 	require.Empty(t, r.RemovedElsewhere(removed[0], at(60)), "the removal is older than the entry")
 	_, removed = other.Leaving(at(11))
 	require.Empty(t, removed)
 }
+
+func TestRegistryThatLagsNeitherDropsNorBringsBack(t *testing.T) {
+	r := fleet.NewRegistry()
+	put := func(id string, offset int64) []fleet.Change {
+		e := entry(offset, false)
+		e.ID, e.Offset = id, offset
+		return r.Put(e, at(0))
+	}
+	put("old", 3)
+	put("new", 9)
+	require.Empty(t, r.Replace([]fleet.Entry{{ID: "old", BornMS: 100, Address: "10.0.0.1:80", Sequence: 3, Offset: 3}}, 5, at(10)),
+		"the copy ends before the new entry")
+	require.Equal(t, []string{"gone"}, what(r.Remove("old", 10, at(20))))
+	require.Empty(t, put("old", 8), "older than the removal, though a later heartbeat than the one known")
+	require.Equal(t, []string{"gone"}, what(r.Replace(nil, 12, at(30))), "the copy holds the new entry's removal")
+	require.Equal(t, []string{"added"}, what(put("old", 13)), "a later heartbeat")
+	r.Renumbered()
+	require.Equal(t, []string{"gone"}, what(r.Replace(nil, 0, at(40))))
+}
