Usage reports are not fixed against reports that lag

What callers' workspaces would have been billed: two reports of one window with different counts, which the cloud API takes for two truths.

Cause, of the same class: the holder of the duty read the reports that are fixed from the newest records and fixed the next window by a write that succeeds only at the end told beside them. Where the records lagged and the end did not, the write succeeded and replaced a window that was fixed. Not seen in the users' record; found by looking for the cause elsewhere.

The topic has one key that is never deleted, so its newest record lies just before the end; anything else is an error, logged, and read again.

Before: TestUsageIsNotFixedAgainstReportsThatLag found one of two fixed windows known beside the true end. After: it passes.

--- a/edge/reports.go
+++ b/edge/reports.go
@@ -24,6 +24,9 @@
 	usageBack = 3
 )
 
+// errLagging means that newest records end before their topic does.
+var errLagging = errors.New("the newest records lag behind the end of their topic")
+
 // reports sends the usage of each window. The counts of a window are fixed in the store
 // before they are sent, by a write that fails if another holder has fixed some meanwhile;
 // so all holders send the same counts. The control loop owns it.
@@ -81,6 +84,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if newest := newestOffset(records); newest+1 < end {
+			return nil, fmt.Errorf("read the usage reports, newest offset %d, end %d: %w", newest, end, errLagging)
+		}
 		var fixed api.FixedUsage
 		for _, record := range records {
 			if record.Key != keyUsage {
--- a/edge/staleness_test.go
+++ b/edge/staleness_test.go
@@ -47,6 +47,7 @@
 // Guards against a version that comes late because the read that waits for it is on a
 // connection that fell silent.
 func TestVersionIsNotLateWhenConnectionsToTheStoreFallSilent(t *testing.T) {
+	t.Parallel()
 	store := newStore(t)
 	store.configure(1, "k")
 	e, proxy := proxied(t, store)
@@ -63,6 +64,7 @@
 // Guards against a version that comes late because a read began while the store was silent,
 // whose answer never comes.
 func TestVersionIsNotLateAfterTheStoreWasSilent(t *testing.T) {
+	t.Parallel()
 	for _, silent := range []time.Duration{600 * time.Millisecond, 3 * time.Second, 5900 * time.Millisecond} {
 		t.Run(silent.String(), func(t *testing.T) {
 			t.Parallel()
@@ -110,6 +112,7 @@
 // Guards against a version that is never in force: the newest records lag, and reading goes on
 // from the end that was told beside them.
 func TestVersionIsNotMissedWhenNewestRecordsLag(t *testing.T) {
+	t.Parallel()
 	for name, lagging := range map[string]platformtest.Faults{"true end": {}, "old end": {EndLags: true}} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -129,6 +132,7 @@
 
 // Guards against requests to an upstream whose removal fell into the lost history.
 func TestUpstreamThatLeftIsNotKeptWhenNewestRecordsLag(t *testing.T) {
+	t.Parallel()
 	store := newStore(t)
 	store.configure(1, "k")
 	store.register("i-1", upstream(t, 0))
@@ -143,6 +147,7 @@
 
 // Guards against an upstream that is dropped because newest records that lag do not hold it yet.
 func TestNewUpstreamIsNotDroppedWhenNewestRecordsLag(t *testing.T) {
+	t.Parallel()
 	store := newStore(t)
 	store.configure(1, "k")
 	store.register("i-1", upstream(t, 0))
@@ -190,10 +195,15 @@
 	if state := read(); state.known {
 		require.Equal(t, 2, state.windows, "what the store holds")
 	}
+	store.SetFaults(platformtest.Faults{})
+	e.control.post(e.ctx, func(time.Time) { r.read() })
+	require.Eventually(t, func() bool { return read().known }, eventually, time.Millisecond)
+	require.Equal(t, 2, read().windows)
 }
 
 // Guards against 404 and 401 from a node that can't know whether its configuration is current.
 func TestNodeThatMayBeBehindDeniesNothing(t *testing.T) {
+	t.Parallel()
 	store := newStore(t)
 	store.configure(1, "k")
 	store.register("i-1", upstream(t, 0))
