A node whose configuration may be outdated denies nothing for good

Cause: the node answered by its configuration however long ago the store had last confirmed it, so a delay in reading became a final answer to callers.

The feed now tells when the store has answered and nothing can have been missed. Where that is longer ago than the bound within which a version is in force, or a peer has told of a newer version, a missing route or an unknown key gets 503 configuration_unconfirmed with a Retry-After; what the node knows is served as before.

--- a/edge/control.go
+++ b/edge/control.go
@@ -63,7 +63,11 @@
 	registryAt time.Time
 	table      *catalog.Table
 	rawConfig  []byte
-	peers      map[string]*peerState
+	// confirmedAt is when the store last confirmed that the configuration is the newest, and
+	// newestVersion the highest version that a peer has told of.
+	confirmedAt   time.Time
+	newestVersion int64
+	peers         map[string]*peerState
 	// fleetSize is the number of nodes that the ledger and the feeds go by.
 	fleetSize atomic.Int64
 	mostNodes int
@@ -197,6 +201,11 @@
 	return c.table.Config.Version
 }
 
+// unconfirmed says whether a newer configuration may be in force elsewhere.
+func (c *control) unconfirmed(now time.Time) bool {
+	return c.newestVersion > c.configVersion() || now.Sub(c.confirmedAt) > c.edge.confirmedFor()
+}
+
 // configSource says where a configuration was read.
 type configSource struct {
 	// from is the store, or the address of a peer.
@@ -274,7 +283,7 @@
 	view := &serving.View{
 		Table: c.table, FleetAt: time.Now().Add(-now.Sub(c.registryAt)), DataCentre: c.edge.settings.DataCentre,
 		RetryBurst: c.retryBurst(now), Draining: c.draining, Closed: c.closed,
-		Poisoned: c.poisoned(now), At: time.Now(),
+		Poisoned: c.poisoned(now), At: time.Now(), Unconfirmed: c.unconfirmed(now),
 	}
 	byService := map[string][]*routing.Upstream{}
 	others := c.othersLoad(now)
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -36,6 +36,8 @@
 	page   func(page platform.Page)
 	// restarted is told when the topic's records are numbered anew; nil if nobody asks.
 	restarted func()
+	// whole is told that all changes up to now are read; nil if nobody asks.
+	whole func()
 	// outage is told when the store stops and starts to answer; nil if nobody asks.
 	outage func(active bool)
 
@@ -187,6 +189,9 @@
 		}
 		f.failures = 0
 		f.answeredAt.Store(f.edge.clock.steady().UnixNano())
+		if f.whole != nil && f.cursor.whole() {
+			f.whole()
+		}
 		return
 	}
 	f.failures++
--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -57,15 +57,30 @@
 			}
 		}
 	}
-	bound := freshness(e.settings.Bounds, e.settings.Bounds.ConfigApply)
 	return &feed{
-		edge: e, topic: platform.TopicOperator, patience: newPatience(bound),
-		wait:   e.paced(configPace, heldFor(bound, configWait), configWait),
+		edge: e, topic: platform.TopicOperator, patience: newPatience(e.configBound()), wait: e.configHeld(),
+		whole:  func() { e.control.post(ctx, func(now time.Time) { e.control.confirmedAt = now }) },
 		newest: func(records []platform.KeyedRecord, _ int64) { take(records) },
 		page:   func(page platform.Page) { take(page.Keyed()) },
 	}
 }
 
+// configBound is the time within which this node must know of a version.
+func (e *Edge) configBound() time.Duration {
+	return freshness(e.settings.Bounds, e.settings.Bounds.ConfigApply)
+}
+
+// configHeld is how long the store may hold a read of the configuration.
+func (e *Edge) configHeld() func() time.Duration {
+	return e.paced(configPace, heldFor(e.configBound(), configWait), configWait)
+}
+
+// confirmedFor is how long the configuration counts as the newest after the store has said so:
+// a version is in force within the bound, and a read that is held says nothing sooner.
+func (e *Edge) confirmedFor() time.Duration {
+	return max(e.settings.Bounds.ConfigApply, e.configHeld()()+newPatience(e.configBound()).base+controlTick)
+}
+
 // registryFeed follows the upstreams' entries.
 func (e *Edge) registryFeed(ctx context.Context) *feed {
 	c := e.control
--- a/edge/peerstate.go
+++ b/edge/peerstate.go
@@ -112,6 +112,7 @@
 		c.addPeer(name, address, now)
 	}
 	c.stale = true
+	c.newestVersion = max(c.newestVersion, message.ConfigVersion)
 	if message.ConfigVersion > c.configVersion() {
 		e.peers.fetchConfig(message.Address)
 	}
--- a/edge/staleness_test.go
+++ b/edge/staleness_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/catalog"
 	"github.com/persimmonline/persimmonline/platform"
 	"github.com/persimmonline/persimmonline/platform/platformtest"
 )
@@ -201,6 +202,21 @@
 	require.Equal(t, 2, read().windows)
 }
 
+// Guards against 404 for a route that only the version has which a peer tells of.
+func TestNodeThatHeardOfANewerVersionDeniesNothing(t *testing.T) {
+	c, message := benchNode(t, 1)
+	now := c.edge.clock.steady()
+	c.table, c.confirmedAt = catalog.NewTable(&catalog.Config{Version: 7}), now
+	require.False(t, c.unconfirmed(now))
+	newer := message(0)
+	newer.ConfigVersion, newer.ClockMS = 8, newer.ClockMS+1
+	c.heard(newer, now)
+	require.True(t, c.unconfirmed(now))
+	c.table = catalog.NewTable(&catalog.Config{Version: 8})
+	require.False(t, c.unconfirmed(now))
+	require.True(t, c.unconfirmed(now.Add(applyBound+contactBound)))
+}
+
 // Guards against 404 and 401 from a node that can't know whether its configuration is current.
 func TestNodeThatMayBeBehindDeniesNothing(t *testing.T) {
 	t.Parallel()
@@ -211,6 +227,7 @@
 	require.Eventually(t, func() bool { return call(t, e, "k") == 200 }, eventually, 5*time.Millisecond)
 	require.Equal(t, http.StatusUnauthorized, call(t, e, "unknown"))
 	proxy.CutUp()
+	proxy.CutDown()
 	time.Sleep(contactBound)
 	require.Equal(t, 200, call(t, e, "k"), "what it knows is served")
 	require.Equal(t, http.StatusServiceUnavailable, call(t, e, "unknown"), "a newer version may hold the key")
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -49,6 +49,7 @@
 	CodeNotFound         Code = "not_found"
 	CodeMethodNotAllowed Code = "method_not_allowed"
 	CodeNoConfiguration  Code = "no_configuration"
+	CodeUnconfirmed      Code = "configuration_unconfirmed"
 	CodeOverloaded       Code = "overloaded"
 	CodeWorkspaceLimit   Code = "workspace_limit"
 	CodeNoUpstream       Code = "no_upstream"
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -187,11 +187,21 @@
 		return request, refusal.New(http.StatusServiceUnavailable, refusal.CodeDraining, "this node is stopping").After(comeBackNow)
 	}
 	if refused := authorise(view.Table, request); refused != nil {
+		if view.Unconfirmed {
+			refused = unconfirmed(refused)
+		}
 		return request, refused
 	}
 	return request, h.readBody(view.Table, request, w, r)
 }
 
+// unconfirmed replaces a refusal that no caller asks again after: a configuration that this
+// node has not read yet may hold the route or the key.
+func unconfirmed(denial *refusal.Refusal) *refusal.Refusal {
+	return refusal.New(http.StatusServiceUnavailable, refusal.CodeUnconfirmed,
+		"%s in a configuration that may be outdated", denial.Message).After(comeBackSoon)
+}
+
 // authorise finds the route of the request and the workspace of its key.
 func authorise(table *catalog.Table, request *Request) *refusal.Refusal {
 	request.Route = table.Route(request.Host, request.Path)
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -420,3 +420,29 @@
 	require.Equal(t, "POST /unsafe/x?q=1 body w", got.body)
 	require.True(t, got.closes)
 }
+
+// Guards against a final refusal by a node whose configuration may be outdated.
+func TestOutdatedConfigurationDeniesNothing(t *testing.T) {
+	d := deploy(t, 1, ok)
+	ask := func(path, key string) *http.Response {
+		r, err := http.NewRequest(http.MethodGet, d.url+path, nil)
+		require.NoError(t, err)
+		r.Host = "h.example"
+		r.Header.Set("X-Request-Id", "id")
+		r.Header.Set("Authorization", "Bearer "+key)
+		response, err := http.DefaultClient.Do(r)
+		require.NoError(t, err)
+		_ = response.Body.Close()
+		return response
+	}
+	require.Equal(t, http.StatusNotFound, ask("/none/x", "key").StatusCode)
+	require.Equal(t, http.StatusUnauthorized, ask("/safe/x", "none").StatusCode)
+	outdated := *d.view.Load()
+	outdated.Unconfirmed = true
+	d.view.Store(&outdated)
+	for _, response := range []*http.Response{ask("/none/x", "key"), ask("/safe/x", "none")} {
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		require.NotEmpty(t, response.Header.Get("Retry-After"))
+	}
+	require.Equal(t, http.StatusOK, ask("/safe/x", "key").StatusCode)
+}
--- a/serving/view.go
+++ b/serving/view.go
@@ -13,6 +13,8 @@
 	At time.Time
 	// Table is the configuration in force; nil before the first.
 	Table *catalog.Table
+	// Unconfirmed says that a newer configuration may be in force elsewhere.
+	Unconfirmed bool
 	// Fleet holds the upstreams that may get work.
 	Fleet *routing.Fleet
 	// FleetAt is when the registry was last read.
