A peer that hangs does not hold up the configuration of another

A peer that hangs held up all others.

Each peer is now asked by itself, another after 0.25 s, and a transfer is given up after 1 s. The control loop owns who is asked.

Before: TestPeerThatHangsDoesNotHoldUpTheConfigurationOfAnother, none in force after 1 s. After: it passes.

--- a/edge/control.go
+++ b/edge/control.go
@@ -67,7 +67,9 @@
 	// newestVersion the highest version that a peer has told of.
 	confirmedAt   time.Time
 	newestVersion int64
-	peers         map[string]*peerState
+	// fetches are the peers that are asked for their configuration, with the time of asking.
+	fetches map[string]time.Time
+	peers   map[string]*peerState
 	// fleetSize is the number of nodes that the ledger and the feeds go by.
 	fleetSize atomic.Int64
 	mostNodes int
@@ -92,7 +94,7 @@
 		registry: fleet.NewRegistry(), peers: map[string]*peerState{}, suspects: map[string]time.Time{},
 		trackers: map[string]*routing.Tracker{}, holders: map[string]routing.Holder{},
 		prefixes: routing.NewPrefixes(maxPrefixBlocks), dirty: true,
-		poison: quarantine.NewTable(),
+		poison: quarantine.NewTable(), fetches: map[string]time.Time{},
 	}
 	c.duties = newDuties(e, c)
 	return c
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/persimmonline/persimmonline/api"
@@ -23,8 +22,10 @@
 	exchangeFanout = 6
 	// exchangeTimeout bounds an exchange.
 	exchangeTimeout = 500 * time.Millisecond
-	// fetchTimeout bounds the transfer of a configuration.
-	fetchTimeout = 2 * time.Second
+	// fetchTimeout bounds the transfer of a configuration, and fetchPatience is how long it may
+	// take before another peer is asked as well; it takes milliseconds where all is well.
+	fetchTimeout  = time.Second
+	fetchPatience = 250 * time.Millisecond
 	// peerIdleTimeout closes the connection to a node that is not told any more.
 	peerIdleTimeout = 30 * time.Second
 	// maxExchangeBytes bounds a peer's message, maxConfigBytes a configuration.
@@ -39,11 +40,10 @@
 
 // peers exchanges messages with the other nodes.
 type peers struct {
-	edge     *Edge
-	client   *http.Client
-	wakeUp   chan struct{}
-	fetching atomic.Bool
-	turn     int
+	edge   *Edge
+	client *http.Client
+	wakeUp chan struct{}
+	turn   int
 }
 
 func newPeers(e *Edge) *peers {
@@ -182,21 +182,21 @@
 	}
 }
 
-// fetchConfig asks a peer for its configuration, one peer at a time.
-func (p *peers) fetchConfig(address string) {
-	if !p.fetching.CompareAndSwap(false, true) {
-		return
-	}
+// fetchConfig asks a peer for its configuration; done runs in the control loop.
+func (p *peers) fetchConfig(address string, done func()) {
 	go func() {
-		defer p.fetching.Store(false)
 		ctx := p.edge.ctx
 		raw, err := p.call(ctx, http.MethodGet, address, pathConfig, nil, fetchTimeout, maxConfigBytes)
 		if err != nil {
 			p.edge.logger.Warn().Err(err).Msg("configuration of a peer not fetched")
-			return
 		}
 		source := configSource{from: address, offset: -1, readAt: p.edge.clock.steady()}
-		p.edge.control.post(ctx, func(now time.Time) { p.edge.control.applyConfig(raw, source, now) })
+		p.edge.control.post(ctx, func(now time.Time) {
+			done()
+			if err == nil {
+				p.edge.control.applyConfig(raw, source, now)
+			}
+		})
 	}()
 }
 
--- a/edge/peerstate.go
+++ b/edge/peerstate.go
@@ -114,10 +114,22 @@
 	c.stale = true
 	c.newestVersion = max(c.newestVersion, message.ConfigVersion)
 	if message.ConfigVersion > c.configVersion() {
-		e.peers.fetchConfig(message.Address)
+		c.fetchConfig(message.Address, now)
 	}
 }
 
+// fetchConfig asks a peer for its configuration, unless it or another was asked just now. A
+// peer that hangs holds up no other.
+func (c *control) fetchConfig(address string, now time.Time) {
+	for asked, at := range c.fetches {
+		if asked == address || now.Sub(at) < fetchPatience {
+			return
+		}
+	}
+	c.fetches[address] = now
+	c.edge.peers.fetchConfig(address, func() { delete(c.fetches, address) })
+}
+
 // addPeer notes the address of a node that was heard of.
 func (c *control) addPeer(name, address string, now time.Time) {
 	if name == c.edge.settings.Name || address == "" {
--- a/edge/staleness_test.go
+++ b/edge/staleness_test.go
@@ -1,8 +1,13 @@
 package edge
 
 import (
+	"context"
 	"encoding/json"
+	"fmt"
+	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -234,3 +239,33 @@
 	proxy.Heal()
 	require.Eventually(t, func() bool { return call(t, e, "unknown") == http.StatusUnauthorized }, contactBound, 20*time.Millisecond)
 }
+
+// Guards against a configuration that is held up by a peer that does not answer.
+func TestPeerThatHangsDoesNotHoldUpTheConfigurationOfAnother(t *testing.T) {
+	t.Parallel()
+	hangs, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = hangs.Close() })
+	answers := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintf(w, configText, 5, "k")
+	}))
+	t.Cleanup(answers.Close)
+	e, _ := start(t, settings(t, "n1", "127.0.0.1:1"))
+	hear := func(name, address string) {
+		e.control.post(e.ctx, func(now time.Time) {
+			e.control.heard(&api.EdgeExchange{
+				Node: name, Incarnation: name, Address: address, ConfigVersion: 5, ClockMS: e.clock.now().UnixMilli(),
+			}, now)
+		})
+	}
+	hear("hangs", hangs.Addr().String())
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() {
+		for ctx.Err() == nil {
+			hear("answers", strings.TrimPrefix(answers.URL, "http://"))
+			sleep(ctx, exchangeEvery)
+		}
+	}()
+	inForce(t, e, 5, applyBound/2, "the second peer has it")
+}
