News of a peer is ordered by a clock that never jumps

Messages of one incarnation were ordered by the sender's estimate of the time, which a correction moves back by seconds; until the estimate caught up, the peer's newer version, its load and what it had admitted were dropped, and the peer counted as silent.

Messages now carry the sender's steady time beside the estimate. The steady time orders them and tells the quota ledger how long a peer was silent; the estimate serves the clocks alone.

Before: TestNewsOfAPeerIsTakenAfterItsClockWentBack saw none of the peer's load. After: it passes, and the older of two messages is still dropped.

--- a/api/edge_gen.go
+++ b/api/edge_gen.go
@@ -39,6 +39,10 @@
 	// QuotaUsed is what the sender has admitted since it started, by workspace.
 	QuotaUsed map[string]float64 `json:"quota_used"`
 
+	// SentMS is when the message was sent, in milliseconds of a clock of the sender's
+	// incarnation that never jumps.
+	SentMS int64 `json:"sent_ms"`
+
 	// Suspicions are the requests that upstreams died of, newest first.
 	Suspicions []EdgeSuspicion `json:"suspicions"`
 
--- a/edge/control.go
+++ b/edge/control.go
@@ -375,7 +375,7 @@
 	e := c.edge
 	message := &api.EdgeExchange{
 		Node: e.settings.Name, Incarnation: e.incarnation, Address: e.peerAddress(),
-		ClockMS: e.clock.now().UnixMilli(), ConfigVersion: c.configVersion(), Peers: map[string]string{},
+		ClockMS: e.clock.now().UnixMilli(), SentMS: now.UnixMilli(), ConfigVersion: c.configVersion(), Peers: map[string]string{},
 		Load: []api.EdgeLoad{}, Leaving: []api.EdgeLeaving{}, Usage: e.ownUsage(usageWindowsTold),
 		Placed: c.placements(now), Suspicions: c.suspicions(now),
 	}
--- a/edge/exchange_test.go
+++ b/edge/exchange_test.go
@@ -50,6 +50,7 @@
 	for i := range 25 {
 		m := message(i)
 		m.ClockMS += 2000
+		m.SentMS += 2000
 		m.Load = []api.EdgeLoad{{Upstream: "u", Running: 2, Due: 1, QueuedTokens: 1000}}
 		c.heard(m, now)
 	}
@@ -88,7 +89,7 @@
 	message := func(i int) *api.EdgeExchange {
 		m := &api.EdgeExchange{
 			Node: fmt.Sprintf("edge-wadi-a-%d", i), Incarnation: fmt.Sprintf("c31f774c-9fc8-420c-8626-%012d", i),
-			Address: "10.2.0.26:7060", ClockMS: time.Now().UnixMilli(), Peers: map[string]string{},
+			Address: "10.2.0.26:7060", ClockMS: time.Now().UnixMilli(), SentMS: time.Now().UnixMilli(), Peers: map[string]string{},
 			Usage: map[int64]map[string]int64{}, QuotaUsed: map[string]float64{}, QuotaLevels: map[string]float64{},
 			Leaving: []api.EdgeLeaving{}, Suspicions: []api.EdgeSuspicion{},
 		}
--- a/edge/peerstate.go
+++ b/edge/peerstate.go
@@ -81,7 +81,7 @@
 		peer = &peerState{knownAt: now}
 		c.peers[message.Node] = peer
 	}
-	if known := peer.message; known != nil && known.Incarnation == message.Incarnation && message.ClockMS < known.ClockMS {
+	if known := peer.message; known != nil && known.Incarnation == message.Incarnation && message.SentMS < known.SentMS {
 		return
 	}
 	if !c.live(peer, now) {
@@ -96,7 +96,7 @@
 	e.clock.heard(message.Node, time.UnixMilli(message.ClockMS))
 	e.ledgerLock.Lock()
 	e.ledger.Heard(message.Node, message.Incarnation, message.QuotaUsed, message.QuotaLevels,
-		time.UnixMilli(message.ClockMS), now)
+		time.UnixMilli(message.SentMS), now)
 	e.ledgerLock.Unlock()
 	for _, leaving := range message.Leaving {
 		if leaving.Removed {
--- a/edge/staleness_test.go
+++ b/edge/staleness_test.go
@@ -269,3 +269,17 @@
 	}()
 	inForce(t, e, 5, applyBound/2, "the second peer has it")
 }
+
+// Guards against news of a peer that is dropped after the peer has corrected its clock.
+func TestNewsOfAPeerIsTakenAfterItsClockWentBack(t *testing.T) {
+	c, message := benchNode(t, 1)
+	first, second := message(0), message(0)
+	second.SentMS = first.SentMS + 100
+	second.ClockMS = first.ClockMS - 3000
+	second.Load = []api.EdgeLoad{{Upstream: "u", Running: 3}}
+	c.heard(first, c.edge.clock.steady())
+	c.heard(second, c.edge.clock.steady())
+	require.Equal(t, 3, c.othersLoad(c.edge.clock.steady())["u"].Running)
+	c.heard(first, c.edge.clock.steady())
+	require.Equal(t, second.SentMS, c.peers[first.Node].message.SentMS, "the older of two messages is dropped")
+}
