Calls of the log service do not go to one silent connection after another

A call without an answer now closes the idle connections, as in the client of the platform's store.

Before: TestCallAfterASilentOneGoesToANewConnection, the second call failed. After: it is answered.

--- a/infra/httpclient/client.go
+++ b/infra/httpclient/client.go
@@ -128,6 +128,8 @@
 	if err == nil {
 		return response, nil
 	}
+	// What silenced one connection may have silenced all that are idle.
+	c.http.CloseIdleConnections()
 	effect := infra.EffectNone
 	if connected.Load() {
 		effect = infra.EffectUnknown
--- a/infra/httpclient/client_test.go
+++ b/infra/httpclient/client_test.go
@@ -1,20 +1,25 @@
 package httpclient_test
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/persimmonline/persimmonline/infra"
 	"github.com/persimmonline/persimmonline/infra/httpclient"
+	"github.com/persimmonline/persimmonline/platform/platformtest"
 	"github.com/persimmonline/persimmonline/standin"
 	"github.com/persimmonline/persimmonline/telemetry"
 )
@@ -126,3 +131,27 @@
 	require.NoError(t, appendOne(t, client))
 	require.Equal(t, 2, log.Appends())
 }
+
+// Guards against calls that go, one after the other, to idle connections that are all silent.
+func TestCallAfterASilentOneGoesToANewConnection(t *testing.T) {
+	server := httptest.NewServer(standin.NewLog().Handler())
+	t.Cleanup(server.Close)
+	proxy, err := platformtest.StartProxy(strings.TrimPrefix(server.URL, "http://"))
+	require.NoError(t, err)
+	t.Cleanup(proxy.Close)
+	client := httpclient.NewLogClient("http://" + proxy.Address())
+	read := func(wait time.Duration) error {
+		ctx, cancel := context.WithTimeout(t.Context(), wait+300*time.Millisecond)
+		defer cancel()
+		_, err := client.Read(ctx, "s", 0, 1, wait)
+		return err
+	}
+	var both sync.WaitGroup
+	for range 2 {
+		both.Go(func() { assert.NoError(t, read(50*time.Millisecond)) })
+	}
+	both.Wait()
+	proxy.Silence()
+	require.Error(t, read(0), "an idle connection, silent by now")
+	require.NoError(t, read(0))
+}
