--- a/edge/cursor_test.go
+++ b/edge/cursor_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -112,3 +116,20 @@
 	require.Equal(t, int64(1), f.cursor.next)
 	require.Eventually(t, func() bool { return version(e) == 3 }, eventually, time.Millisecond)
 }
+
+// Guards against a read that is repeated at once, again and again.
+func TestRecordsThatTheStoreWithholdsAreNotAskedForAtOnce(t *testing.T) {
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		_, _ = w.Write(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, 9), 0))
+	}))
+	t.Cleanup(server.Close)
+	e := New(settings(t, "n1", strings.TrimPrefix(server.URL, "http://")), zerolog.Nop())
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	f := e.configFeed(ctx)
+	f.cursor = cursor{next: 3, synced: true}
+	f.follow(ctx)
+	require.LessOrEqual(t, calls.Load(), int64(8))
+}
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -118,6 +118,9 @@
 		return f.endsBefore(from)
 	}
 	f.quiet = len(page.Records) == 0
+	if f.quiet && page.End > from {
+		return fmt.Errorf("read %s from offset %d, end %d: %w", f.topic, from, page.End, errWithheld)
+	}
 	if !f.quiet {
 		f.page(page)
 		f.cursor.read(len(page.Records))
@@ -125,6 +128,9 @@
 	return nil
 }
 
+// errWithheld means that the store tells of records and does not send them.
+var errWithheld = errors.New("the store sent none of the records")
+
 // errEndsBefore means that the store tells an end before what was read.
 var errEndsBefore = errors.New("the topic ends before what was read of it")
 
