The feeds' waits follow the bounds that are in force

A settings file may change while the process runs. The waits at the store and the time for which a version counts as confirmed were worked out once, from the bounds at the start; a shorter bound on versions would not have been kept until the next start. They are now read from one place, which a reload replaces, and the control loop reads the same.

Test: TestWaitsFollowTheBoundsInForceAndTheFleet. The reload test looks at that place for the same value as before.

--- a/edge/control.go
+++ b/edge/control.go
@@ -56,7 +56,6 @@
 // view for the traffic goroutines.
 type control struct {
 	edge   *Edge
-	bounds platform.Bounds
 	events chan event
 
 	registry   *fleet.Registry
@@ -90,7 +89,7 @@
 
 func newControl(e *Edge) *control {
 	c := &control{
-		edge: e, bounds: e.settings.Bounds, events: make(chan event, eventQueue),
+		edge: e, events: make(chan event, eventQueue),
 		registry: fleet.NewRegistry(), peers: map[string]*peerState{}, suspects: map[string]time.Time{},
 		trackers: map[string]*routing.Tracker{}, holders: map[string]routing.Holder{},
 		prefixes: routing.NewPrefixes(maxPrefixBlocks), dirty: true,
@@ -270,7 +269,7 @@
 // that none is refused for the order in which nodes hear of requests; the rest is for what
 // nodes admit before they hear of each other.
 func (c *control) quotaLimit(workspace *catalog.Workspace) quota.Limit {
-	bounds := &c.bounds
+	bounds := c.edge.bounds.Load()
 	factor := 1 + toleranceShare*bounds.QuotaOverage
 	limit := quota.Limit{Rate: workspace.Rate * factor, Burst: max(workspace.Burst, 1) * factor}
 	if workspace.CountsTokens {
--- a/edge/cursor_test.go
+++ b/edge/cursor_test.go
@@ -84,7 +84,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	f := &feed{
-		edge: e, topic: "plain", patience: newPatience(time.Second), wait: func() time.Duration { return time.Second },
+		edge: e, topic: "plain", bound: configBound, wait: func() time.Duration { return time.Second },
 		page: func(page platform.Page) { first.Store(page.First); reads.Add(1) },
 	}
 	go f.follow(ctx)
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -77,8 +77,8 @@
 // feed follows the topic of duties.
 func (d *duties) feed(ctx context.Context) *feed {
 	return &feed{
-		edge: d.edge, topic: topicDuties, patience: newPatience(d.edge.settings.Bounds.Lease),
-		wait: func() time.Duration { return dutiesWait }, pause: d.edge.paced(dutiesPause, 0, mostDutiesPause),
+		edge: d.edge, topic: topicDuties, bound: func(bounds *platform.Bounds) time.Duration { return bounds.Lease },
+		wait: func() time.Duration { return dutiesWait }, pause: func() time.Duration { return d.edge.paced(dutiesPause, 0, mostDutiesPause) },
 		page: func(page platform.Page) {
 			d.control.post(ctx, func(now time.Time) { d.read(page, now) })
 		},
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -65,6 +65,8 @@
 	peers   *peers
 	handler *serving.Handler
 	view    atomic.Pointer[serving.View]
+	// bounds that are in force; the settings file may change them.
+	bounds atomic.Pointer[platform.Bounds]
 
 	ledgerLock sync.Mutex
 	ledger     *quota.Ledger
@@ -91,6 +93,7 @@
 	if settings.CloudAddress != "" {
 		e.cloud = platform.NewCloud(settings.CloudAddress)
 	}
+	e.bounds.Store(&settings.Bounds)
 	e.started, e.startedSteady = e.clock.now(), e.clock.steady()
 	e.usage = usage.NewMeter(e.incarnation, settings.Bounds.UsageWindow)
 	e.firstWindow = e.usage.Window(e.started) - usageBack
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -264,8 +264,6 @@
 	require.NoError(t, os.WriteFile(path, fmt.Appendf(nil, text, 40), 0o600))
 	require.Eventually(t, func() bool {
 		e.Reload()
-		burst := make(chan float64, 1)
-		e.control.post(ctx, func(time.Time) { burst <- e.control.bounds.RetryBurst })
-		return <-burst == 40
+		return e.bounds.Load().RetryBurst == 40
 	}, eventually, 20*time.Millisecond)
 }
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -24,6 +24,8 @@
 type feed struct {
 	edge  *Edge
 	topic string
+	// bound is the time that rests on the feed's calls.
+	bound func(bounds *platform.Bounds) time.Duration
 	// wait is how long the store may hold a read.
 	wait func() time.Duration
 	// patience with calls that get no answer.
@@ -99,7 +101,7 @@
 	}
 	from := f.cursor.next
 	f.last = storeCall{call: callRead, from: from}
-	page, err := f.edge.store.Read(ctx, f.topic, from, f.held(), f.patience.at(time.Now()))
+	page, err := f.edge.store.Read(ctx, f.topic, from, f.held(), f.patience.at(f.boundNow(), time.Now()))
 	if errors.Is(err, platform.ErrTrimmed) {
 		f.edge.logger.Warn().Str("topic", f.topic).Int64("from", from).Int64("oldest", page.First).
 			Msg("records were deleted before they were read")
@@ -147,6 +149,8 @@
 	return fmt.Errorf("read %s from offset %d, end %d: %w", f.topic, from, f.last.end, errEndsBefore)
 }
 
+func (f *feed) boundNow() time.Duration { return f.bound(f.edge.bounds.Load()) }
+
 // held is how long the store may hold the next read. While the store does not answer
 // reads are not held, so that the first one after its return tells at once.
 func (f *feed) held() time.Duration {
@@ -159,7 +163,7 @@
 // readNewest takes the newest record of each key, from where the topic is read on.
 func (f *feed) readNewest(ctx context.Context) error {
 	f.last = storeCall{call: callNewest}
-	records, end, err := f.edge.store.Newest(ctx, f.topic, f.patience.at(time.Now()))
+	records, end, err := f.edge.store.Newest(ctx, f.topic, f.patience.at(f.boundNow(), time.Now()))
 	if err != nil {
 		return err
 	}
@@ -202,7 +206,7 @@
 	}
 	f.failures++
 	if unanswered(err) {
-		f.patience.unanswered(f.failures, time.Now())
+		f.patience.unanswered(f.failures, f.boundNow(), time.Now())
 	}
 	// A long outage is told by its first failures and its end.
 	if f.failures <= shortOutage {
--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -40,11 +40,9 @@
 	topicNodes = "keyed.persimmon-nodes"
 )
 
-// paced returns a pause that grows with the fleet.
-func (e *Edge) paced(perNode, least, most time.Duration) func() time.Duration {
-	return func() time.Duration {
-		return min(most, max(least, perNode*time.Duration(e.control.fleetSize.Load())))
-	}
+// paced returns a time that grows with the fleet.
+func (e *Edge) paced(perNode, least, most time.Duration) time.Duration {
+	return min(most, max(least, perNode*time.Duration(e.control.fleetSize.Load())))
 }
 
 // configFeed follows the operator's configuration.
@@ -58,37 +56,33 @@
 		}
 	}
 	return &feed{
-		edge: e, topic: platform.TopicOperator, patience: newPatience(e.configBound()), wait: e.configHeld(),
+		edge: e, topic: platform.TopicOperator, bound: configBound, wait: e.configHeld,
 		whole:  func() { e.control.post(ctx, func(now time.Time) { e.control.confirmedAt = now }) },
 		newest: func(records []platform.KeyedRecord, _ int64) { take(records) },
 		page:   func(page platform.Page) { take(page.Keyed()) },
 	}
 }
 
-// configBound is the time within which this node must know of a version.
-func (e *Edge) configBound() time.Duration {
-	return freshness(e.settings.Bounds, e.settings.Bounds.ConfigApply)
-}
-
 // configHeld is how long the store may hold a read of the configuration.
-func (e *Edge) configHeld() func() time.Duration {
-	return e.paced(configPace, heldFor(e.configBound(), configWait), configWait)
+func (e *Edge) configHeld() time.Duration {
+	return e.paced(configPace, heldFor(configBound(e.bounds.Load()), configWait), configWait)
 }
 
 // confirmedFor is how long the configuration counts as the newest after the store has said so:
 // a version is in force within the bound, and a read that is held says nothing sooner.
 func (e *Edge) confirmedFor() time.Duration {
-	return max(e.settings.Bounds.ConfigApply, e.configHeld()()+newPatience(e.configBound()).base+controlTick)
+	bounds := e.bounds.Load()
+	var calm patience
+	return max(bounds.ConfigApply, e.configHeld()+calm.at(configBound(bounds), time.Time{})+controlTick)
 }
 
 // registryFeed follows the upstreams' entries.
 func (e *Edge) registryFeed(ctx context.Context) *feed {
 	c := e.control
-	bound := freshness(e.settings.Bounds, e.settings.Bounds.Drain)
 	return &feed{
-		edge: e, topic: platform.TopicRegistry, patience: newPatience(bound),
-		wait:  func() time.Duration { return heldFor(bound, registryWait) },
-		pause: e.paced(registryPause, leastRegistryPause, mostRegistryPause),
+		edge: e, topic: platform.TopicRegistry, bound: registryBound,
+		wait:  func() time.Duration { return heldFor(registryBound(e.bounds.Load()), registryWait) },
+		pause: func() time.Duration { return e.paced(registryPause, leastRegistryPause, mostRegistryPause) },
 		newest: func(records []platform.KeyedRecord, upTo int64) {
 			var entries []fleet.Entry
 			for _, record := range records {
@@ -150,7 +144,7 @@
 		})
 	}
 	return &feed{
-		edge: e, topic: topicNodes, patience: newPatience(e.settings.Bounds.Contact),
+		edge: e, topic: topicNodes, bound: func(bounds *platform.Bounds) time.Duration { return bounds.Contact },
 		wait:   func() time.Duration { return nodesWait },
 		newest: func(records []platform.KeyedRecord, _ int64) { take(records) },
 		page:   func(page platform.Page) { take(page.Keyed()) },
--- a/edge/patience.go
+++ b/edge/patience.go
@@ -25,36 +25,35 @@
 // shows. It doubles when the call on a new connection got no answer either, so that a slow
 // store is still read.
 type patience struct {
-	base, current time.Duration
-	failedAt      time.Time
+	grown    time.Duration
+	failedAt time.Time
 }
 
-// newPatience returns the patience of calls on which a bound rests.
-func newPatience(bound time.Duration) patience {
-	return patience{base: min(mostPatience, max(leastPatience, part(bound, patienceShare)))}
-}
-
-// at returns the patience at a time.
-func (p *patience) at(now time.Time) time.Duration {
+// at returns the patience at a time with calls on which a bound rests.
+func (p *patience) at(bound time.Duration, now time.Time) time.Duration {
+	least := min(mostPatience, max(leastPatience, part(bound, patienceShare)))
 	if p.failedAt.IsZero() || now.Sub(p.failedAt) > patienceMemory {
-		return p.base
+		return least
 	}
-	return p.current
+	return max(least, p.grown)
 }
 
 // unanswered notes the calls in a row that got no answer.
-func (p *patience) unanswered(inARow int, now time.Time) {
+func (p *patience) unanswered(inARow int, bound time.Duration, now time.Time) {
 	if inARow > 1 {
-		p.current, p.failedAt = min(mostPatience, 2*p.at(now)), now
+		p.grown, p.failedAt = min(mostPatience, 2*p.at(bound, now)), now
 	}
 }
 
-// freshness is the time within which a node must know of a change: the bound on the change,
-// or sooner, the time after which the node counts as in touch again.
-func freshness(bounds platform.Bounds, bound time.Duration) time.Duration {
-	return min(bounds.Contact, bound)
+// configBound is the time within which a node must know of a version: the bound on versions, or
+// sooner, the time after which a node that was harmed counts as in touch again.
+func configBound(bounds *platform.Bounds) time.Duration {
+	return min(bounds.Contact, bounds.ConfigApply)
 }
 
+// registryBound is the same for upstreams that leave.
+func registryBound(bounds *platform.Bounds) time.Duration { return min(bounds.Contact, bounds.Drain) }
+
 // heldFor is how long the store may hold a read on which a bound rests.
 func heldFor(bound, most time.Duration) time.Duration {
 	return min(most, max(leastHeld, part(bound, waitShare)))
--- a/edge/peerstate.go
+++ b/edge/peerstate.go
@@ -162,7 +162,7 @@
 func (c *control) nodes(now time.Time) int {
 	count := 1
 	for _, peer := range c.peers {
-		if now.Sub(peer.lastSign()) < c.bounds.Contact+c.liveFor() {
+		if now.Sub(peer.lastSign()) < c.edge.bounds.Load().Contact+c.liveFor() {
 			count++
 		}
 	}
@@ -181,7 +181,7 @@
 	if nodes >= c.mostNodes || now.Sub(c.mostAt) > nodesMemory {
 		c.mostNodes, c.mostAt = nodes, now
 	}
-	return retryShare * c.bounds.RetryBurst / float64(max(1, c.mostNodes))
+	return retryShare * c.edge.bounds.Load().RetryBurst / float64(max(1, c.mostNodes))
 }
 
 // othersLoad sums what the peers have under way at each upstream. In a large fleet only
--- a/edge/reload.go
+++ b/edge/reload.go
@@ -51,8 +51,8 @@
 			e.logger.Warn().Msg("changed addresses take force with the next start")
 		}
 		known = settings
+		e.bounds.Store(&settings.Bounds)
 		e.control.post(ctx, func(now time.Time) {
-			e.control.bounds = settings.Bounds
 			e.control.configureQuota(now)
 			e.control.dirty = true
 		})
--- a/edge/staleness_test.go
+++ b/edge/staleness_test.go
@@ -89,19 +89,40 @@
 }
 
 func TestPatienceGrowsOnlyWhenNewConnectionsAreSilentToo(t *testing.T) {
-	p := newPatience(2 * time.Second)
-	now := time.Now()
-	require.Equal(t, 500*time.Millisecond, p.at(now))
-	p.unanswered(1, now)
-	require.Equal(t, 500*time.Millisecond, p.at(now), "the connection alone may be silent")
-	p.unanswered(2, now)
-	require.Equal(t, time.Second, p.at(now))
-	p.unanswered(3, now)
-	p.unanswered(4, now)
-	require.Equal(t, mostPatience, p.at(now))
-	require.Equal(t, 500*time.Millisecond, p.at(now.Add(patienceMemory+time.Second)))
-	require.Equal(t, mostPatience, newPatience(time.Minute).base)
-	require.Equal(t, leastPatience, newPatience(time.Millisecond).base)
+	var p patience
+	now, bound := time.Now(), 2*time.Second
+	require.Equal(t, 500*time.Millisecond, p.at(bound, now))
+	p.unanswered(1, bound, now)
+	require.Equal(t, 500*time.Millisecond, p.at(bound, now), "the connection alone may be silent")
+	p.unanswered(2, bound, now)
+	require.Equal(t, time.Second, p.at(bound, now))
+	p.unanswered(3, bound, now)
+	p.unanswered(4, bound, now)
+	require.Equal(t, mostPatience, p.at(bound, now))
+	require.Equal(t, 500*time.Millisecond, p.at(bound, now.Add(patienceMemory+time.Second)))
+	var calm patience
+	require.Equal(t, mostPatience, calm.at(time.Minute, now))
+	require.Equal(t, leastPatience, calm.at(time.Millisecond, now))
+}
+
+func TestWaitsFollowTheBoundsInForceAndTheFleet(t *testing.T) {
+	e := New(settings(t, "n1", "127.0.0.1:1"), zerolog.Nop())
+	for _, c := range []struct {
+		bound     time.Duration
+		nodes     int64
+		held      time.Duration
+		confirmed time.Duration
+	}{
+		{2 * time.Second, 5, time.Second, 2 * time.Second},
+		{2 * time.Second, 1100, 2750 * time.Millisecond, 3350 * time.Millisecond},
+		{16 * time.Second, 1100, configWait, 16 * time.Second},
+		{time.Millisecond, 5, leastHeld, leastHeld + leastPatience + controlTick},
+	} {
+		e.bounds.Store(&platform.Bounds{Contact: c.bound, ConfigApply: c.bound, Drain: c.bound})
+		e.control.fleetSize.Store(c.nodes)
+		require.Equal(t, c.held, e.configHeld(), c)
+		require.Equal(t, c.confirmed, e.confirmedFor(), c)
+	}
 }
 
 // loseHistory makes changes that no read hears of, and deletes the records; the newest ones
