A peer's newer version counts as news for as long as the peer is live

A version that one peer told of once, and none since, left the node answering 503 instead of 404 for good. It counts for the time in which a peer counts as live. Test: TestNodeThatHeardOfANewerVersionDeniesNothing, extended.

--- a/edge/control.go
+++ b/edge/control.go
@@ -62,10 +62,11 @@
 	registryAt time.Time
 	table      *catalog.Table
 	rawConfig  []byte
-	// confirmedAt is when the store last confirmed that the configuration is the newest, and
-	// newestVersion the highest version that a peer has told of.
-	confirmedAt   time.Time
-	newestVersion int64
+	// confirmedAt is when the store last confirmed that the configuration is the newest.
+	confirmedAt time.Time
+	// aheadVersion is the newer version that a peer told of last, at aheadAt.
+	aheadVersion int64
+	aheadAt      time.Time
 	// fetches are the peers that are asked for their configuration, with the time of asking.
 	fetches map[string]time.Time
 	peers   map[string]*peerState
@@ -204,7 +205,8 @@
 
 // unconfirmed says whether a newer configuration may be in force elsewhere.
 func (c *control) unconfirmed(now time.Time) bool {
-	return c.newestVersion > c.configVersion() || now.Sub(c.confirmedAt) > c.edge.confirmedFor()
+	heard := c.aheadVersion > c.configVersion() && now.Sub(c.aheadAt) < c.liveFor()
+	return heard || now.Sub(c.confirmedAt) > c.edge.confirmedFor()
 }
 
 // configSource says where a configuration was read.
--- a/edge/peerstate.go
+++ b/edge/peerstate.go
@@ -112,8 +112,8 @@
 		c.addPeer(name, address, now)
 	}
 	c.stale = true
-	c.newestVersion = max(c.newestVersion, message.ConfigVersion)
 	if message.ConfigVersion > c.configVersion() {
+		c.aheadVersion, c.aheadAt = message.ConfigVersion, now
 		c.fetchConfig(message.Address, now)
 	}
 }
