Reads of the configuration keep to a part of what the store bears

The pace of those reads assumed 2,000 calls a second. The platform's settings tell the figure; a fifth of it is what all nodes together take.

Test: TestWaitsFollowTheBoundsInForceAndTheFleet, extended.

--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -9,11 +10,14 @@
 )
 
 const (
-	// configWait is how long the store may hold a read of the configuration at most, and
-	// configPace its least for each node of the fleet: all nodes together make 400 such reads a
-	// second at most, a fifth of what the store bears.
+	// configWait is how long the store may hold a read of the configuration at most.
 	configWait = 4 * time.Second
-	configPace = 2500 * time.Microsecond
+	// configReadShare is the part of the calls that the store bears which all nodes together
+	// make for the configuration.
+	configReadShare = 0.2
+	// defaultStoreReads is the number of calls a second that the store bears of all nodes
+	// together, as on the platform's small deployments, where the settings don't tell.
+	defaultStoreReads = 2000
 	// registryWait is the most for the registry: a read that arrives while an append is under
 	// way may be held for the whole of it.
 	registryWait = time.Second
@@ -65,7 +69,8 @@
 
 // configHeld is how long the store may hold a read of the configuration.
 func (e *Edge) configHeld() time.Duration {
-	return e.paced(configPace, heldFor(configBound(e.bounds.Load()), configWait), configWait)
+	reads := configReadShare * cmp.Or(e.settings.StoreReads, defaultStoreReads)
+	return e.paced(time.Duration(float64(time.Second)/reads), heldFor(configBound(e.bounds.Load()), configWait), configWait)
 }
 
 // confirmedFor is how long the configuration counts as the newest after the store has said so:
--- a/edge/staleness_test.go
+++ b/edge/staleness_test.go
@@ -123,6 +123,10 @@
 		require.Equal(t, c.held, e.configHeld(), c)
 		require.Equal(t, c.confirmed, e.confirmedFor(), c)
 	}
+	e.settings.StoreReads = 6000
+	e.bounds.Store(&platform.Bounds{Contact: 2 * time.Second, ConfigApply: 2 * time.Second})
+	e.control.fleetSize.Store(1800)
+	require.InDelta(t, 1.5, e.configHeld().Seconds(), 0.001, "1,200 reads a second")
 }
 
 // loseHistory makes changes that no read hears of, and deletes the records; the newest ones
