A configuration is confirmed only when all records up to the end are read

The end that the store told must be reached.

And found by one failure of TestNodeThatMayBeBehindDeniesNothing (503 for 401 right after the start): a version was published before its confirmation, which reached the view only with the next tick, up to 0.1 s later. A confirmation that ends the doubt is now published at once.

Test: TestCursorReadsOnFromTheNewestRecordsNotFromTheEnd, extended.

--- a/edge/control.go
+++ b/edge/control.go
@@ -203,6 +203,12 @@
 	return c.table.Config.Version
 }
 
+// confirm notes that the configuration is the newest that the store knows.
+func (c *control) confirm(now time.Time) {
+	c.dirty = c.dirty || c.unconfirmed(now)
+	c.confirmedAt = now
+}
+
 // unconfirmed says whether a newer configuration may be in force elsewhere.
 func (c *control) unconfirmed(now time.Time) bool {
 	heard := c.aheadVersion > c.configVersion() && now.Sub(c.aheadAt) < c.liveFor()
--- a/edge/cursor.go
+++ b/edge/cursor.go
@@ -73,5 +73,6 @@
 // restart forgets the position: the topic's records are numbered anew.
 func (c *cursor) restart() { *c = cursor{} }
 
-// whole says whether no change before the position can have been missed.
-func (c *cursor) whole() bool { return c.synced && c.missed == 0 }
+// current says whether all records are read up to the end that the store told, and no change
+// before it can have been missed.
+func (c *cursor) current(end int64) bool { return c.synced && c.missed == 0 && c.next == end }
--- a/edge/cursor_test.go
+++ b/edge/cursor_test.go
@@ -22,16 +22,18 @@
 	require.True(t, c.newestDue(now))
 	c.newest(3, 7, now)
 	require.Equal(t, int64(4), c.next, "records 4 to 6 may hold newer values")
-	require.True(t, c.whole())
+	require.False(t, c.current(7))
 	c.read(3)
 	require.Equal(t, int64(7), c.next)
+	require.True(t, c.current(7))
+	require.False(t, c.current(9), "a page brought a part of what follows")
 	c = cursor{}
 	c.newest(9, 7, now)
 	require.Equal(t, int64(7), c.next, "pages after the first may hold later records")
 	c = cursor{}
 	c.newest(-1, 0, now)
 	require.Equal(t, int64(0), c.next)
-	require.True(t, c.whole())
+	require.True(t, c.current(0))
 }
 
 func TestCursorLooksAgainUntilTheNewestRecordsReachPastWhatWasDeleted(t *testing.T) {
@@ -41,7 +43,7 @@
 	require.Equal(t, int64(9), c.next)
 	require.True(t, c.newestDue(now), "at once")
 	c.newest(3, 9, now)
-	require.False(t, c.whole())
+	require.False(t, c.current(9))
 	require.False(t, c.newestDue(now))
 	require.Equal(t, firstLook, c.held(time.Second, now))
 	c.read(2)
@@ -69,9 +71,9 @@
 	c := cursor{next: 4, synced: true}
 	c.trimmed(9, now)
 	c.newest(3, 9, now.Add(lagMemory/2))
-	require.False(t, c.whole())
+	require.False(t, c.current(9))
 	c.newest(3, 9, now.Add(lagMemory+time.Second))
-	require.True(t, c.whole(), "the last record deleted a key")
+	require.True(t, c.current(9), "the last record deleted a key")
 }
 
 // Guards against polling, and against a position before the records that are left.
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -38,8 +38,8 @@
 	page   func(page platform.Page)
 	// restarted is told when the topic's records are numbered anew; nil if nobody asks.
 	restarted func()
-	// whole is told that all changes up to now are read; nil if nobody asks.
-	whole func()
+	// current is told that all changes up to now are read; nil if nobody asks.
+	current func()
 	// outage is told when the store stops and starts to answer; nil if nobody asks.
 	outage func(active bool)
 
@@ -199,8 +199,8 @@
 		}
 		f.failures = 0
 		f.answeredAt.Store(f.edge.clock.steady().UnixNano())
-		if f.whole != nil && f.cursor.whole() {
-			f.whole()
+		if f.current != nil && f.cursor.current(f.last.end) {
+			f.current()
 		}
 		return
 	}
--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -61,9 +61,9 @@
 	}
 	return &feed{
 		edge: e, topic: platform.TopicOperator, bound: configBound, wait: e.configHeld,
-		whole:  func() { e.control.post(ctx, func(now time.Time) { e.control.confirmedAt = now }) },
-		newest: func(records []platform.KeyedRecord, _ int64) { take(records) },
-		page:   func(page platform.Page) { take(page.Keyed()) },
+		current: func() { e.control.post(ctx, e.control.confirm) },
+		newest:  func(records []platform.KeyedRecord, _ int64) { take(records) },
+		page:    func(page platform.Page) { take(page.Keyed()) },
 	}
 }
 
