--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -20,8 +20,10 @@
 var (
 	seeds     = flag.Int("soak.seeds", 3, "number of fresh seeds to play; 0 for none")
 	firstSeed = flag.Uint64("soak.first", 0, "first seed; 0 draws one")
-	parallel  = flag.Int("soak.parallel", 4, "worlds that run at the same time")
-	keepLogs  = flag.String("soak.logs", "", "directory for the logs of the nodes; they are deleted if it is empty")
+	// nodesInWorld are the daemon's processes in a world.
+	nodesInWorld = flag.Int("soak.nodes", 3, "nodes of a world, at most 250")
+	parallel     = flag.Int("soak.parallel", 4, "worlds that run at the same time")
+	keepLogs     = flag.String("soak.logs", "", "directory for the logs of the nodes; they are deleted if it is empty")
 )
 
 const (
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -22,7 +22,6 @@
 )
 
 const (
-	nodesInWorld      = 3
 	enginesPerService = 4
 	heartbeatEvery    = 1200 * time.Millisecond
 	// lingers is how long an engine serves on after its notice; the platform's engines do
@@ -75,7 +74,7 @@
 	w.callers = &callers{world: w}
 	store, cloud := httptest.NewServer(w.store), httptest.NewServer(w.cloud)
 	t.Cleanup(func() { store.CloseClientConnections(); cloud.CloseClientConnections() })
-	for i := range nodesInWorld {
+	for i := range *nodesInWorld {
 		n := &node{name: fmt.Sprintf("edge-%d", i), ip: fmt.Sprintf("127.0.%d.%d", 10+slot, i+1), zone: string("ab"[i%2]), dir: dir}
 		var err error
 		n.store, err = platformtest.StartProxy(strings.TrimPrefix(store.URL, "http://"))
