Waiting for exchanges does not race with one that starts

Traced from its report: a drain waited on a WaitGroup whose counter was zero while a request past the drain's check added to it, which a WaitGroup forbids; the wait may then end before the exchange, and the drain go on beside it.

The count that the store keeps under its lock decides, and a channel made by the first exchange that runs tells the end of the last. A wait leaves no goroutine behind any more when its context ends.

--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -102,3 +104,36 @@
 	_, err = store.Get("id", "b")
 	require.ErrorIs(t, err, exchange.ErrUnknown)
 }
+
+// Guards against a wait that races with an exchange that starts, and may end before it.
+func TestWaitMayBeginWhileAnExchangeStarts(t *testing.T) {
+	store := exchange.NewStore(time.Minute)
+	var both sync.WaitGroup
+	for i := range 200 {
+		started, finish := make(chan struct{}), make(chan struct{})
+		both.Go(func() {
+			store.Start(t.Context(), fmt.Sprint(i), "w", func(context.Context, *exchange.Exchange) { <-finish })
+			close(started)
+		})
+		both.Go(func() { _ = store.Wait(t.Context()) })
+		<-started
+		ended := make(chan error, 1)
+		go func() { ended <- store.Wait(t.Context()) }()
+		select {
+		case err := <-ended:
+			require.Fail(t, "an exchange runs", err)
+		case <-time.After(time.Millisecond):
+		}
+		close(finish)
+		require.NoError(t, <-ended)
+		both.Wait()
+	}
+	require.Zero(t, store.InFlight())
+	ctx, cancel := context.WithCancel(t.Context())
+	store.Start(t.Context(), "last", "w", func(context.Context, *exchange.Exchange) { <-ctx.Done() })
+	over, stop := context.WithTimeout(t.Context(), time.Millisecond)
+	defer stop()
+	require.ErrorIs(t, store.Wait(over), context.DeadlineExceeded)
+	cancel()
+	require.NoError(t, store.Wait(t.Context()))
+}
--- a/exchange/store.go
+++ b/exchange/store.go
@@ -12,8 +12,9 @@
 	byID      map[string]*Exchange
 	retention time.Duration
 	closed    bool
-	running   sync.WaitGroup
 	inFlight  int
+	// idle is closed when no exchange runs any more; each first one makes it anew.
+	idle chan struct{}
 }
 
 // NewStore returns a store that keeps a finished exchange for the retention.
@@ -33,11 +34,12 @@
 		return known, false
 	}
 	s.byID[id] = opened
+	if s.inFlight == 0 {
+		s.idle = make(chan struct{})
+	}
 	s.inFlight++
-	s.running.Add(1)
 	s.mu.Unlock()
 	go func() {
-		defer s.running.Done()
 		defer cancel(nil)
 		run(runCtx, opened)
 		s.finished(opened)
@@ -49,6 +51,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inFlight--
+	if s.inFlight == 0 {
+		close(s.idle)
+	}
 	if s.closed {
 		delete(s.byID, e.ID)
 		return
@@ -81,13 +86,14 @@
 
 // Wait returns when all exchanges have ended or ctx ends.
 func (s *Store) Wait(ctx context.Context) error {
-	ended := make(chan struct{})
-	go func() {
-		s.running.Wait()
-		close(ended)
-	}()
+	s.mu.Lock()
+	idle, running := s.idle, s.inFlight > 0
+	s.mu.Unlock()
+	if !running {
+		return nil
+	}
 	select {
-	case <-ended:
+	case <-idle:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
