The prefix index holds all subjects of a large deployment

Cause: the index remembers 60,000 blocks of 64 tokens, 3.8 million tokens, while the deployment has some 23 million tokens of shared parts, which fit three times into its engines' memory. It forgot a subject before its next request, 9 s later.

Blocks of the platform's shared parts are now 512 tokens: parts are shared whole, so finer blocks say nothing more. What an engine's cache holds is counted with the part of its memory that running requests leave it.

--- a/edge/control.go
+++ b/edge/control.go
@@ -11,7 +11,6 @@
 	"github.com/persimmonline/persimmonline/fleet"
 	"github.com/persimmonline/persimmonline/membership"
 	"github.com/persimmonline/persimmonline/platform"
-	"github.com/persimmonline/persimmonline/prompt"
 	"github.com/persimmonline/persimmonline/quarantine"
 	"github.com/persimmonline/persimmonline/quota"
 	"github.com/persimmonline/persimmonline/routing"
@@ -39,9 +38,12 @@
 	// registry tells.
 	misdirectedFor = 10 * time.Second
 	// maxPrefixBlocks bounds the memory of the prefix index to some tens of megabytes.
-	maxPrefixBlocks = 60_000
-	// holderBlocks bounds the blocks that are remembered of one engine's cache.
-	holderBlocks = 8_000
+	maxPrefixBlocks = 100_000
+	// holderBlocks bounds the blocks that are remembered of one engine's cache, some hundred
+	// thousand tokens.
+	holderBlocks = 1_000
+	// cacheShare is the part of an engine's memory that its cache has beside running requests.
+	cacheShare = 0.7
 	// toleranceShare is the part of a quota's tolerance that callers may use.
 	toleranceShare = 0.5
 	// silentExchanges is the number of exchanges in which a node that is not heard is taken to
@@ -344,6 +346,7 @@
 		}
 	}
 	view.Fleet = routing.NewFleet(byService, c.prefixes, 1, time.Now())
+	view.Fleet.BlockTokens = serving.BlockTokens
 	c.edge.view.Store(view)
 }
 
@@ -383,7 +386,7 @@
 	if known == nil || known.Engine == nil {
 		return 0
 	}
-	return max(1, min(holderBlocks, known.Engine.KVTokens/prompt.BlockTokens))
+	return max(1, min(holderBlocks, int(cacheShare*float64(known.Engine.KVTokens))/serving.BlockTokens))
 }
 
 // suspect keeps work away from an upstream for a while.
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/persimmonline/persimmonline/prompt"
 )
 
 const (
@@ -47,7 +49,7 @@
 // NewFleet indexes upstreams by service and estimates their speed and the load that
 // the other nodes put on them; nodes is the number of all, this one included. The upstreams must not be changed afterwards.
 func NewFleet(byService map[string][]*Upstream, prefixes *Prefixes, nodes int, now time.Time) *Fleet {
-	fleet := &Fleet{ByService: byService, Prefixes: prefixes, byHolder: map[Holder]*Upstream{}}
+	fleet := &Fleet{ByService: byService, Prefixes: prefixes, BlockTokens: prompt.BlockTokens, byHolder: map[Holder]*Upstream{}}
 	var all []*Upstream
 	seen := map[*Upstream]bool{}
 	for _, service := range slices.Sorted(maps.Keys(byService)) {
--- a/routing/route.go
+++ b/routing/route.go
@@ -56,6 +56,8 @@
 	ByService map[string][]*Upstream
 	// Prefixes tells which engine holds which prompt prefix; nil when unknown.
 	Prefixes *Prefixes
+	// BlockTokens is the size of a block of Prefixes, in tokens.
+	BlockTokens int
 
 	byHolder map[Holder]*Upstream
 }
@@ -114,7 +116,7 @@
 
 // PickWith is Pick with a choice of scorers.
 func PickWith(scorers []Scorer, fleet *Fleet, request *Request, weights Weights, now time.Time) (Choice, error) {
-	round := round{scorers: scorers, request: request, weights: weights, now: now}
+	round := round{scorers: scorers, request: request, weights: weights, now: now, blockTokens: fleet.BlockTokens}
 	round.findHolders(fleet)
 	candidates := fleet.ByService[request.Service]
 	if len(candidates) <= scoreAll {
@@ -136,6 +138,8 @@
 	now     time.Time
 	held    [maxHolders]Held
 	holders int
+	// blockTokens is the size of a block of the prefix, in tokens.
+	blockTokens int
 
 	best    Choice
 	suspect Choice
--- a/routing/score.go
+++ b/routing/score.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/persimmonline/persimmonline/prompt"
 )
 
 const (
@@ -200,7 +198,7 @@
 	}
 	for _, held := range r.held[:r.holders] {
 		if held.Holder == candidate.Holder {
-			return min(held.Blocks*prompt.BlockTokens, r.request.PromptTokens)
+			return min(held.Blocks*r.blockTokens, r.request.PromptTokens)
 		}
 	}
 	return 0
--- a/serving/prompt.go
+++ b/serving/prompt.go
@@ -4,10 +4,12 @@
 	"encoding/binary"
 
 	"github.com/cespare/xxhash/v2"
-
-	"github.com/persimmonline/persimmonline/prompt"
 )
 
+// BlockTokens is the size of a block by which shared prefixes are indexed. Parts are shared
+// whole, so that a block needs to be no finer than the prefill that it saves is worth.
+const BlockTokens = 512
+
 // sharedParts is the number of a prompt's first parts by which its requests are kept
 // together: the one that many share, and that of its subject.
 const sharedParts = 2
@@ -20,10 +22,12 @@
 	Tokens int
 }
 
-// Blocks returns the blocks of the prefix, as the router's index names them.
+// Blocks returns the blocks of the prefix, as the router's index names them; the last one is
+// counted if it is at least half full.
 func (p SharedPrefix) Blocks() []uint64 {
-	blocks := make([]uint64, 0, p.Tokens/prompt.BlockTokens)
-	for block := range p.Tokens / prompt.BlockTokens {
+	count := (p.Tokens + BlockTokens/2) / BlockTokens
+	blocks := make([]uint64, 0, count)
+	for block := range count {
 		blocks = append(blocks, blockHash(p.Chain, block))
 	}
 	return blocks
