What reclaimed engines hold is copied while they are there

What callers saw: after the reclaim of a data centre the subjects that its engines held were read again by the engines that stay, in the seconds in which those are crowded most. A notice comes 2 to 3 s before the engines go, and the router dropped them from its index's sources at once.

Leaving engines get no work, as before, and stay sources of copies until their entry goes. TestPrefixOfALeavingHolderIsCopied failed before.

--- a/edge/control.go
+++ b/edge/control.go
@@ -327,12 +327,14 @@
 		Poisoned: c.poisoned(now), At: time.Now(), Unconfirmed: c.unconfirmed(now),
 	}
 	byService := map[string][]*routing.Upstream{}
+	var sources []*routing.Upstream
 	others := c.othersLoad(now)
 	live := map[string]bool{}
 	for _, member := range c.registry.Upstreams() {
 		key := upstreamKey(member.ID, member.BornMS)
 		live[key] = true
 		if !member.UsableAt(now) {
+			sources = append(sources, c.upstream(&member, key, api.EdgeLoad{}))
 			continue
 		}
 		byService[member.Service] = append(byService[member.Service], c.upstream(&member, key, others[upstreamHash(key)]))
@@ -347,6 +349,9 @@
 	}
 	view.Fleet = routing.NewFleet(byService, c.prefixes, 1, time.Now())
 	view.Fleet.BlockTokens = serving.BlockTokens
+	for _, source := range sources {
+		view.Fleet.AddSource(source)
+	}
 	c.edge.view.Store(view)
 }
 
@@ -368,7 +373,7 @@
 		health = membership.StateSuspect
 	}
 	return &routing.Upstream{
-		FetchRate: c.fetchRate(member.Service), ID: member.ID, Incarnation: incarnationOf(member.BornMS), Address: member.Address,
+		FetchRate: c.fetchRate(member.Service), Leaving: member.Leaving(), ID: member.ID, Incarnation: incarnationOf(member.BornMS), Address: member.Address,
 		DataCentre: member.DataCentre, Health: health, Tracker: tracker, Holder: c.holders[key],
 		Load: &api.EngineLoad{
 			AtMS: time.Now().UnixMilli(), BatchSlots: member.Slots,
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -68,6 +68,15 @@
 	return fleet
 }
 
+// AddSource adds an engine that gets no work and whose cache may be copied; before the fleet is
+// published.
+func (f *Fleet) AddSource(engine *Upstream) {
+	if engine.Holder != 0 {
+		engine.sourceOnly = true
+		f.byHolder[engine.Holder] = engine
+	}
+}
+
 // means are the averages of a fleet, which stand in for what is unknown.
 type means struct {
 	rate, step, hold geometric
--- a/routing/route.go
+++ b/routing/route.go
@@ -40,6 +40,8 @@
 	Load *api.EngineLoad
 	// FetchRate is the tokens a second that the engine copies from another's cache; 0 if it can't.
 	FetchRate float64
+	// Leaving engines get no work; what they hold may be copied.
+	Leaving bool
 	// Holder names the upstream in the prefix index; 0 when it holds no prefixes.
 	Holder Holder
 	// Tracker of this node's attempts.
@@ -47,6 +49,8 @@
 
 	hash  uint64
 	state estimate
+	// sourceOnly says that the upstream is not among those that may get work.
+	sourceOnly bool
 }
 
 // Key names the incarnation.
@@ -160,7 +164,7 @@
 	}
 	for _, held := range r.held[:r.holders] {
 		candidate := fleet.byHolder[held.Holder]
-		if candidate == nil || candidate.Health != membership.StateLive || held.Blocks < r.sourceBlocks {
+		if candidate == nil || !isSource(candidate) || held.Blocks < r.sourceBlocks {
 			continue
 		}
 		// Of equals the least busy one, since copies pass over its link one after another.
@@ -181,7 +185,7 @@
 // request's seed, plus one that its key always draws.
 func (r *round) scoreSample(fleet *Fleet, candidates []*Upstream) {
 	for _, held := range r.held[:r.holders] {
-		if candidate := fleet.byHolder[held.Holder]; candidate != nil {
+		if candidate := fleet.byHolder[held.Holder]; candidate != nil && !candidate.sourceOnly {
 			r.score(candidate)
 		}
 	}
@@ -229,6 +233,9 @@
 	}
 }
 
+// isSource says whether an engine's cache may be copied.
+func isSource(engine *Upstream) bool { return engine.Leaving || engine.Health == membership.StateLive }
+
 // eligible is the filter step. That the model and its version are loaded is known
 // from the fleet's index by service.
 func eligible(candidate *Upstream, request *Request) bool {
--- a/routing/route_test.go
+++ b/routing/route_test.go
@@ -156,6 +156,26 @@
 	require.Nil(t, pick().Source, "a holder that may be gone is no source")
 }
 
+// What engines hold that are being reclaimed is copied while they are there.
+func TestPrefixOfALeavingHolderIsCopied(t *testing.T) {
+	prefixes := NewPrefixes(1 << 16)
+	leaving, stays := engine("a", prefixes), engine("b", prefixes)
+	stays.FetchRate = 400_000
+	leaving.Leaving, leaving.Health = true, membership.StateSuspect
+	blocks := make([]uint64, 200)
+	for i := range blocks {
+		blocks[i] = uint64(i + 1)
+	}
+	prefixes.Add(leaving.Holder, blocks...)
+	fleet := fleetOf(prefixes, epoch, stays)
+	fleet.AddSource(leaving)
+	request := Request{Service: service, Blocks: blocks, PromptTokens: 201 * prompt.BlockTokens, AnswerTokens: 10}
+	choice, err := PickWith(ContinuousScorers, fleet, &request, Weights{Latency: 1}, epoch)
+	require.NoError(t, err)
+	require.Equal(t, "b", choice.Upstream.ID)
+	require.Equal(t, "a", choice.Source.ID)
+}
+
 func TestPrefixEstimateHealsFromAnswers(t *testing.T) {
 	prefixes := NewPrefixes(1 << 16)
 	holder := prefixes.Open("a", "1", 1024)
--- a/routing/score.go
+++ b/routing/score.go
@@ -18,7 +18,7 @@
 	// those that come behind and drives other prefixes out of the cache.
 	prefillExternality = 4
 	// fetchExternality counts a second of copying more than once: what moves is paid for.
-	fetchExternality = 16
+	fetchExternality = 48
 	// leastFetchTokens is the shortest part of a prompt that is worth a copy.
 	leastFetchTokens = 1024
 	// spreadSeconds is the preference of a prefix for one engine among equals.
