Engines on demand stand in sooner while the load needs them

Engines on demand were ordered once less than half of the wanted ones were left, and take 4 s to start.

While the requests that wait for their first token need so many engines, on-demand ones are ordered below three quarters of the wanted. TestLoadedServiceIsNotLeftWithHalfItsEngines replays two data centres gone under load; without load half is enough, as before.

--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -43,6 +43,9 @@
 	// demand make up for those that are not to be had: more are wanted than the load needs,
 	// since they are cheap.
 	EnoughShare float64
+	// LoadedShare is the same while the load needs that many: where one data centre is dry the
+	// next may be reclaimed before engines on demand have started.
+	LoadedShare float64
 	// ReadyShare of the reclaimable engines that must serve before engines on demand go.
 	ReadyShare float64
 }
@@ -50,7 +53,7 @@
 // DefaultPolicy orders engines on demand only where no reclaimable ones are to be had. Operators
 // bound a service at about twice what its usual load needs.
 func DefaultPolicy() Policy {
-	return Policy{Least: 6, LeastShare: 0.5, DuePerEngine: 0.5, EnoughShare: 0.5, ReadyShare: 0.6}
+	return Policy{Least: 6, LeastShare: 0.5, DuePerEngine: 0.5, EnoughShare: 0.5, LoadedShare: 0.75, ReadyShare: 0.6}
 }
 
 const (
@@ -97,7 +100,9 @@
 	wanted := int(math.Ceil(demand.Peak() / policy.DuePerEngine / float64(len(centres))))
 	least := max(policy.Least, int(policy.LeastShare*float64(scaling.Max)), scaling.Min)
 	reclaimable := min(max(wanted, least), scaling.Max)
-	missing := int(math.Ceil(policy.EnoughShare * float64(reclaimable*len(centres))))
+	all := float64(reclaimable * len(centres))
+	enough := min(max(policy.EnoughShare*all, demand.Peak()/policy.DuePerEngine), policy.LoadedShare*all)
+	missing := int(math.Ceil(enough))
 	for _, centre := range centres {
 		if dry[centre] {
 			missing -= min(engines[centre].Reclaimable, reclaimable)
@@ -117,7 +122,7 @@
 		}
 		room += min(reclaimable, max(1, scaling.Max-engines[centre].OnDemand))
 	}
-	enough := serving > 0 && float64(serving) >= policy.ReadyShare*float64(room)
+	ready := serving > 0 && float64(serving) >= policy.ReadyShare*float64(room)
 	var orders []Order
 	for _, centre := range centres {
 		// In a dry data centre the order is repeated, which tells when there are some again.
@@ -126,7 +131,7 @@
 		})
 		onDemand := min(missing, max(0, scaling.Max-engines[centre].Reclaimable))
 		missing -= onDemand
-		if onDemand > 0 || (enough && engines[centre].OnDemand > 0) {
+		if onDemand > 0 || (ready && engines[centre].OnDemand > 0) {
 			orders = append(orders, Order{Service: service.Name, DataCentre: centre, Count: onDemand})
 		}
 	}
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -78,6 +78,33 @@
 		scaling.Order{Service: "s", DataCentre: "b", Count: 5})
 }
 
+// Two data centres of four are reclaimed in a row, with no engines to be had, while the load needs
+// them: the third may be next, and engines on demand take seconds to start.
+func TestLoadedServiceIsNotLeftWithHalfItsEngines(t *testing.T) {
+	large := service()
+	large.Scaling.Max = 70
+	large.Scaling.Prices = map[string]float64{"a": 1, "b": 0.8, "c": 1.25, "d": 0.9}
+	dry := map[string]bool{"c": true, "d": true}
+	onDemand := func(due float64) (count int) {
+		engines := map[string]scaling.Engines{"a": {Reclaimable: 35}, "b": {Reclaimable: 35}}
+		var demand scaling.Demand
+		now := time.Unix(1000, 0)
+		for range 100 {
+			demand.Observe(due, now)
+			now = now.Add(100 * time.Millisecond)
+		}
+		for _, order := range scaling.Plan(scaling.DefaultPolicy(), large, engines, dry, &demand) {
+			if !order.Reclaimable {
+				count += order.Count
+			}
+		}
+		return count
+	}
+	require.Zero(t, onDemand(20), "half of them carry that")
+	require.Equal(t, 20, onDemand(45))
+	require.Equal(t, 35, onDemand(70), "no more than a quarter of all")
+}
+
 // With too few reclaimable engines to be had, those on demand stand in, the cheapest first.
 func TestEnginesOnDemandStandInWhereNoReclaimableOnesAreToBeHad(t *testing.T) {
 	dry := map[string]bool{"a": true, "b": true}
