An answer's head without end is given up

What operators would see: an upstream that sends a status line, a header or headers without end held its request until its deadline and filled the node's memory for as long; at 1 Gbit/s the 15 s of a route are 1.9 GB, and the process is killed with all its requests.

Cause: the relay reads heads by http.ReadResponse, which has no bound of its own; http.Transport has one, the relay did not. Heads, the interim ones included, are bounded to 64 KB an answer. A late answer to another request that has no end is bounded like answers are.

--- a/internal/netopt/netopt.go
+++ b/internal/netopt/netopt.go
@@ -20,6 +20,8 @@
 	probeIdle     = time.Second
 	probeInterval = time.Second
 	probeCount    = 2
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 64 << 10
 )
 
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}
@@ -34,7 +36,7 @@
 func Client(dialTimeout, idleTimeout time.Duration, idle int) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext: Dialer(dialTimeout).DialContext, MaxIdleConnsPerHost: idle,
-		IdleConnTimeout: idleTimeout, DisableCompression: true,
+		IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -113,6 +113,7 @@
 type conn struct {
 	net.Conn
 	reader  *bufio.Reader
+	head    *headLimit
 	key     string
 	usedAt  time.Time
 	expires time.Time
@@ -212,7 +213,8 @@
 	p.mu.Lock()
 	p.stats.Dialled++
 	p.mu.Unlock()
-	return &conn{Conn: dialled, reader: bufio.NewReaderSize(dialled, readBuffer), key: to.Key}, nil
+	head := &headLimit{reader: dialled, left: unlimited}
+	return &conn{Conn: dialled, head: head, reader: bufio.NewReaderSize(head, readBuffer), key: to.Key}, nil
 }
 
 // pop takes the idle connection that was used last.
@@ -303,6 +305,8 @@
 // must have been read to its end.
 func (a *Answer) Next() error {
 	request := &http.Request{Method: a.method}
+	a.conn.head.left = maxHeadBytes
+	defer func() { a.conn.head.left = unlimited }()
 	for range maxInterim {
 		response, err := http.ReadResponse(a.conn.reader, request) //nolint:bodyclose // Finish and Abort end the connection.
 		if err != nil {
@@ -316,6 +320,34 @@
 	return errInformational
 }
 
+const (
+	// maxHeadBytes bounds the heads of an answer and of the interim ones before it.
+	maxHeadBytes = 64 << 10
+	// unlimited stands for no bound.
+	unlimited = -1
+)
+
+// errHead means that the upstream sends a head without end.
+var errHead = fmt.Errorf("the head of the answer is over %d bytes", maxHeadBytes)
+
+// headLimit bounds what is read of a connection while a head is read. One goroutine uses it.
+type headLimit struct {
+	reader io.Reader
+	left   int
+}
+
+func (l *headLimit) Read(p []byte) (int, error) {
+	if l.left == unlimited {
+		return l.reader.Read(p)
+	}
+	if l.left == 0 {
+		return 0, errHead
+	}
+	n, err := l.reader.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // Framed says whether the answer's end is marked, by a length or by chunks. One that is
 // not ends with its connection.
 func (a *Answer) Framed() bool {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -193,3 +193,63 @@
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 	require.True(t, <-closed)
 }
+
+// Guards against an upstream that sends a head without end, which filled the memory until the
+// request's deadline.
+func TestHeadWithoutEndIsGivenUp(t *testing.T) {
+	for name, start := range map[string]string{
+		"status line": "HTTP/1.1 200 ", "header": "HTTP/1.1 200 OK\r\nX-A: ", "headers": "HTTP/1.1 200 OK\r\n", "interim": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := make(chan int, 1)
+			to := peer(t, func(_ int, conn net.Conn) {
+				readHead(conn)
+				total, _ := io.WriteString(conn, start)
+				chunk := strings.Repeat("a", 1<<10)
+				switch name {
+				case "headers":
+					chunk = strings.Repeat("X-B: "+strings.Repeat("b", 120)+"\r\n", 8)
+				case "interim":
+					chunk = "HTTP/1.1 103 Early Hints\r\nX-B: " + strings.Repeat("b", 16<<10) + "\r\n\r\n"
+				}
+				for {
+					n, err := io.WriteString(conn, chunk)
+					if total += n; err != nil {
+						sent <- total
+						return
+					}
+				}
+			})
+			pool := relay.NewPool()
+			defer pool.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			began := time.Now()
+			_, err := pool.Send(ctx, to, get())
+			var failure *relay.Error
+			require.ErrorAs(t, err, &failure)
+			require.False(t, failure.Unsent(), "the upstream may have run it")
+			require.Less(t, time.Since(began), time.Second)
+			select {
+			case total := <-sent:
+				require.Less(t, total, 16<<20, "what the sockets hold, and little more")
+			case <-time.After(time.Second):
+				t.Fatal("the connection is still open")
+			}
+		})
+	}
+}
+
+// A head that is read does not take from the bound of the next answer on its connection.
+func TestBoundOfAHeadIsForOneAnswer(t *testing.T) {
+	to := peer(t, func(_ int, conn net.Conn) {
+		for readHead(conn) != "" {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-A: "+strings.Repeat("a", 40<<10)+"\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	pool := relay.NewPool()
+	defer pool.Close()
+	for range 4 {
+		exchange(t, pool, to)
+	}
+}
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -181,9 +181,13 @@
 		if !x.answer.Framed() {
 			return errForeign
 		}
-		if _, err := io.Copy(io.Discard, x.answer.Body()); err != nil {
+		read, err := io.Copy(io.Discard, io.LimitReader(x.answer.Body(), maxAnswerBytes+1))
+		if err != nil {
 			return fmt.Errorf("%w: %w", errForeign, err)
 		}
+		if read > maxAnswerBytes {
+			return errForeign
+		}
 		if err := x.answer.Next(); err != nil {
 			return fmt.Errorf("%w: %w", errForeign, err)
 		}
