Counts of usage outlive a hub that is killed with others

Cause: counts went up to the hub, and the holder of the duties asked the hubs once a second. A hub's own counts were told to nobody, and those of nodes that died with it to no survivor; a lease record carried what the holder had a second ago.

A hub now tells its counts to all that report to it, and the counts of all to two of them with each exchange: to the holder of the duties, which asks for them, and to the member that would be the next hub.

--- a/api/edge_gen.go
+++ b/api/edge_gen.go
@@ -93,6 +93,10 @@
 
 	// Usage in the newest windows, by node incarnation, window and workspace.
 	Usage map[string]map[int64]map[string]int64 `json:"usage"`
+
+	// UsageWanted asks for the counts of all nodes; the holder of the duties reports
+	// them.
+	UsageWanted bool `json:"usage_wanted"`
 }
 
 // EdgeLease is a lease record with the counts that its writer knows of.
--- a/edge/cells.go
+++ b/edge/cells.go
@@ -78,6 +78,16 @@
 	return nil, missed
 }
 
+// deputy returns the node that would be the hub after this one; nil if there is none.
+func (c *control) deputy(now time.Time) *peerState {
+	for _, name := range c.cells.Members(c.ownCell()) {
+		if peer := c.peers[name]; peer != nil && peer.reporter && c.live(peer, now) {
+			return peer
+		}
+	}
+	return nil
+}
+
 // relayTo returns a member behind this node that reaches the hub which this node does not; nil if
 // none is known.
 func (c *control) relayTo(missed *peerState, members []string, now time.Time) *peerState {
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -187,9 +187,8 @@
 
 // allUsage returns the counts that a lease carries, so that they outlive the nodes: of the
 // windows that are not reported yet.
-func (d *duties) allUsage() (all map[string]usage.Windows) {
-	d.edge.meter(func() { all = d.edge.usage.All(usageWindowsFetched) })
-	return all
+func (d *duties) allUsage() map[string]usage.Windows {
+	return d.control.allUsage(usageWindowsFetched)
 }
 
 // append writes a record.
--- a/edge/exchange_test.go
+++ b/edge/exchange_test.go
@@ -172,6 +172,41 @@
 	}
 }
 
+// A hub is killed together with another node: what both had counted is reported all the same.
+func TestCountsOfAKilledHubAreNotLost(t *testing.T) {
+	m := newMesh(t, 5, 1)
+	m.run(20)
+	for _, c := range m.nodes {
+		for range 10 {
+			c.edge.count("w")
+		}
+	}
+	m.run(3)
+	hub, _ := m.hubAndReporter()
+	window := hub.edge.usage.Window(hub.edge.clock.now())
+	members := hub.cells.Members(hub.ownCell())
+	m.kill(hub)
+	m.kill(m.nodes[members[4]])
+	m.run(20)
+	next := m.nodes[members[1]]
+	total := next.edge.usage.Total(window)["w"] + next.edge.usage.Total(window - 1)["w"]
+	require.EqualValues(t, 50, total)
+}
+
+// The holder of the duties knows the counts of all cells within some exchanges.
+func TestHolderOfTheDutiesKnowsAllCounts(t *testing.T) {
+	m := newMesh(t, 40, 4)
+	m.run(20)
+	_, holder := m.hubAndReporter()
+	holder.duties.holds.Store(true)
+	for _, c := range m.nodes {
+		c.edge.count("w")
+	}
+	m.run(10)
+	window := holder.edge.usage.Window(holder.edge.clock.now())
+	require.EqualValues(t, 40, holder.edge.usage.Total(window)["w"]+holder.edge.usage.Total(window - 1)["w"])
+}
+
 // Messages survive their encoding, and bytes that are none are refused.
 func TestMessagesAreDecodedAsTheyWereSent(t *testing.T) {
 	_, message := benchNode(t, 3)
--- a/edge/message.go
+++ b/edge/message.go
@@ -86,9 +86,8 @@
 	if all {
 		message.Registry = c.registryTold(to, now)
 		message.Clocks = e.clock.some(clocksTold)
-	} else {
-		message.Usage = c.usageTold(to, now)
 	}
+	message.UsageWanted, message.Usage = c.duties.holds.Load(), c.usageTold(to, all, now)
 	members, version := c.membersTold(all, now)
 	message.MembersVersion = version
 	if to.knowsMembers != version {
@@ -192,11 +191,16 @@
 	return api.EdgeLeaving{ID: removal.ID, BornMS: removal.BornMS, Removed: true, Sequence: removal.Sequence}
 }
 
-// usageTold are the counts of this node and of those that report to it.
-func (c *control) usageTold(to *peerState, now time.Time) map[string]usage.Windows {
+// usageTold are the counts of this node and of those that report to it. Of the nodes that are told
+// all, the holder of the duties gets the counts of every node, and so does the one that would be
+// the next hub, since this node may die with others.
+func (c *control) usageTold(to *peerState, all bool, now time.Time) map[string]usage.Windows {
+	if all && ((to.message != nil && to.message.UsageWanted) || to == c.deputy(now)) {
+		return c.allUsage(usageWindowsTold)
+	}
 	told := map[string]usage.Windows{c.edge.incarnation: c.edge.ownUsage(usageWindowsTold)}
 	for _, peer := range c.peers {
-		if c.speaksFor(peer, to, false) && peer.message != nil && now.Sub(peer.heardAt) < c.liveFor() {
+		if !all && c.speaksFor(peer, to, false) && peer.message != nil && now.Sub(peer.heardAt) < c.liveFor() {
 			for incarnation, windows := range peer.message.Usage {
 				told[incarnation] = windows
 			}
@@ -205,6 +209,12 @@
 	return told
 }
 
+// allUsage returns the counts of all nodes in the newest windows.
+func (c *control) allUsage(windows int) (all map[string]usage.Windows) {
+	c.edge.meter(func() { all = c.edge.usage.All(windows) })
+	return all
+}
+
 // registryTold is what a reporter misses of the registry.
 func (c *control) registryTold(to *peerState, now time.Time) *api.EdgeRegistry {
 	changes := c.registry.Changes(to.registryTold)
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -251,9 +251,7 @@
 		}
 	})
 	mux.HandleFunc("GET "+pathUsage, func(w http.ResponseWriter, r *http.Request) {
-		var counts map[string]usage.Windows
-		p.edge.meter(func() { counts = p.edge.usage.All(usageWindowsFetched) })
-		p.write(w, r.RemoteAddr, counts)
+		p.write(w, r.RemoteAddr, p.edge.control.allUsage(usageWindowsFetched))
 	})
 	return mux
 }
