--- a/edge/control.go
+++ b/edge/control.go
@@ -49,6 +49,8 @@
 	// silentExchanges is the number of exchanges in which a node that is not heard is taken to
 	// admit requests unheard.
 	silentExchanges = 5
+	// heldUpTicks is the number of ticks without which the loop takes itself to have stood still.
+	heldUpTicks = 4
 	// eventQueue bounds the events that wait for the control loop.
 	eventQueue = 1024
 )
@@ -79,6 +81,8 @@
 	// cellsToldAt is when the hubs of other cells were told last, probedAt when a member that
 	// does not report was, candidateAt when candidacy for the duties was looked at.
 	cellsToldAt, probedAt, candidateAt time.Time
+	// tickedAt is when the loop last ticked, heldUpAt when it last found that it had been held up.
+	tickedAt, heldUpAt time.Time
 	// followedAt is when this node's hub changed.
 	followedAt time.Time
 	// mismatches counts the exchanges in a row in which the registry differed from the hub's.
@@ -176,6 +180,8 @@
 }
 
 func (c *control) tick(now time.Time) {
+	c.wasHeldUp(now)
+	c.tickedAt = now
 	c.changed(c.registry.Tick(now))
 	for key, until := range c.suspects {
 		if now.After(until) {
@@ -191,6 +197,15 @@
 	c.dirty = true
 }
 
+// wasHeldUp says whether this node stood still of late, so that messages may have waited in its
+// sockets.
+func (c *control) wasHeldUp(now time.Time) bool {
+	if !c.tickedAt.IsZero() && now.Sub(c.tickedAt) > heldUpTicks*controlTick {
+		c.heldUpAt = now
+	}
+	return !c.heldUpAt.IsZero() && now.Sub(c.heldUpAt) < peerLive
+}
+
 // known says whether an upstream's connections are worth keeping.
 func (c *control) known(key string) bool {
 	_, ok := c.trackers[key]
