Use is not charged twice when a hub wakes

Cause: when a former reporter becomes the node that one reports to, by way of which a second hub tells a woken one, its use was moved to that of peers that are gone and told back to it as another's. What a node had told its former hub was kept as a whole, and compared with what it told the next one, which speaks for other reporters: the difference, seconds of use of the fleet, was charged everywhere.

What a peer told is never told to it, in whatever role. The base of the first message to a new hub, or to new reporters, is the present one less what is known to be news: this node's own use since the last answer, and of a new hub what it charged since.

TestUseIsNotChargedTwiceWhenAHubWakes replays it.

--- a/edge/exchange_test.go
+++ b/edge/exchange_test.go
@@ -172,6 +172,51 @@
 	}
 }
 
+// The first hub freezes and wakes, and the second reports by way of a former reporter before it
+// reaches it. Nobody is charged for what it had told, or was told, before.
+func TestUseIsNotChargedTwiceWhenAHubWakes(t *testing.T) {
+	const burst, cost = 1_000_000.0, 50.0
+	m := newMesh(t, 5, 1)
+	for _, c := range m.nodes {
+		c.edge.ledger.Configure(map[string]quota.Limit{"w": {Rate: 1e-6, Burst: burst}}, len(m.nodes), silentExchanges*exchangeEvery, m.now)
+	}
+	m.run(20)
+	level, used := m.nodes["n000"].edge.ledger.Levels(m.now)["w"], 0.0
+	step := func(except *control) {
+		for _, c := range m.nodes {
+			if c != except {
+				require.True(t, c.edge.ledger.Admit("w", cost, m.now).Admitted)
+				used += cost
+			}
+		}
+		m.run(1)
+	}
+	hub, second := m.hubAndReporter()
+	name := hub.edge.settings.Name
+	m.kill(hub)
+	for range 50 {
+		step(nil)
+	}
+	m.nodes[name] = hub
+	m.cut = func(a, b string) bool {
+		return (a == name && b == second.edge.settings.Name) || (b == name && a == second.edge.settings.Name)
+	}
+	for range 15 {
+		step(nil)
+	}
+	m.cut = nil
+	for range 15 {
+		step(nil)
+	}
+	m.run(20)
+	for name, c := range m.nodes {
+		if c != hub {
+			// Two exchanges for each of the changes of hub.
+			require.Less(t, level-used-c.edge.ledger.Levels(m.now)["w"], 3*2*5*cost, name)
+		}
+	}
+}
+
 // A hub is killed together with another node: what both had counted is reported all the same.
 func TestCountsOfAKilledHubAreNotLost(t *testing.T) {
 	m := newMesh(t, 5, 1)
@@ -207,6 +252,25 @@
 	require.EqualValues(t, 40, holder.edge.usage.Total(window)["w"]+holder.edge.usage.Total(window - 1)["w"])
 }
 
+// A node that stood still finds old messages in its sockets; what they say of the time is as old.
+// Taken for news it moved the clocks of all nodes by the time of the standstill.
+func TestOldMessagesDoNotMoveTheClock(t *testing.T) {
+	c, message := benchNode(t, 5)
+	now := c.edge.clock.steady()
+	c.tick(now)
+	old := make([]*api.EdgeExchange, 5)
+	for i := range old {
+		old[i] = message(i)
+		old[i].SentMS, old[i].ClockMS = old[i].SentMS+1, c.edge.clock.now().Add(-8*time.Second).UnixMilli()
+	}
+	woken := now.Add(8 * time.Second)
+	for _, m := range old {
+		c.heard(m, woken)
+	}
+	c.edge.clock.correct()
+	require.WithinDuration(t, c.edge.clock.steady(), c.edge.clock.now(), clockTolerance)
+}
+
 // Messages survive their encoding, and bytes that are none are refused.
 func TestMessagesAreDecodedAsTheyWereSent(t *testing.T) {
 	_, message := benchNode(t, 3)
--- a/edge/mesh_test.go
+++ b/edge/mesh_test.go
@@ -77,7 +77,7 @@
 	if sender == nil {
 		return
 	}
-	from.answered(message, m.sent(to.messageTo(sender, m.now)), m.now, m.now)
+	from.answered(m.sent(to.messageTo(sender, m.now)), m.now, m.now)
 }
 
 // sent returns a message as it arrives.
--- a/edge/message.go
+++ b/edge/message.go
@@ -69,12 +69,13 @@
 		message.Hub = c.reportsTo.name
 	}
 	e.ledgerLock.Lock()
-	message.QuotaUsed, message.Nodes = e.ledger.Told(func(name string) bool {
+	speaksFor := func(name string) bool {
 		peer := c.peers[name]
 		return peer != nil && c.speaksFor(peer, to, all)
-	}, all, now)
+	}
+	message.QuotaUsed, message.Nodes = e.ledger.Told(to.name, speaksFor, all, now)
 	if now.Sub(c.followedAt) < hubChange || (all && c.reportsTo != nil) {
-		message.QuotaBase = e.ledger.Base(all, now)
+		message.QuotaBase = e.ledger.Base(message.QuotaUsed, to.name, speaksFor, all, now)
 	}
 	if to.fresh {
 		message.QuotaLevels = e.ledger.Levels(now)
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -100,7 +100,7 @@
 			peer.failedAt = now
 			return
 		}
-		p.edge.control.answered(message, answer, sentAt, now)
+		p.edge.control.answered(answer, sentAt, now)
 	})
 }
 
--- a/edge/peerstate.go
+++ b/edge/peerstate.go
@@ -121,11 +121,8 @@
 	}
 	peer.placedTold, peer.knowsMembers, peer.registryTold = message.PlacedSeen, message.MembersKnown, message.RegistrySeen
 	c.takePlacements(peer, message.Placed, now)
-	e.clock.heard(message.Node, time.UnixMilli(message.ClockMS))
-	for name, estimate := range message.Clocks {
-		if name != e.settings.Name {
-			e.clock.heard(name, time.UnixMilli(estimate))
-		}
+	if !c.wasHeldUp(now) {
+		c.takeClocks(message)
 	}
 	c.takeQuota(peer, message, now)
 	for _, leaving := range message.Leaving {
@@ -147,6 +144,16 @@
 	return peer
 }
 
+// takeClocks takes a peer's estimate of the time, and those that it tells of.
+func (c *control) takeClocks(message *api.EdgeExchange) {
+	c.edge.clock.heard(message.Node, time.UnixMilli(message.ClockMS))
+	for name, estimate := range message.Clocks {
+		if name != c.edge.settings.Name {
+			c.edge.clock.heard(name, time.UnixMilli(estimate))
+		}
+	}
+}
+
 // takeQuota takes a peer's news of quotas. Of the peers that speak for all only the one to
 // which this node reports counts, since each tells of the same use.
 func (c *control) takeQuota(peer *peerState, message *api.EdgeExchange, now time.Time) {
@@ -163,14 +170,14 @@
 
 // answered takes a peer's answer to a message that was sent at a time. What it knows is at
 // most as old as it says and the call took.
-func (c *control) answered(sent, message *api.EdgeExchange, sentAt, now time.Time) {
+func (c *control) answered(message *api.EdgeExchange, sentAt, now time.Time) {
 	peer := c.heard(message, now)
 	if peer == nil {
 		return
 	}
 	if peer == c.reportsTo {
 		c.edge.ledgerLock.Lock()
-		c.edge.ledger.Acked(sent.QuotaUsed, now)
+		c.edge.ledger.Acked(now)
 		c.edge.ledgerLock.Unlock()
 	}
 	knownAt := func(ageMS int64) time.Time { return sentAt.Add(-time.Duration(max(0, ageMS)) * time.Millisecond) }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -73,26 +73,24 @@
 	// sentAt is when the newest news was sent, by the peer's clock.
 	sentAt time.Time
 	used   map[string]float64
-	// charged is what was taken out of this node's buckets for the peer.
-	charged map[string]float64
+	// charged is what was taken out of this node's buckets for the peer, atTerm what had been
+	// when this node became a hub.
+	charged, atTerm map[string]float64
 }
 
 // Ledger holds the buckets of one node. It is not safe for concurrent use.
 type Ledger struct {
 	buckets map[string]*bucket
 	peers   map[string]*peer
-	// departed is what was charged for peers that are not known any more, by whether
-	// they were reporters.
-	departed map[bool]map[string]float64
-	// acked is what the hub was told last, at ackedAt.
-	acked   map[string]float64
-	ackedAt time.Time
-	// term is when this node last became a hub, termBase and termBaseAll what the former hub
-	// had been told then of this node and its reporters, and had told it of all.
-	term                  time.Time
-	termBase, termBaseAll map[string]float64
-	nodes                 int
-	silence               time.Duration
+	// departed is what was charged for peers that are not known any more, or tell in another
+	// role, by whether they were reporters and by their names.
+	departed map[bool]map[string]map[string]float64
+	// acked is this node's own use that its hub took last, at ackedAt; term is when this node last
+	// became a hub.
+	acked         map[string]float64
+	ackedAt, term time.Time
+	nodes         int
+	silence       time.Duration
 	// joined says that the levels of a peer were taken over; joinLevels are those that were
 	// heard before the limits were known.
 	joined     bool
@@ -105,7 +103,7 @@
 func NewLedger() *Ledger {
 	return &Ledger{
 		buckets: map[string]*bucket{}, peers: map[string]*peer{}, nodes: 1, silence: leastSilence,
-		departed: map[bool]map[string]float64{true: {}, false: {}}, startShare: 1,
+		departed: map[bool]map[string]map[string]float64{true: {}, false: {}}, startShare: 1,
 	}
 }
 
@@ -189,22 +187,25 @@
 }
 
 // Told returns what a peer is told: the use that this node and those peers have admitted since it
-// started for which it speaks, and the number of nodes that this stands for. With all, the
-// use that is told for peers that are gone includes that of peers that did not report to it.
-func (l *Ledger) Told(speaksFor func(peer string) bool, all bool, now time.Time) (used map[string]float64, nodes int) {
+// started for which it speaks, and the number of nodes that this stands for. With all, it includes
+// that of peers that are gone and did not report to it. What the peer told itself is left out.
+func (l *Ledger) Told(to string, speaksFor func(peer string) bool, all bool, now time.Time) (used map[string]float64, nodes int) {
 	used, nodes = make(map[string]float64, len(l.buckets)), 1
 	for name, b := range l.buckets {
 		used[name] = b.used
 	}
-	l.addUse(used, l.departed[true])
-	if all {
-		l.addUse(used, l.departed[false])
+	for reporter, departed := range l.departed {
+		for id, charged := range departed {
+			if id != to && (reporter || all) {
+				l.addUse(used, charged, 1)
+			}
+		}
 	}
 	for id, known := range l.peers {
-		if !speaksFor(id) {
+		if id == to || !speaksFor(id) {
 			continue
 		}
-		l.addUse(used, known.charged)
+		l.addUse(used, known.charged, 1)
 		if now.Sub(known.heardAt) < l.silence {
 			nodes += known.nodes
 		}
@@ -217,58 +218,51 @@
 	return used, nodes
 }
 
-// Acked notes that the hub has taken a message that told of a use, and will pass it on.
-func (l *Ledger) Acked(told map[string]float64, now time.Time) { l.acked, l.ackedAt = told, now }
-
-// Lead notes that this node becomes a hub: it speaks for its reporters from now on.
-func (l *Ledger) Lead(now time.Time) {
-	for id, known := range l.peers {
-		if known.reporter && now.Sub(known.heardAt) > l.silence {
-			l.Forget(id)
-		}
-	}
-	l.term, l.termBase, l.termBaseAll = now, nil, nil
-	if l.acked == nil || now.Sub(l.ackedAt) > l.silence {
-		return
+// Acked notes that the hub has taken this node's use, and will pass it on.
+func (l *Ledger) Acked(now time.Time) {
+	l.acked, l.ackedAt = make(map[string]float64, len(l.buckets)), now
+	for name, b := range l.buckets {
+		l.acked[name] = b.used
 	}
-	l.termBase, l.termBaseAll = l.acked, l.knownToAll()
 }
 
-// knownToAll returns the use of which all nodes know by the present hub: what it has told this
-// node, and what this node has told it.
-func (l *Ledger) knownToAll() map[string]float64 {
-	known := make(map[string]float64, len(l.buckets))
-	l.addUse(known, l.acked)
-	l.addUse(known, l.departed[false])
-	for _, p := range l.peers {
-		if !p.reporter {
-			l.addUse(known, p.charged)
-		}
+// Lead notes that this node becomes a hub: what it charges for its reporters from now on, no other
+// hub has passed on.
+func (l *Ledger) Lead(now time.Time) {
+	l.term = now
+	for _, known := range l.peers {
+		known.atTerm = maps.Clone(known.charged)
 	}
-	return known
 }
 
-// Base returns the part of what a peer is told that all know by the present hub, or the one before
-// if this node has just become a hub itself; nil if there was none lately.
-func (l *Ledger) Base(all bool, now time.Time) map[string]float64 {
-	switch {
-	case now.Sub(l.term) < l.silence && all:
-		return l.termBaseAll
-	case now.Sub(l.term) < l.silence:
-		return l.termBase
-	case now.Sub(l.ackedAt) < l.silence && all:
-		return l.knownToAll()
-	case now.Sub(l.ackedAt) < l.silence:
-		return l.acked
+// Base returns the part of what a peer is told that it knows by the hub before, if this node
+// changed its hub just now; nil if it had none lately.
+func (l *Ledger) Base(told map[string]float64, to string, speaksFor func(peer string) bool, all bool, now time.Time) map[string]float64 {
+	leads := now.Sub(l.term) < l.silence
+	if now.Sub(l.ackedAt) > 2*l.silence || (!leads && now.Sub(l.ackedAt) > l.silence) {
+		return nil
+	}
+	base := maps.Clone(told)
+	for name, b := range l.buckets {
+		base[name] -= b.used - l.acked[name]
+	}
+	if !leads || !all {
+		return base
 	}
-	return nil
+	for id, known := range l.peers {
+		if id != to && speaksFor(id) {
+			l.addUse(base, known.charged, -1)
+			l.addUse(base, known.atTerm, 1)
+		}
+	}
+	return base
 }
 
-// addUse adds to the use of workspaces that have a quota.
-func (l *Ledger) addUse(used, more map[string]float64) {
+// addUse adds a multiple to the use of workspaces that have a quota.
+func (l *Ledger) addUse(used, more map[string]float64, times float64) {
 	for name, amount := range more {
 		if l.buckets[name] != nil {
-			used[name] += amount
+			used[name] += times * amount
 		}
 	}
 }
@@ -327,8 +321,13 @@
 	if known == nil {
 		return
 	}
+	departed := l.departed[known.reporter][id]
+	if departed == nil {
+		departed = map[string]float64{}
+		l.departed[known.reporter][id] = departed
+	}
 	for name, amount := range known.charged {
-		l.departed[known.reporter][name] += amount
+		departed[name] += amount
 	}
 	delete(l.peers, id)
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -98,7 +98,7 @@
 			for i, from := range ledgers {
 				for j, to := range ledgers {
 					if i != j {
-						used, _ := from.Told(func(string) bool { return false }, false, now)
+						used, _ := from.Told(fmt.Sprint(j), func(string) bool { return false }, false, now)
 						to.Heard(quota.News{Node: fmt.Sprint(i), Incarnation: "1", Used: used, Levels: from.Levels(now), SentAt: now}, now)
 					}
 				}
