--- a/api/edge_gen.go
+++ b/api/edge_gen.go
@@ -73,10 +73,6 @@
 	// that has just started is told.
 	QuotaLevels map[string]float64 `json:"quota_levels,omitempty,omitzero"`
 
-	// QuotaTerm counts the changes of the sender's hub. What it told in an earlier
-	// term others know by another hub.
-	QuotaTerm int64 `json:"quota_term"`
-
 	// QuotaUsed is what the nodes have admitted since the sender started, by
 	// workspace.
 	QuotaUsed map[string]float64 `json:"quota_used"`
--- a/edge/cells.go
+++ b/edge/cells.go
@@ -142,7 +142,6 @@
 		return
 	}
 	c.followedAt = now
-	c.follows++
 	c.edge.ledgerLock.Lock()
 	if c.reportsTo != nil {
 		// What the former hub will have told meanwhile comes by the new one.
--- a/edge/control.go
+++ b/edge/control.go
@@ -83,9 +83,8 @@
 	cellsToldAt, probedAt, candidateAt time.Time
 	// tickedAt is when the loop last ticked, heldUpAt when it last found that it had been held up.
 	tickedAt, heldUpAt time.Time
-	// followedAt is when this node's hub changed, follows how often it has.
+	// followedAt is when this node's hub changed.
 	followedAt time.Time
-	follows    int64
 	// mismatches counts the exchanges in a row in which the registry differed from the hub's.
 	mismatches int
 	// fleetSize is the number of nodes that the ledger and the feeds go by.
--- a/edge/message.go
+++ b/edge/message.go
@@ -65,7 +65,6 @@
 		Load: c.loadTold(to, all, now), Suspicions: c.suspicions(now), Leaving: c.leavingTold(now),
 		Placed: []api.EdgePlacement{}, PlacedSeen: to.placed, MembersKnown: to.membersVersion, RegistrySeen: to.registrySeen,
 	}
-	message.QuotaTerm = c.follows
 	if c.reportsTo != nil {
 		message.Hub = c.reportsTo.name
 	}
--- a/edge/peerstate.go
+++ b/edge/peerstate.go
@@ -163,7 +163,7 @@
 	c.edge.ledgerLock.Lock()
 	defer c.edge.ledgerLock.Unlock()
 	c.edge.ledger.Heard(quota.News{
-		Node: message.Node, Incarnation: message.Incarnation, Term: message.QuotaTerm, Reporter: peer.reporter, Nodes: message.Nodes,
+		Node: message.Node, Incarnation: message.Incarnation, Reporter: peer.reporter, Nodes: message.Nodes,
 		Used: message.QuotaUsed, Base: message.QuotaBase, Levels: message.QuotaLevels, SentAt: time.UnixMilli(message.SentMS),
 	}, now)
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -49,9 +49,6 @@
 type News struct {
 	// Node and Incarnation name the peer.
 	Node, Incarnation string
-	// Term rises when the peer tells its use by another hub, and may tell here again what came
-	// by that one.
-	Term int64
 	// Reporter says that the peer speaks for itself and for those that report to it, and that
 	// this node passes that on to all. News of other peers is passed on to reporters alone.
 	Reporter bool
@@ -70,7 +67,6 @@
 
 type peer struct {
 	incarnation string
-	term        int64
 	reporter    bool
 	nodes       int
 	heardAt     time.Time
@@ -285,10 +281,10 @@
 // that has just started takes over the first levels it hears.
 func (l *Ledger) Heard(news News, now time.Time) {
 	known := l.peers[news.Node]
-	if known == nil || known.incarnation != news.Incarnation || known.term != news.Term || known.reporter != news.Reporter {
+	if known == nil || known.incarnation != news.Incarnation || known.reporter != news.Reporter {
 		l.Forget(news.Node)
 		known = &peer{
-			incarnation: news.Incarnation, term: news.Term, reporter: news.Reporter, sentAt: news.SentAt.Add(-1),
+			incarnation: news.Incarnation, reporter: news.Reporter, sentAt: news.SentAt.Add(-1),
 			used: maps.Clone(news.Used), charged: map[string]float64{},
 		}
 		if news.Base != nil {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -152,13 +152,3 @@
 	l.Heard(quota.News{Node: "b", Incarnation: "b1", Used: map[string]float64{"a": 0}, Levels: nil, SentAt: start.Add(20 * time.Millisecond)}, start)
 	require.InDelta(t, 1000, l.Levels(start)["a"], 0.1)
 }
-
-// A peer that could not reach its hub told another one meanwhile, by which its use was charged.
-func TestUseToldToAnotherHubIsNotChargedAgain(t *testing.T) {
-	l := ledger(1, quota.Limit{Rate: 1e-6, Burst: 1000})
-	news := quota.News{Node: "b", Incarnation: "b1", Term: 1, Reporter: true, Used: map[string]float64{"a": 100}, SentAt: start}
-	l.Heard(news, start)
-	news.Term, news.Used, news.Base, news.SentAt = 3, map[string]float64{"a": 500}, map[string]float64{"a": 480}, start.Add(600*time.Millisecond)
-	l.Heard(news, start)
-	require.InDelta(t, 980, l.Levels(start)["a"], 0.1)
-}
