One copy each of liveness, merged counts, told removals and a service's engine

Read again: whether a peer was heard lately stood three times beside live(), and liveFor() had become a constant since messages go by hubs; counts of other nodes were merged by the same loop in three places; removals that peers tell of were taken by two; the engine of a service was looked up twice; two tests set the quota of a mesh by the same lines. Each is one piece now. Nothing else changes; tests keep their assertions.

Left, seen in the same reading: the holder's calls of /v1/usage are mostly needless since its hub tells it all counts, but for the third window; Told and Base of the ledger leave the receiver out a second time, beside the caller's speaksFor.

--- a/edge/cells.go
+++ b/edge/cells.go
@@ -68,7 +68,7 @@
 		}
 		peer := c.peers[name]
 		switch {
-		case peer == nil || !c.live(peer, now):
+		case peer == nil || !peer.live(now):
 		case peer.answers():
 			return peer, missed
 		case missed == nil:
@@ -81,7 +81,7 @@
 // deputy returns the node that would be the hub after this one; nil if there is none.
 func (c *control) deputy(now time.Time) *peerState {
 	for _, name := range c.cells.Members(c.ownCell()) {
-		if peer := c.peers[name]; peer != nil && peer.reporter && c.live(peer, now) {
+		if peer := c.peers[name]; peer != nil && peer.reporter && peer.live(now) {
 			return peer
 		}
 	}
@@ -166,7 +166,7 @@
 func (c *control) hearsCell(now time.Time) bool {
 	members := c.cells.Members(c.ownCell())
 	for _, name := range members {
-		if peer := c.peers[name]; peer != nil && !peer.heardAt.IsZero() && now.Sub(peer.heardAt) < c.liveFor() {
+		if peer := c.peers[name]; peer != nil && peer.heard(now) {
 			return true
 		}
 	}
@@ -232,7 +232,7 @@
 		if peer == nil || !peer.worthAsking(now) {
 			continue
 		}
-		if c.live(peer, now) && peer.answers() {
+		if peer.live(now) && peer.answers() {
 			return peer
 		}
 		if chosen == nil || peer.askedAt.Before(chosen.askedAt) {
@@ -246,7 +246,7 @@
 func (c *control) dutyCandidate(now time.Time) bool {
 	names := []string{c.edge.settings.Name}
 	for name, peer := range c.peers {
-		if c.live(peer, now) {
+		if peer.live(now) {
 			names = append(names, name)
 		}
 	}
--- a/edge/control.go
+++ b/edge/control.go
@@ -242,7 +242,7 @@
 
 // unconfirmed says whether a newer configuration may be in force elsewhere.
 func (c *control) unconfirmed(now time.Time) bool {
-	heard := c.aheadVersion > c.configVersion() && now.Sub(c.aheadAt) < c.liveFor()
+	heard := c.aheadVersion > c.configVersion() && now.Sub(c.aheadAt) < peerLive
 	return heard || now.Sub(c.confirmedAt) > c.edge.confirmedFor()
 }
 
@@ -403,23 +403,31 @@
 	if c.table == nil {
 		return holderBlocks
 	}
-	known := c.table.Service(service)
-	if known == nil || known.Engine == nil {
+	engine := c.engine(service)
+	if engine == nil {
 		return 0
 	}
-	return max(1, min(holderBlocks, int(cacheShare*float64(known.Engine.KVTokens))/serving.BlockTokens))
+	return max(1, min(holderBlocks, int(cacheShare*float64(engine.KVTokens))/serving.BlockTokens))
 }
 
 // fetchRate returns the tokens a second that engines of a service copy from each other.
 func (c *control) fetchRate(service string) float64 {
-	if c.table == nil {
+	engine := c.engine(service)
+	if engine == nil {
 		return 0
 	}
-	known := c.table.Service(service)
-	if known == nil || known.Engine == nil {
-		return 0
+	return engine.FetchRate
+}
+
+// engine returns the properties of a service's engines; nil for a plain or an unknown service.
+func (c *control) engine(service string) *catalog.Engine {
+	if c.table == nil {
+		return nil
+	}
+	if known := c.table.Service(service); known != nil {
+		return known.Engine
 	}
-	return known.Engine.FetchRate
+	return nil
 }
 
 // suspect keeps work away from an upstream for a while.
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -121,11 +121,7 @@
 		if before.Fence != after.Fence || before.Holder != after.Holder {
 			d.edge.logger.Info().Str("holder", after.Holder).Int64("fence", after.Fence).Int64("offset", offset).Msg("duties pass on")
 		}
-		d.edge.meter(func() {
-			for incarnation, windows := range record.Lease.Usage {
-				d.edge.usage.Merge(incarnation, windows)
-			}
-		})
+		d.edge.mergeUsage(record.Lease.Usage)
 	}
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -281,6 +281,15 @@
 	e.meter(func() { e.usage.Count(workspace, now) })
 }
 
+// mergeUsage takes the counts of incarnations that another node tells of.
+func (e *Edge) mergeUsage(told map[string]usage.Windows) {
+	e.meter(func() {
+		for incarnation, windows := range told {
+			e.usage.Merge(incarnation, windows)
+		}
+	})
+}
+
 // ownUsage returns this node's counts of the newest windows.
 func (e *Edge) ownUsage(windows int) (own usage.Windows) {
 	e.meter(func() { own = e.usage.Own(windows) })
--- a/edge/exchange_test.go
+++ b/edge/exchange_test.go
@@ -143,9 +143,7 @@
 func TestUseIsNotLostWithAHub(t *testing.T) {
 	const burst, cost = 100_000.0, 50.0
 	m := newMesh(t, 5, 1)
-	for _, c := range m.nodes {
-		c.edge.ledger.Configure(map[string]quota.Limit{"w": {Rate: 1e-6, Burst: burst}}, len(m.nodes), silentExchanges*exchangeEvery, m.now)
-	}
+	m.limit(quota.Limit{Rate: 1e-6, Burst: burst})
 	m.run(20)
 	level := m.nodes["n000"].edge.ledger.Levels(m.now)["w"]
 	used := 0.0
@@ -177,9 +175,7 @@
 func TestUseIsNotChargedTwiceWhenAHubWakes(t *testing.T) {
 	const burst, cost = 1_000_000.0, 50.0
 	m := newMesh(t, 5, 1)
-	for _, c := range m.nodes {
-		c.edge.ledger.Configure(map[string]quota.Limit{"w": {Rate: 1e-6, Burst: burst}}, len(m.nodes), silentExchanges*exchangeEvery, m.now)
-	}
+	m.limit(quota.Limit{Rate: 1e-6, Burst: burst})
 	m.run(20)
 	level, used := m.nodes["n000"].edge.ledger.Levels(m.now)["w"], 0.0
 	step := func(except *control) {
--- a/edge/mesh_test.go
+++ b/edge/mesh_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/platform"
+	"github.com/persimmonline/persimmonline/quota"
 )
 
 // mesh is a fleet of control states that exchange messages in steps, without sockets.
@@ -90,6 +91,13 @@
 	return &arrived
 }
 
+// limit sets the quota of the workspace w at all nodes.
+func (m *mesh) limit(limit quota.Limit) {
+	for _, c := range m.nodes {
+		c.edge.ledger.Configure(map[string]quota.Limit{"w": limit}, len(m.nodes), silentExchanges*exchangeEvery, m.now)
+	}
+}
+
 // hubAndReporter returns a hub and one of the nodes that report to it.
 func (m *mesh) hubAndReporter() (hub, reporter *control) {
 	for _, name := range slices.Sorted(maps.Keys(m.nodes)) {
--- a/edge/message.go
+++ b/edge/message.go
@@ -192,6 +192,19 @@
 	return api.EdgeLeaving{ID: removal.ID, BornMS: removal.BornMS, Removed: true, Sequence: removal.Sequence}
 }
 
+// takeLeaving takes what a peer knows of upstreams that leave or were removed.
+func (c *control) takeLeaving(told []api.EdgeLeaving, now time.Time) {
+	for _, leaving := range told {
+		if leaving.Removed {
+			c.changed(c.registry.RemovedElsewhere(fleet.Removal{
+				ID: leaving.ID, BornMS: leaving.BornMS, Sequence: leaving.Sequence,
+			}, now))
+			continue
+		}
+		c.changed(c.registry.Leave(leaving.ID, leaving.BornMS, now))
+	}
+}
+
 // usageTold are the counts of this node and of those that report to it. Of the nodes that are told
 // all, the holder of the duties gets the counts of every node, and so does the one that would be
 // the next hub, since this node may die with others.
@@ -201,7 +214,7 @@
 	}
 	told := map[string]usage.Windows{c.edge.incarnation: c.edge.ownUsage(usageWindowsTold)}
 	for _, peer := range c.peers {
-		if !all && c.speaksFor(peer, to, false) && peer.message != nil && now.Sub(peer.heardAt) < c.liveFor() {
+		if !all && c.speaksFor(peer, to, false) && peer.message != nil && peer.heard(now) {
 			for incarnation, windows := range peer.message.Usage {
 				told[incarnation] = windows
 			}
@@ -256,9 +269,7 @@
 		for _, entry := range entries {
 			c.changed(c.registry.Put(entry, now))
 		}
-		for _, removal := range told.Removed {
-			c.changed(c.registry.RemovedElsewhere(fleet.Removal{ID: removal.ID, BornMS: removal.BornMS, Sequence: removal.Sequence}, now))
-		}
+		c.takeLeaving(told.Removed, now)
 	}
 	hub.registrySeen = told.Version
 	if readAt.After(c.registryAt) {
@@ -284,11 +295,10 @@
 	e := c.edge
 	members := []api.EdgeMember{{Name: e.settings.Name, Address: e.peerAddress(), DataCentre: e.settings.DataCentre}}
 	for name, peer := range c.peers {
-		direct := !peer.heardAt.IsZero() && now.Sub(peer.heardAt) < c.liveFor()
 		if !peer.answers() {
 			continue
 		}
-		if (all && c.live(peer, now)) || (direct && c.sameCell(name)) {
+		if (all && peer.live(now)) || (peer.heard(now) && c.sameCell(name)) {
 			members = append(members, api.EdgeMember{Name: name, Address: peer.address, DataCentre: peer.dataCentre})
 		}
 	}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -187,11 +187,7 @@
 				p.edge.logger.Warn().Err(err).Str("hub", address).Msg("usage of a cell not fetched")
 				return
 			}
-			p.edge.meter(func() {
-				for incarnation, windows := range counts {
-					p.edge.usage.Merge(incarnation, windows)
-				}
-			})
+			p.edge.mergeUsage(counts)
 		}()
 	}
 }
--- a/edge/peerstate.go
+++ b/edge/peerstate.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/persimmonline/persimmonline/api"
-	"github.com/persimmonline/persimmonline/fleet"
 	"github.com/persimmonline/persimmonline/quota"
 )
 
@@ -57,17 +56,11 @@
 	registrySeen, registryTold int64
 }
 
-// live says whether a peer was heard, or told of, lately.
-func (c *control) live(p *peerState, now time.Time) bool {
-	last := p.heardAt
-	if p.toldAt.After(last) {
-		last = p.toldAt
-	}
-	return !last.IsZero() && now.Sub(last) < c.liveFor()
-}
+// heard says whether a peer was heard lately.
+func (p *peerState) heard(now time.Time) bool { return now.Sub(p.heardAt) < peerLive }
 
-// liveFor is how long a peer counts as live after it was heard.
-func (c *control) liveFor() time.Duration { return peerLive }
+// live says whether a peer was heard, or told of, lately.
+func (p *peerState) live(now time.Time) bool { return p.heard(now) || now.Sub(p.toldAt) < peerLive }
 
 // lastSign returns when the peer was heard or told of, or else learned of.
 func (p *peerState) lastSign() time.Time {
@@ -95,11 +88,7 @@
 	if message.Node == e.settings.Name && message.Incarnation == e.incarnation {
 		return nil
 	}
-	e.meter(func() {
-		for incarnation, windows := range message.Usage {
-			e.usage.Merge(incarnation, windows)
-		}
-	})
+	e.mergeUsage(message.Usage)
 	if message.Node == e.settings.Name {
 		return nil
 	}
@@ -107,7 +96,7 @@
 	if known := peer.message; known != nil && known.Incarnation == message.Incarnation && message.SentMS < known.SentMS {
 		return nil
 	}
-	if !c.live(peer, now) {
+	if !peer.live(now) {
 		e.logger.Info().Str("peer", message.Node).Str("address", message.Address).Str("incarnation", message.Incarnation).
 			Msg("peer heard")
 	}
@@ -125,15 +114,7 @@
 		c.takeClocks(message)
 	}
 	c.takeQuota(peer, message, now)
-	for _, leaving := range message.Leaving {
-		if leaving.Removed {
-			c.changed(c.registry.RemovedElsewhere(fleet.Removal{
-				ID: leaving.ID, BornMS: leaving.BornMS, Sequence: leaving.Sequence,
-			}, now))
-			continue
-		}
-		c.changed(c.registry.Leave(leaving.ID, leaving.BornMS, now))
-	}
+	c.takeLeaving(message.Leaving, now)
 	c.takeSuspicions(message.Suspicions, now)
 	c.takeMembers(peer, message, now)
 	c.stale = true
@@ -218,7 +199,7 @@
 		c.nodesChanged = true
 		return known
 	}
-	if !c.live(known, now) {
+	if !known.live(now) {
 		known.address = address
 	}
 	if known.dataCentre != dataCentre && dataCentre != "" {
@@ -246,7 +227,7 @@
 func (c *control) nodes(now time.Time) int {
 	count := 1
 	for _, peer := range c.peers {
-		if now.Sub(peer.lastSign()) < c.edge.bounds.Load().Contact+c.liveFor() {
+		if now.Sub(peer.lastSign()) < c.edge.bounds.Load().Contact+peerLive {
 			count++
 		}
 	}
--- a/edge/staleness_test.go
+++ b/edge/staleness_test.go
@@ -242,8 +242,8 @@
 	newer.ConfigVersion, newer.ClockMS = 8, newer.ClockMS+1
 	c.heard(newer, now)
 	require.True(t, c.unconfirmed(now))
-	c.confirmedAt = now.Add(c.liveFor())
-	require.False(t, c.unconfirmed(now.Add(c.liveFor())), "no peer has told of it since, and the store knows none")
+	c.confirmedAt = now.Add(peerLive)
+	require.False(t, c.unconfirmed(now.Add(peerLive)), "no peer has told of it since, and the store knows none")
 	c.confirmedAt = now
 	c.table = catalog.NewTable(&catalog.Config{Version: 8})
 	require.False(t, c.unconfirmed(now))
