What an upstream says of itself is read and logged

The logs of the incident could not tell whether a node knew a limit when it sent a request. No decision depends on it yet.

--- a/edge/control.go
+++ b/edge/control.go
@@ -10,6 +10,7 @@
 	"github.com/persimmonline/persimmonline/cell"
 	"github.com/persimmonline/persimmonline/fleet"
 	"github.com/persimmonline/persimmonline/membership"
+	"github.com/persimmonline/persimmonline/pacing"
 	"github.com/persimmonline/persimmonline/platform"
 	"github.com/persimmonline/persimmonline/quarantine"
 	"github.com/persimmonline/persimmonline/quota"
@@ -93,7 +94,9 @@
 	mostAt    time.Time
 	suspects  map[string]time.Time
 	trackers  map[string]*routing.Tracker
-	holders   map[string]routing.Holder
+	// gates hold what upstreams say of themselves.
+	gates   map[string]*pacing.Gate
+	holders map[string]routing.Holder
 	// keys are the upstreams by the hash that messages name them by.
 	keys     map[uint32]string
 	prefixes *routing.Prefixes
@@ -111,7 +114,7 @@
 	c := &control{
 		edge: e, events: make(chan event, eventQueue),
 		registry: fleet.NewRegistry(), peers: map[string]*peerState{}, suspects: map[string]time.Time{},
-		trackers: map[string]*routing.Tracker{}, holders: map[string]routing.Holder{}, keys: map[uint32]string{}, nodesChanged: true,
+		trackers: map[string]*routing.Tracker{}, gates: map[string]*pacing.Gate{}, holders: map[string]routing.Holder{}, keys: map[uint32]string{}, nodesChanged: true,
 		prefixes: routing.NewPrefixes(maxPrefixBlocks), dirty: true,
 		poison: quarantine.NewTable(), fetches: map[string]time.Time{},
 	}
@@ -359,6 +362,7 @@
 		if !live[key] {
 			c.prefixes.Close(c.holders[key])
 			delete(c.trackers, key)
+			delete(c.gates, key)
 			delete(c.holders, key)
 			delete(c.keys, upstreamHash(key))
 		}
@@ -382,6 +386,9 @@
 			c.holders[key] = c.prefixes.Open(member.ID, incarnationOf(member.BornMS), blocks)
 		}
 	}
+	if c.gates[key] == nil {
+		c.gates[key] = &pacing.Gate{}
+	}
 	own := int(tracker.InFlight.Load())
 	_, queued := tracker.Due()
 	health := membership.StateLive
@@ -390,7 +397,7 @@
 	}
 	return &routing.Upstream{
 		FetchRate: c.fetchRate(member.Service), Leaving: member.Leaving(), ID: member.ID, Incarnation: incarnationOf(member.BornMS), Address: member.Address,
-		DataCentre: member.DataCentre, Health: health, Tracker: tracker, Holder: c.holders[key],
+		DataCentre: member.DataCentre, Health: health, Tracker: tracker, Gate: c.gates[key], Holder: c.holders[key],
 		Load: &api.EngineLoad{
 			AtMS: time.Now().UnixMilli(), BatchSlots: member.Slots,
 			Running: own + load.Running, QueuedTokens: load.QueuedTokens + queued,
--- a/routing/route.go
+++ b/routing/route.go
@@ -6,6 +6,7 @@
 
 	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/membership"
+	"github.com/persimmonline/persimmonline/pacing"
 )
 
 // ErrNoUpstream says that no upstream passed the filters.
@@ -46,6 +47,8 @@
 	Holder Holder
 	// Tracker of this node's attempts.
 	Tracker *Tracker
+	// Gate holds what the upstream says of itself.
+	Gate *pacing.Gate
 
 	hash  uint64
 	state estimate
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -56,6 +56,8 @@
 	answer   *relay.Answer
 	verdict  Verdict
 	events   int
+	// sentAt is when the request was sent.
+	sentAt time.Time
 	// fetchFrom is the address of the engine whose cache the prompt's start is copied from.
 	fetchFrom string
 	// ctx ends with the request, or when another upstream takes over from a silent one.
@@ -72,6 +74,7 @@
 	defer x.give(nil)
 	x.watch()
 	defer x.unwatch()
+	x.sentAt = time.Now()
 	answer, err := r.handler.Pool.Send(x.ctx, upstreamOf(x.upstream), x.call())
 	if err != nil {
 		return x.sendFailed(err)
@@ -84,6 +87,7 @@
 		r.ran()
 		return broken, err
 	}
+	x.notice()
 	if x.verdict.NotRun {
 		return x.turnedAway()
 	}
@@ -195,6 +199,18 @@
 	return errForeign
 }
 
+// notice takes what the answer says of the upstream itself, unless another has its address.
+func (x *exchange) notice() {
+	handler := x.run.handler
+	if x.verdict.NoticeFault != nil && handler.faultLines.Allow() {
+		handler.Logger.Warn().Err(x.verdict.NoticeFault).Str("upstream", x.upstream.ID).Str("address", x.upstream.Address).
+			Str("request", x.run.request.ID).Msg("upstream's notice not read")
+	}
+	if !x.verdict.WrongUpstream && x.upstream.Gate.Hear(x.verdict.Notice, x.sentAt, time.Now()) {
+		handler.Events.Noticed(x.upstream, x.verdict.Notice)
+	}
+}
+
 // turnedAway ends an exchange in which the upstream has not run the request.
 func (x *exchange) turnedAway() (outcome, error) {
 	if x.verdict.WrongUpstream {
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -33,6 +33,8 @@
 	// successLineRate bounds the log lines a second of requests that went well; those of
 	// failures and refusals are bounded by the output's buffer alone.
 	successLineRate = 200
+	// faultLineRate bounds the log lines a second of upstreams' notices that can't be read.
+	faultLineRate = 1
 	// defaultMaxBody bounds bodies while the configuration names no limit.
 	defaultMaxBody = 4 << 20
 	// maxBufferedBytes bounds the bodies that a node holds at once; it is a share of the
@@ -75,6 +77,8 @@
 
 	// successLines bounds the log lines of requests that went well.
 	successLines *rate.Limiter
+	// faultLines bounds the log lines of notices that can't be read.
+	faultLines *rate.Limiter
 
 	mu      sync.Mutex
 	budgets map[string]*retry.WindowBudget
@@ -85,6 +89,7 @@
 	h := &Handler{
 		Settings: settings, budgets: map[string]*retry.WindowBudget{},
 		successLines: rate.NewLimiter(successLineRate, successLineRate),
+		faultLines:   rate.NewLimiter(faultLineRate, 1),
 	}
 	h.random.Store(uint64(time.Now().UnixNano()))
 	return h
--- a/serving/metrics.go
+++ b/serving/metrics.go
@@ -14,6 +14,7 @@
 	requests   *prometheus.CounterVec
 	refusals   *prometheus.CounterVec
 	attempts   *prometheus.CounterVec
+	limited    *prometheus.CounterVec
 	firstByte  *prometheus.HistogramVec
 	suppressed prometheus.Counter
 	viewAge    prometheus.Histogram
@@ -31,6 +32,9 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "persimmonline_edge_attempts_total", Help: "Attempts by service and result.",
 		}, []string{"service", "result"}),
+		limited: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "persimmonline_edge_limited_attempts_total", Help: "Attempts at upstreams that were known to name a limit, by service.",
+		}, []string{"service"}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "persimmonline_edge_first_byte_seconds", Help: "Time to the first byte of an answer.", Buckets: latencyBuckets,
 		}, []string{"kind"}),
@@ -41,7 +45,7 @@
 	m.viewAge = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "persimmonline_edge_view_age_seconds", Help: "Age of the view that a request was decided by.", Buckets: latencyBuckets,
 	})
-	registry.MustRegister(m.requests, m.refusals, m.attempts, m.firstByte, m.suppressed, m.viewAge)
+	registry.MustRegister(m.requests, m.refusals, m.attempts, m.limited, m.firstByte, m.suppressed, m.viewAge)
 	return m
 }
 
--- a/serving/request.go
+++ b/serving/request.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/persimmonline/persimmonline/catalog"
+	"github.com/persimmonline/persimmonline/pacing"
 )
 
 // PromptPart is one part of a prompt; requests share their first parts.
@@ -84,6 +85,10 @@
 	WrongUpstream bool
 	// Encoded bodies are not the upstream's own bytes.
 	Encoded bool
+	// Notice is what the answer says of the upstream itself, NoticeFault what could not be
+	// read of that.
+	Notice      pacing.Notice
+	NoticeFault error
 }
 
 // Adapter translates between a protocol and the core.
--- a/serving/run.go
+++ b/serving/run.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/persimmonline/persimmonline/catalog"
+	"github.com/persimmonline/persimmonline/pacing"
 	"github.com/persimmonline/persimmonline/refusal"
 	"github.com/persimmonline/persimmonline/relay"
 	"github.com/persimmonline/persimmonline/routing"
@@ -101,6 +102,9 @@
 	queue    float64
 	cached   int
 	fetched  int
+	// limit that the node knew of the upstream when it sent the request, limitAge old.
+	limit    pacing.Limit
+	limitAge time.Duration
 	took     time.Duration
 	err      error
 }
@@ -254,11 +258,15 @@
 	if choice.Source != nil {
 		exchange.fetchFrom = choice.Source.Address
 	}
+	limit := upstream.Gate.Limit()
+	if limit.Limited {
+		r.handler.Metrics.limited.WithLabelValues(r.service).Inc()
+	}
 	result, err := exchange.do()
 	tracked.End(time.Now(), exchange.events)
 	r.trace = append(r.trace, attemptTrace{
 		upstream: upstream.ID, outcome: result, queue: choice.Queue, cached: choice.CachedTokens, fetched: choice.FetchTokens,
-		took: time.Since(started), err: err,
+		limit: limit, limitAge: started.Sub(limit.At), took: time.Since(started), err: err,
 	})
 	r.handler.Metrics.attempts.WithLabelValues(r.service, outcomeNames[result]).Inc()
 	switch result {
@@ -296,6 +304,9 @@
 	for _, a := range r.trace {
 		attempt := zerolog.Dict().Str("upstream", a.upstream).Str("outcome", outcomeNames[a.outcome]).
 			Float64("queue_s", a.queue).Int("cached", a.cached).Int("fetched", a.fetched).Dur("took_ms", a.took)
+		if a.limit.Limited {
+			attempt = attempt.Float64("upstream_limit", a.limit.Rate).Dur("limit_age_ms", a.limitAge)
+		}
 		if a.err != nil {
 			attempt = attempt.AnErr("error", a.err)
 		}
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/persimmonline/persimmonline/catalog"
 	"github.com/persimmonline/persimmonline/membership"
+	"github.com/persimmonline/persimmonline/pacing"
 	"github.com/persimmonline/persimmonline/platform"
 	"github.com/persimmonline/persimmonline/quota"
 	"github.com/persimmonline/persimmonline/relay"
@@ -48,6 +49,7 @@
 	e.fingerprints = append(e.fingerprints, fingerprint)
 }
 func (e *events) Placed(*routing.Upstream, serving.SharedPrefix, int) {}
+func (e *events) Noticed(*routing.Upstream, pacing.Notice)            {}
 func (e *events) Ran(string)                                          { e.note(&e.ran) }
 func (e *events) count(of func(e *events) int) int                    { e.mu.Lock(); defer e.mu.Unlock(); return of(e) }
 
@@ -76,7 +78,7 @@
 		t.Cleanup(server.Close)
 		members = append(members, &routing.Upstream{
 			ID: fmt.Sprintf("i-%d", i), Address: strings.TrimPrefix(server.URL, "http://"), Health: membership.StateLive,
-			Tracker: &routing.Tracker{},
+			Tracker: &routing.Tracker{}, Gate: &pacing.Gate{},
 		})
 	}
 	config := &catalog.Config{
--- a/serving/view.go
+++ b/serving/view.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/persimmonline/persimmonline/catalog"
+	"github.com/persimmonline/persimmonline/pacing"
 	"github.com/persimmonline/persimmonline/routing"
 )
 
@@ -43,6 +44,8 @@
 	// Placed says that a prompt was sent to an engine, which will hold its shared prefix;
 	// uncached tokens of it are to be read.
 	Placed(upstream *routing.Upstream, shared SharedPrefix, uncached int)
+	// Noticed says that an upstream's answer told news of the upstream itself.
+	Noticed(upstream *routing.Upstream, notice pacing.Notice)
 	// Ran says that a request of a workspace has begun to run.
 	Ran(workspace string)
 }
