A failing test: an upstream gets more than the limit that it names

Five nodes and two engines on real sockets; one engine names 1 request a second. Nothing fails, nothing is repeated and no node is disturbed, so sends that pass a check by (hypothesis C) are not needed; five nodes that each hold to the limit alone (B) would come to 55 at most. The nodes know the limit, by their logs, and no decision depends on it (A).

--- /dev/null
+++ b/edge/notices_test.go
@@ -0,0 +1,155 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonline/persimmonline/platform/platformtest"
+)
+
+const (
+	// limitWindow, limitFactor and limitSlack are the platform's bound on what reaches an
+	// upstream that names a limit: factor times the limit in the window, and slack.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+)
+
+// arrivals records when requests reach each engine.
+type arrivals struct {
+	mu sync.Mutex
+	at map[string][]time.Time
+}
+
+func (a *arrivals) Arrived(engine, _, _ string, at time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.at[engine] = append(a.at[engine], at)
+}
+
+func (a *arrivals) Ran(platformtest.Run) {}
+
+// between returns the number of requests that reached an engine from one time to another.
+func (a *arrivals) between(engine string, from, until time.Time) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	count := 0
+	for _, at := range a.at[engine] {
+		if !at.Before(from) && at.Before(until) {
+			count++
+		}
+	}
+	return count
+}
+
+// most returns the most requests that reached an engine in a window that begins after a time.
+func (a *arrivals) most(engine string, window time.Duration, from time.Time) int {
+	a.mu.Lock()
+	times := append([]time.Time{from}, a.at[engine]...)
+	a.mu.Unlock()
+	most := 0
+	for _, begin := range times {
+		if !begin.Before(from) {
+			most = max(most, a.between(engine, begin, begin.Add(window)))
+		}
+	}
+	return most
+}
+
+// noticeFleet is nodes before engines of one service, under load.
+type noticeFleet struct {
+	t        *testing.T
+	store    storeServer
+	nodes    []*Edge
+	engines  []*platformtest.Engine
+	arrivals *arrivals
+	asked    atomic.Int64
+	served   atomic.Int64
+}
+
+func newNoticeFleet(t *testing.T, nodes, engines int) *noticeFleet {
+	f := &noticeFleet{t: t, store: newStore(t), arrivals: &arrivals{at: map[string][]time.Time{}}}
+	f.store.configure(1, "k")
+	for i := range engines {
+		engine, err := platformtest.StartEngine("127.0.0.1", platformtest.EngineSettings{
+			ID: "i-" + string(rune('a'+i)), Service: "s", DataCentre: "z", Slots: 64, Work: 5 * time.Millisecond, Recorder: f.arrivals,
+		})
+		require.NoError(t, err)
+		t.Cleanup(engine.Crash)
+		f.engines = append(f.engines, engine)
+		f.store.register(engine.ID(), engine.Address())
+	}
+	var stops []func()
+	t.Cleanup(func() {
+		var stopping sync.WaitGroup
+		for _, stop := range stops {
+			stopping.Go(stop)
+		}
+		stopping.Wait()
+	})
+	for i := range nodes {
+		e, stop := start(t, settings(t, "n"+string(rune('a'+i)), f.store.address()))
+		f.nodes, stops = append(f.nodes, e), append(stops, stop)
+	}
+	for _, e := range f.nodes {
+		require.Eventually(t, func() bool {
+			known, _ := ask(e.ctx, e.control, func(now time.Time) int { return e.control.nodes(now) })
+			return known == nodes && ready(e)
+		}, eventually, 10*time.Millisecond)
+	}
+	return f
+}
+
+// load asks every node so many times a second until the test ends.
+func (f *noticeFleet) load(perNode int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var asking sync.WaitGroup
+	for _, e := range f.nodes {
+		asking.Go(func() {
+			ticker := time.NewTicker(time.Second / time.Duration(perNode))
+			defer ticker.Stop()
+			for {
+				select {
+				case <-ctx.Done():
+					return
+				case <-ticker.C:
+				}
+				asking.Go(func() {
+					f.asked.Add(1)
+					if call(f.t, e, "k") == http.StatusOK {
+						f.served.Add(1)
+					}
+				})
+			}
+		})
+	}
+	f.t.Cleanup(func() {
+		cancel()
+		asking.Wait()
+	})
+}
+
+// allowed is what may reach an upstream with a limit in limitWindow.
+func allowed(limit float64) int { return int(limitFactor*limit*limitWindow.Seconds()) + limitSlack }
+
+// All nodes together keep to the limit that an upstream names, and the others serve the rest.
+func TestUpstreamGetsNoMoreThanTheLimitThatItNames(t *testing.T) {
+	f := newNoticeFleet(t, 5, 2)
+	limited, sound := f.engines[0].ID(), f.engines[1].ID()
+	f.load(12)
+	time.Sleep(time.Second)
+	require.Positive(t, f.arrivals.between(limited, time.Time{}, time.Now()), "it gets work while it names no limit")
+	f.engines[0].SetNotice(platformtest.EngineNotice{Limit: "1"})
+	named := time.Now()
+	time.Sleep(contactBound + 2*limitWindow)
+	require.LessOrEqual(t, f.arrivals.most(limited, limitWindow, named.Add(contactBound)), allowed(1))
+	require.Positive(t, f.arrivals.between(limited, named.Add(contactBound), time.Now()), "it takes some work")
+	require.Greater(t, f.arrivals.between(sound, named, time.Now()), 100)
+	require.GreaterOrEqual(t, float64(f.served.Load()), 0.98*float64(f.asked.Load()-int64(len(f.nodes))))
+}
