An upstream that says in an answer that it leaves gets no work

The same class as the limit, elsewhere: no decision depended on an upstream's own word that it leaves; only the registry counted.

The gate closes at once for all but work that no other upstream can take, and for that too after 0.8 s, whether the control loop keeps up or not. The control loop takes the word as if it came from the registry, by incarnation, so that it is told to the other nodes in the next exchange and a later entry without it does not bring the upstream back.

--- a/edge/control.go
+++ b/edge/control.go
@@ -98,7 +98,7 @@
 	// goroutines read too.
 	gates     map[string]*pacing.Gate
 	gateClock func() time.Time
-	limits    limits
+	noticed   noticed
 	holders   map[string]routing.Holder
 	// keys are the upstreams by the hash that messages name them by.
 	keys     map[uint32]string
@@ -194,6 +194,7 @@
 			delete(c.suspects, key)
 		}
 	}
+	c.takeLeavingNotices(now)
 	c.forgetPeers(now)
 	c.followNodes(now)
 	c.lookForDuties(now)
@@ -350,7 +351,7 @@
 	byService := map[string][]*routing.Upstream{}
 	var sources []*routing.Upstream
 	others := c.othersLoad(now)
-	c.limits.begin()
+	c.noticed.begin()
 	members := c.registry.Upstreams()
 	live := make(map[string]bool, len(members))
 	for i := range members {
@@ -379,7 +380,7 @@
 	for _, source := range sources {
 		view.Fleet.AddSource(source)
 	}
-	c.edge.metrics.limitedUpstreams.Set(float64(c.limits.limited))
+	c.edge.metrics.limitedUpstreams.Set(float64(c.noticed.limited))
 	c.edge.view.Store(view)
 }
 
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -26,14 +26,25 @@
 		Dur("pause_ms", notice.Pause).Str("source", "answer").Msg("upstream's notice")
 	c.tryPost(func(now time.Time) {
 		c.publish(now)
+		c.takeLeavingNotices(now)
 		c.edge.peers.wake()
 	})
 }
 
-// limits are the upstreams that name a limit or named one lately, as of the last view.
-type limits struct {
-	upstreams []limitedUpstream
-	// limited is the number of those that name one now.
+// takeLeavingNotices takes the upstreams whose answers say that they leave out of the registry's
+// live ones, as if the registry told so.
+func (c *control) takeLeavingNotices(now time.Time) {
+	for _, upstream := range c.noticed.upstreams {
+		if upstream.gate.Leaving() {
+			c.changed(c.registry.Leave(upstream.id, upstream.bornMS, now))
+		}
+	}
+}
+
+// noticed are the upstreams that have said something of themselves, as of the last view.
+type noticed struct {
+	upstreams []noticedUpstream
+	// limited is the number of those that name a limit now.
 	limited int
 	// others are the other nodes that may be sending requests, by hash; nil until they are needed.
 	others []uint64
@@ -41,14 +52,14 @@
 	turn int
 }
 
-type limitedUpstream struct {
+type noticedUpstream struct {
 	id     string
 	bornMS int64
 	gate   *pacing.Gate
 }
 
 // begin forgets what a new view finds again.
-func (l *limits) begin() { l.upstreams, l.limited, l.others = l.upstreams[:0], 0, nil }
+func (n *noticed) begin() { n.upstreams, n.limited, n.others = n.upstreams[:0], 0, nil }
 
 // dealLimit gives this node its part of the limit that an upstream names. All nodes that may be
 // sending count, so that a part goes to another only when the node that had it has been silent.
@@ -56,18 +67,18 @@
 	if !gate.Noticed() {
 		return
 	}
-	c.limits.upstreams = append(c.limits.upstreams, limitedUpstream{member.ID, member.BornMS, gate})
+	c.noticed.upstreams = append(c.noticed.upstreams, noticedUpstream{member.ID, member.BornMS, gate})
 	limit := gate.Limit()
 	if !limit.Limited {
 		return
 	}
-	c.limits.limited++
-	if c.limits.others == nil {
-		c.limits.others = c.senders(now)
+	c.noticed.limited++
+	if c.noticed.others == nil {
+		c.noticed.others = c.senders(now)
 	}
 	share := 0.0
-	if len(c.limits.others) > 0 || now.Sub(c.edge.startedSteady) > joinTime {
-		share = pacing.Share(limit.Rate, xxhash.Sum64String(member.Key), xxhash.Sum64String(c.edge.settings.Name), c.limits.others)
+	if len(c.noticed.others) > 0 || now.Sub(c.edge.startedSteady) > joinTime {
+		share = pacing.Share(limit.Rate, xxhash.Sum64String(member.Key), xxhash.Sum64String(c.edge.settings.Name), c.noticed.others)
 	}
 	gate.Deal(share, c.gateClock())
 }
@@ -87,7 +98,7 @@
 func (c *control) limitsTold() []api.EdgeLimit {
 	now := c.gateClock()
 	told, older := []api.EdgeLimit{}, []api.EdgeLimit{}
-	for _, upstream := range c.limits.upstreams {
+	for _, upstream := range c.noticed.upstreams {
 		limit, changed, ok := upstream.gate.News(now)
 		if !ok {
 			continue
@@ -102,9 +113,9 @@
 		}
 	}
 	for i := range min(limitsInTurn, len(older)) {
-		told = append(told, older[(c.limits.turn+i)%len(older)])
+		told = append(told, older[(c.noticed.turn+i)%len(older)])
 	}
-	c.limits.turn += limitsInTurn
+	c.noticed.turn += limitsInTurn
 	return told
 }
 
--- a/edge/notices_test.go
+++ b/edge/notices_test.go
@@ -153,3 +153,17 @@
 	require.Greater(t, f.arrivals.between(sound, named, time.Now()), 100)
 	require.GreaterOrEqual(t, float64(f.served.Load()), 0.98*float64(f.asked.Load()-int64(len(f.nodes))))
 }
+
+// An upstream that says in its answers that it leaves gets no request that comes after the bound,
+// from no node, though the registry does not tell.
+func TestUpstreamThatSaysItLeavesGetsNoWork(t *testing.T) {
+	f := newNoticeFleet(t, 3, 2)
+	f.load(12)
+	time.Sleep(time.Second)
+	f.engines[0].SetNotice(platformtest.EngineNotice{Leaving: true})
+	said := time.Now()
+	time.Sleep(drainBound + 2*time.Second)
+	require.Positive(t, f.arrivals.between(f.engines[0].ID(), said, said.Add(drainBound)))
+	require.Zero(t, f.arrivals.between(f.engines[0].ID(), said.Add(drainBound), time.Now()))
+	require.GreaterOrEqual(t, float64(f.served.Load()), 0.98*float64(f.asked.Load()-int64(len(f.nodes))))
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -9,15 +9,14 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/persimmonline/persimmonline/pacing"
 )
 
 const (
 	// lapseGrace is how long an entry that vanished in an outage of the registry may
 	// take to come back, by the platform's word (about two seconds).
 	lapseGrace = 2 * time.Second
-	// drainingUse is how long after the notice a leaving upstream still gets work that
-	// no other can take; it lies well inside the platform's bound of 2 s.
-	drainingUse = 800 * time.Millisecond
 )
 
 // Entry is what an upstream says of itself in the registry.
@@ -396,5 +395,5 @@
 
 // UsableAt says whether the upstream may get new work at all.
 func (u *Upstream) UsableAt(now time.Time) bool {
-	return u.LeavingAt.IsZero() || now.Sub(u.LeavingAt) < drainingUse
+	return u.LeavingAt.IsZero() || now.Sub(u.LeavingAt) < pacing.LeavingUse
 }
--- a/pacing/gate.go
+++ b/pacing/gate.go
@@ -14,6 +14,9 @@
 	saving = time.Second
 	// liftTold is how long other nodes are told that a limit is over.
 	liftTold = 5 * time.Second
+	// LeavingUse is how long an upstream that leaves still gets work that no other can take; it
+	// lies well inside the platform's bound of 2 s.
+	LeavingUse = 800 * time.Millisecond
 	// longestWait bounds the time that is told until an upstream takes a request.
 	longestWait = 10 * time.Second
 )
@@ -24,8 +27,12 @@
 const (
 	// Open: it takes one.
 	Open State = iota
+	// LastResort: it leaves, and takes one that no other can take.
+	LastResort
 	// Closed: it takes none now.
 	Closed
+	// Left: it takes none any more.
+	Left
 )
 
 // Gate decides whether a request may be sent to one incarnation of an upstream, by what the
@@ -43,6 +50,8 @@
 	// send at once, as of levelAt.
 	share, level float64
 	levelAt      time.Time
+	// leavingAt is when an answer first said that the upstream leaves; zero if none did.
+	leavingAt time.Time
 	// promised is the time up to which requests to come are promised to refused callers.
 	promised time.Time
 }
@@ -55,6 +64,16 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	news := notice.Leaving && g.leavingAt.IsZero()
+	if news {
+		g.leavingAt = now
+		g.restricted.Store(true)
+		g.noticed.Store(true)
+	}
+	return g.hearLimit(notice, sentAt, now) || news
+}
+
+func (g *Gate) hearLimit(notice Notice, sentAt, now time.Time) bool {
 	if notice.Unclear {
 		return false
 	}
@@ -89,7 +108,7 @@
 	}
 	g.limit = limit
 	g.level = min(g.level, g.most())
-	g.restricted.Store(limit.Limited)
+	g.restricted.Store(limit.Limited || !g.leavingAt.IsZero())
 	g.noticed.Store(true)
 	return news
 }
@@ -135,16 +154,30 @@
 }
 
 func (g *Gate) state(now time.Time) State {
-	if !g.limit.Limited {
-		return Open
+	if !g.leavingAt.IsZero() && now.Sub(g.leavingAt) >= LeavingUse {
+		return Left
 	}
-	g.refill(now)
-	if g.level < 1 {
-		return Closed
+	if g.limit.Limited {
+		if g.refill(now); g.level < 1 {
+			return Closed
+		}
+	}
+	if !g.leavingAt.IsZero() {
+		return LastResort
 	}
 	return Open
 }
 
+// Leaving says whether an answer said that the upstream leaves.
+func (g *Gate) Leaving() bool {
+	if !g.restricted.Load() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.leavingAt.IsZero()
+}
+
 // Take counts a request that is sent now; it returns false if it may not be sent.
 func (g *Gate) Take(now time.Time) bool {
 	if g == nil || !g.restricted.Load() {
@@ -152,7 +185,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.state(now) == Closed {
+	if state := g.state(now); state == Closed || state == Left {
 		return false
 	}
 	if g.limit.Limited {
@@ -182,14 +215,14 @@
 }
 
 func (g *Gate) wait(now time.Time) time.Duration {
-	switch rate := g.rate(); {
-	case g.state(now) == Open:
+	if g.refill(now); !g.limit.Limited || g.level >= 1 {
 		return 0
-	case rate <= 0:
+	}
+	rate := g.rate()
+	if rate <= 0 {
 		return longestWait
-	default:
-		return min(longestWait, time.Duration((1-g.level)/rate*float64(time.Second)))
 	}
+	return min(longestWait, time.Duration((1-g.level)/rate*float64(time.Second)))
 }
 
 // ComeBack returns when a refused caller should ask again. Each is promised a request of its
--- a/pacing/gate_test.go
+++ b/pacing/gate_test.go
@@ -126,3 +126,16 @@
 		}
 	}
 }
+
+// An upstream that says that it leaves gets only what no other can take, and then nothing.
+func TestLeavingUpstreamIsTheLastResort(t *testing.T) {
+	var gate pacing.Gate
+	require.True(t, gate.Hear(pacing.Notice{Leaving: true}, at(0), at(1)))
+	require.False(t, gate.Hear(pacing.Notice{Leaving: true}, at(1), at(2)))
+	require.Equal(t, pacing.LastResort, gate.State(at(1.5)))
+	require.Equal(t, pacing.Left, gate.State(at(2)))
+	require.False(t, gate.Take(at(2)))
+	gate.Hear(pacing.Notice{Limited: true, Rate: 10}, at(2), at(2))
+	gate.Hear(pacing.Notice{}, at(3), at(4))
+	require.Equal(t, pacing.Left, gate.State(at(4)), "a later answer that does not say so does not bring it back")
+}
--- a/routing/route.go
+++ b/routing/route.go
@@ -211,7 +211,11 @@
 	if !eligible(candidate, r.request) {
 		return
 	}
-	if candidate.Gate.State(r.now) == pacing.Closed {
+	gate := candidate.Gate.State(r.now)
+	switch gate {
+	case pacing.Left:
+		return
+	case pacing.Closed:
 		r.noteClosed(candidate)
 		return
 	}
@@ -221,7 +225,7 @@
 		price += scorer.Price(candidate, r.request, forecast, r.weights)
 	}
 	kept := &r.best
-	if candidate.Health == membership.StateSuspect {
+	if candidate.Health == membership.StateSuspect || gate == pacing.LastResort {
 		kept = &r.suspect
 	}
 	if kept.Upstream != nil && price >= kept.Price {
