An upstream that turns a request away and names a time is left alone

At one node with 24 requests a second and two engines, the one that asked for 4 s got 73 requests in the 3 s after the first second; two are allowed. Now none, the callers are served by the other engine, and the node asks again when the time is over (TestUpstreamThatAsksForAPauseIsLeftAlone).

The time is that node's alone: it is not told to others, nor to callers, and the service is not suspected.

--- a/edge/notices_test.go
+++ b/edge/notices_test.go
@@ -167,3 +167,19 @@
 	require.Zero(t, f.arrivals.between(f.engines[0].ID(), said.Add(drainBound), time.Now()))
 	require.GreaterOrEqual(t, float64(f.served.Load()), 0.98*float64(f.asked.Load()-int64(len(f.nodes))))
 }
+
+// An upstream that turns requests away and names a time is asked by a node twice at most in that
+// time, half a second after its answer; callers are served by the others.
+func TestUpstreamThatAsksForAPauseIsLeftAlone(t *testing.T) {
+	const pause = 4 * time.Second
+	f := newNoticeFleet(t, 1, 2)
+	f.load(24)
+	time.Sleep(time.Second)
+	f.engines[0].SetNotice(platformtest.EngineNotice{TurnsAway: true, RetryAfter: "4"})
+	said := time.Now()
+	time.Sleep(pause + 2*time.Second)
+	require.Positive(t, f.arrivals.between(f.engines[0].ID(), said, said.Add(time.Second)))
+	require.LessOrEqual(t, f.arrivals.between(f.engines[0].ID(), said.Add(time.Second), said.Add(pause)), 2)
+	require.Positive(t, f.arrivals.between(f.engines[0].ID(), said.Add(pause), time.Now()), "it is asked again later")
+	require.GreaterOrEqual(t, float64(f.served.Load()), 0.98*float64(f.asked.Load()-int64(len(f.nodes))))
+}
--- a/pacing/gate.go
+++ b/pacing/gate.go
@@ -52,6 +52,8 @@
 	levelAt      time.Time
 	// leavingAt is when an answer first said that the upstream leaves; zero if none did.
 	leavingAt time.Time
+	// pausedUntil is when this node may send again to an upstream that asked it not to.
+	pausedUntil time.Time
 	// promised is the time up to which requests to come are promised to refused callers.
 	promised time.Time
 }
@@ -64,13 +66,23 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	news := notice.Leaving && g.leavingAt.IsZero()
-	if news {
-		g.leavingAt = now
-		g.restricted.Store(true)
-		g.noticed.Store(true)
+	news := false
+	if notice.Leaving && g.leavingAt.IsZero() {
+		g.leavingAt, news = now, true
+	}
+	if until := now.Add(notice.Pause); notice.Pause > 0 && until.After(g.pausedUntil) {
+		news = news || !now.Before(g.pausedUntil)
+		g.pausedUntil = until
 	}
-	return g.hearLimit(notice, sentAt, now) || news
+	news = g.hearLimit(notice, sentAt, now) || news
+	g.noticed.Store(true)
+	g.restrict(now)
+	return news
+}
+
+// restrict notes whether anything restricts what may be sent.
+func (g *Gate) restrict(now time.Time) {
+	g.restricted.Store(g.limit.Limited || !g.leavingAt.IsZero() || now.Before(g.pausedUntil))
 }
 
 func (g *Gate) hearLimit(notice Notice, sentAt, now time.Time) bool {
@@ -93,6 +105,8 @@
 	if limit.same(g.limit) || !limit.At.After(g.limit.At) {
 		return false
 	}
+	g.noticed.Store(true)
+	defer g.restrict(now)
 	return g.set(limit, now)
 }
 
@@ -108,8 +122,6 @@
 	}
 	g.limit = limit
 	g.level = min(g.level, g.most())
-	g.restricted.Store(limit.Limited || !g.leavingAt.IsZero())
-	g.noticed.Store(true)
 	return news
 }
 
@@ -157,6 +169,9 @@
 	if !g.leavingAt.IsZero() && now.Sub(g.leavingAt) >= LeavingUse {
 		return Left
 	}
+	if now.Before(g.pausedUntil) {
+		return Closed
+	}
 	if g.limit.Limited {
 		if g.refill(now); g.level < 1 {
 			return Closed
@@ -215,14 +230,15 @@
 }
 
 func (g *Gate) wait(now time.Time) time.Duration {
+	pause := max(0, g.pausedUntil.Sub(now))
 	if g.refill(now); !g.limit.Limited || g.level >= 1 {
-		return 0
+		return min(longestWait, pause)
 	}
 	rate := g.rate()
 	if rate <= 0 {
 		return longestWait
 	}
-	return min(longestWait, time.Duration((1-g.level)/rate*float64(time.Second)))
+	return min(longestWait, max(pause, time.Duration((1-g.level)/rate*float64(time.Second))))
 }
 
 // ComeBack returns when a refused caller should ask again. Each is promised a request of its
--- a/pacing/gate_test.go
+++ b/pacing/gate_test.go
@@ -139,3 +139,15 @@
 	gate.Hear(pacing.Notice{}, at(3), at(4))
 	require.Equal(t, pacing.Left, gate.State(at(4)), "a later answer that does not say so does not bring it back")
 }
+
+// The time for which an upstream wants no requests is not shortened by a later answer.
+func TestPauseHoldsToItsEnd(t *testing.T) {
+	var gate pacing.Gate
+	require.True(t, gate.Hear(pacing.Notice{Pause: 4 * time.Second}, at(0), at(1)))
+	require.False(t, gate.Hear(pacing.Notice{Pause: time.Second}, at(1), at(2)))
+	gate.Hear(pacing.Notice{}, at(1), at(2))
+	require.Equal(t, 0, sends(&gate, 2, 4.9))
+	require.Equal(t, time.Second, gate.Wait(at(4)))
+	require.Equal(t, pacing.Open, gate.State(at(5)))
+	require.True(t, gate.Hear(pacing.Notice{Pause: time.Second}, at(5), at(6)), "it is news again")
+}
