A limit outlives the entry of its upstream

Found while looking for the cause elsewhere: what an upstream said was kept with its entry, so that an entry that was removed and came back, as at the loss of the registry's history, freed all nodes of the limit at once until the next answers. TestLimitOutlivesTheEntryOfItsUpstream failed before. Kept for a minute now, by incarnation; a new process at the same address starts with nothing known.

--- a/edge/control.go
+++ b/edge/control.go
@@ -96,10 +96,12 @@
 	trackers  map[string]*routing.Tracker
 	// gates hold what upstreams say of themselves. gateClock is their clock, which traffic
 	// goroutines read too.
-	gates     map[string]*pacing.Gate
-	gateClock func() time.Time
-	noticed   noticed
-	holders   map[string]routing.Holder
+	gates map[string]*pacing.Gate
+	// formerGates are those of upstreams whose entry was removed lately.
+	formerGates map[string]formerGate
+	gateClock   func() time.Time
+	noticed     noticed
+	holders     map[string]routing.Holder
 	// keys are the upstreams by the hash that messages name them by.
 	keys     map[uint32]string
 	prefixes *routing.Prefixes
@@ -117,7 +119,7 @@
 	c := &control{
 		edge: e, events: make(chan event, eventQueue),
 		registry: fleet.NewRegistry(), peers: map[string]*peerState{}, suspects: map[string]time.Time{},
-		trackers: map[string]*routing.Tracker{}, gates: map[string]*pacing.Gate{}, gateClock: time.Now, holders: map[string]routing.Holder{}, keys: map[uint32]string{}, nodesChanged: true,
+		trackers: map[string]*routing.Tracker{}, gates: map[string]*pacing.Gate{}, formerGates: map[string]formerGate{}, gateClock: time.Now, holders: map[string]routing.Holder{}, keys: map[uint32]string{}, nodesChanged: true,
 		prefixes: routing.NewPrefixes(maxPrefixBlocks), dirty: true,
 		poison: quarantine.NewTable(), fetches: map[string]time.Time{},
 	}
@@ -195,6 +197,7 @@
 		}
 	}
 	c.takeLeavingNotices(now)
+	c.forgetGates(now)
 	c.forgetPeers(now)
 	c.followNodes(now)
 	c.lookForDuties(now)
@@ -370,7 +373,7 @@
 		if !live[key] {
 			c.prefixes.Close(c.holders[key])
 			delete(c.trackers, key)
-			delete(c.gates, key)
+			c.dropGate(key, now)
 			delete(c.holders, key)
 			delete(c.keys, upstreamHash(key))
 		}
@@ -395,9 +398,6 @@
 			c.holders[key] = c.prefixes.Open(member.ID, incarnationOf(member.BornMS), blocks)
 		}
 	}
-	if c.gates[key] == nil {
-		c.gates[key] = &pacing.Gate{}
-	}
 	own := int(tracker.InFlight.Load())
 	_, queued := tracker.Due()
 	health := membership.StateLive
@@ -406,7 +406,7 @@
 	}
 	return &routing.Upstream{
 		FetchRate: c.fetchRate(member.Service), Leaving: member.Leaving(), ID: member.ID, Incarnation: incarnationOf(member.BornMS), Address: member.Address,
-		DataCentre: member.DataCentre, Health: health, Tracker: tracker, Gate: c.gates[key], Holder: c.holders[key],
+		DataCentre: member.DataCentre, Health: health, Tracker: tracker, Gate: c.gate(key), Holder: c.holders[key],
 		Load: &api.EngineLoad{
 			AtMS: time.Now().UnixMilli(), BatchSlots: member.Slots,
 			Running: own + load.Running, QueuedTokens: load.QueuedTokens + queued,
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -17,8 +17,48 @@
 	limitNews = time.Second
 	// limitsInTurn is the number of older limits that a message tells besides, in turn.
 	limitsInTurn = 2
+	// noticeMemory is how long what an upstream said of itself is kept after its entry was
+	// removed, since the entry may come back.
+	noticeMemory = time.Minute
 )
 
+// gate returns the gate of an upstream, a new one if nothing is known of it.
+func (c *control) gate(key string) *pacing.Gate {
+	known := c.gates[key]
+	if known == nil {
+		known = &pacing.Gate{}
+		if former, ok := c.formerGates[key]; ok {
+			known = former.gate
+			delete(c.formerGates, key)
+		}
+		c.gates[key] = known
+	}
+	return known
+}
+
+// formerGate is the gate of an upstream whose entry was removed at a time.
+type formerGate struct {
+	gate      *pacing.Gate
+	removedAt time.Time
+}
+
+// dropGate puts the gate of an upstream without an entry aside.
+func (c *control) dropGate(key string, now time.Time) {
+	if gate := c.gates[key]; gate != nil && gate.Noticed() {
+		c.formerGates[key] = formerGate{gate, now}
+	}
+	delete(c.gates, key)
+}
+
+// forgetGates forgets the gates that were put aside long ago.
+func (c *control) forgetGates(now time.Time) {
+	for key, former := range c.formerGates {
+		if now.Sub(former.removedAt) > noticeMemory {
+			delete(c.formerGates, key)
+		}
+	}
+}
+
 // Noticed implements serving.Events.
 func (c *control) Noticed(upstream *routing.Upstream, notice pacing.Notice) {
 	c.edge.logger.Info().Str("upstream", upstream.ID).Str("born_ms", upstream.Incarnation).Str("address", upstream.Address).
--- a/edge/notices_mesh_test.go
+++ b/edge/notices_mesh_test.go
@@ -177,3 +177,25 @@
 		}
 	}
 }
+
+// An upstream whose entry is removed and comes back, as at the loss of the registry's history, is
+// still under its limit at nodes that may not ask it.
+func TestLimitOutlivesTheEntryOfItsUpstream(t *testing.T) {
+	m := newLimitedMesh(t, 5, 1)
+	m.run(20)
+	for range 50 {
+		m.step(1)
+	}
+	c := m.nodes["n000"]
+	c.registry.Remove("u", 1, m.now)
+	c.publish(m.now)
+	c.registry.Put(fleet.Entry{ID: "u", BornMS: 1, Service: "pool", Address: "10.0.0.1:1", Slots: 8, Sequence: 2, Offset: 2}, m.now)
+	c.publish(m.now)
+	require.Len(t, c.edge.view.Load().Fleet.ByService["pool"], 1)
+	require.True(t, c.gates["u/1"].Limit().Limited)
+	c.registry.Remove("u", 3, m.now)
+	c.publish(m.now)
+	m.now = m.now.Add(noticeMemory + controlTick)
+	c.tick(m.now)
+	require.Empty(t, c.formerGates)
+}
