A caller waits a moment for an upstream that takes its request in time

A request waits half of its latency target at most, for a place that is counted for it at once, so that those that wait are sent in their order and none is refused in the end; the others are refused at once.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -22,7 +22,7 @@
 	"github.com/persimmonline/persimmonline/platform/platformtest"
 )
 
-const configText = `{"version":%d,"routes":[{"name":"r","host":"h.example","pathPrefix":"/a/","type":"unsafe","timeoutMs":3000,
+const configText = `{"version":%d,"routes":[{"name":"r","host":"h.example","pathPrefix":"/a/","type":"unsafe","timeoutMs":3000,"targetLatencyMs":1000,
  "service":"s","maxAttempts":1}],"services":[{"name":"s","healthPath":"/healthz"}],"limits":{},
  "tenants":[{"name":"w","apiKeys":["%s"],"ratePerS":1000,"burst":1000}]}`
 
--- a/edge/notices_test.go
+++ b/edge/notices_test.go
@@ -106,13 +106,13 @@
 	return f
 }
 
-// load asks every node so many times a second until the test ends.
-func (f *noticeFleet) load(perNode int) {
+// load asks every node until the test ends, so many times at once and so often a second.
+func (f *noticeFleet) load(perSecond float64, atOnce int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var asking sync.WaitGroup
 	for _, e := range f.nodes {
 		asking.Go(func() {
-			ticker := time.NewTicker(time.Second / time.Duration(perNode))
+			ticker := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
 			defer ticker.Stop()
 			for {
 				select {
@@ -120,12 +120,14 @@
 					return
 				case <-ticker.C:
 				}
-				asking.Go(func() {
-					f.asked.Add(1)
-					if call(f.t, e, "k") == http.StatusOK {
-						f.served.Add(1)
-					}
-				})
+				for range atOnce {
+					asking.Go(func() {
+						f.asked.Add(1)
+						if call(f.t, e, "k") == http.StatusOK {
+							f.served.Add(1)
+						}
+					})
+				}
 			}
 		})
 	}
@@ -142,7 +144,7 @@
 func TestUpstreamGetsNoMoreThanTheLimitThatItNames(t *testing.T) {
 	f := newNoticeFleet(t, 5, 2)
 	limited, sound := f.engines[0].ID(), f.engines[1].ID()
-	f.load(12)
+	f.load(12, 1)
 	time.Sleep(time.Second)
 	require.Positive(t, f.arrivals.between(limited, time.Time{}, time.Now()), "it gets work while it names no limit")
 	f.engines[0].SetNotice(platformtest.EngineNotice{Limit: "1"})
@@ -158,7 +160,7 @@
 // from no node, though the registry does not tell.
 func TestUpstreamThatSaysItLeavesGetsNoWork(t *testing.T) {
 	f := newNoticeFleet(t, 3, 2)
-	f.load(12)
+	f.load(12, 1)
 	time.Sleep(time.Second)
 	f.engines[0].SetNotice(platformtest.EngineNotice{Leaving: true})
 	said := time.Now()
@@ -173,7 +175,7 @@
 func TestUpstreamThatAsksForAPauseIsLeftAlone(t *testing.T) {
 	const pause = 4 * time.Second
 	f := newNoticeFleet(t, 1, 2)
-	f.load(24)
+	f.load(24, 1)
 	time.Sleep(time.Second)
 	f.engines[0].SetNotice(platformtest.EngineNotice{TurnsAway: true, RetryAfter: "4"})
 	said := time.Now()
@@ -183,3 +185,20 @@
 	require.Positive(t, f.arrivals.between(f.engines[0].ID(), said.Add(pause), time.Now()), "it is asked again later")
 	require.GreaterOrEqual(t, float64(f.served.Load()), 0.98*float64(f.asked.Load()-int64(len(f.nodes))))
 }
+
+// Where every upstream names a limit that is enough for all callers, a caller waits for a moment
+// and is not refused because the part of its node is used up.
+func TestCallersAreServedWithinTheLimitsOfAllUpstreams(t *testing.T) {
+	const atOnce = 3
+	f := newNoticeFleet(t, 5, 2)
+	for _, engine := range f.engines {
+		engine.SetNotice(platformtest.EngineNotice{Limit: "8"})
+	}
+	f.load(0.8, atOnce)
+	time.Sleep(3 * time.Second)
+	asked, served := f.asked.Load(), f.served.Load()
+	time.Sleep(2 * limitWindow)
+	inFlight := float64(len(f.nodes) * atOnce)
+	require.GreaterOrEqual(t, float64(f.served.Load()-served), 0.98*float64(f.asked.Load()-asked)-inFlight)
+	require.LessOrEqual(t, f.arrivals.most(f.engines[0].ID(), limitWindow, time.Time{}), allowed(8))
+}
--- a/pacing/gate.go
+++ b/pacing/gate.go
@@ -209,6 +209,24 @@
 	return true
 }
 
+// Reserve counts a request that is sent after a wait of at most so long, and returns the wait;
+// ok is false if it would be longer. Those that reserve first are sent first.
+func (g *Gate) Reserve(now time.Time, most time.Duration) (wait time.Duration, ok bool) {
+	if g.Take(now) {
+		return 0, true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.state(now) == Left {
+		return 0, false
+	}
+	if wait = g.wait(now); wait > most || g.rate() <= 0 {
+		return 0, false
+	}
+	g.level--
+	return wait, true
+}
+
 // GiveBack takes back a request that was counted and not sent.
 func (g *Gate) GiveBack() {
 	if g == nil || !g.restricted.Load() {
--- a/pacing/gate_test.go
+++ b/pacing/gate_test.go
@@ -151,3 +151,19 @@
 	require.Equal(t, pacing.Open, gate.State(at(5)))
 	require.True(t, gate.Hear(pacing.Notice{Pause: time.Second}, at(5), at(6)), "it is news again")
 }
+
+// Requests that wait for an upstream are sent in their order, as the limit allows, and none waits
+// longer than it may.
+func TestReservationsAreKeptInOrder(t *testing.T) {
+	gate := limited(4, 1)
+	for _, want := range []time.Duration{250, 500, 750, 1000} {
+		wait, ok := gate.Reserve(at(0), time.Second)
+		require.True(t, ok)
+		require.Equal(t, want*time.Millisecond, wait)
+	}
+	_, ok := gate.Reserve(at(0), time.Second)
+	require.False(t, ok)
+	require.False(t, gate.Take(at(0.9)), "what is reserved is not taken by others")
+	gate.GiveBack()
+	require.Equal(t, 2, sends(gate, 1, 1.5))
+}
--- a/serving/run.go
+++ b/serving/run.go
@@ -25,6 +25,9 @@
 	leastRemaining = 10 * time.Millisecond
 	// maxForeignAnswers bounds the late answers to other requests that are read past.
 	maxForeignAnswers = 3
+	// awaitShare is the part of the latency target, one over this, that a request waits for an
+	// upstream that takes it later.
+	awaitShare = 2
 	// latencyWeight prices a second of waiting; the router's other prices are off here.
 	latencyWeight = 1.0
 	// shortUrgency is the engine's priority of the shortest prompts; it leaves the first
@@ -165,6 +168,9 @@
 		return *reserved, nil
 	}
 	choice, err := r.take(r.view)
+	if errors.Is(err, routing.ErrClosed) && r.await(choice.Upstream.Gate) {
+		return choice, nil
+	}
 	if errors.Is(err, routing.ErrClosed) {
 		r.opens = choice.Upstream.Gate.ComeBack(time.Now())
 		r.handler.Metrics.closed.WithLabelValues(r.service).Inc()
@@ -172,6 +178,26 @@
 	return choice, err
 }
 
+// await waits until an upstream takes the request, if the answer can still come in time then. A
+// request that waits is sent in the end, unless its caller leaves.
+func (r *run) await(gate *pacing.Gate) bool {
+	now := time.Now()
+	most := min(r.deadline.Sub(now), r.request.Route.LatencyTarget) / awaitShare
+	wait, ok := gate.Reserve(now, most)
+	if !ok {
+		return false
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.ctx.Done():
+		gate.GiveBack()
+		return false
+	}
+}
+
 // take chooses an upstream and counts a request against its limit. Another request may have
 // taken the last of it meanwhile.
 func (r *run) take(view *View) (choice routing.Choice, err error) {
