The age of a notice is taken off the use of an upstream that leaves

Now the use ends within 0.8 of the bound from the last time at which the registry was known to be current, so that the ages along the way add up to no more than the bound; where the registry is read in time nothing changes. TestNoticeThatComesLateShortensTheUseOfAnUpstream failed before at 1.3 s.

--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -115,7 +115,7 @@
 		standby: e.trusted(&e.vouched.registry, func() time.Duration { return part(registryBound(e.bounds.Load()), trustShare) }),
 		wait:    func() time.Duration { return heldFor(registryBound(e.bounds.Load()), registryWait) },
 		pause:   func() time.Duration { return e.paced(registryPause, leastRegistryPause, mostRegistryPause) },
-		current: func() { c.post(ctx, func(now time.Time) { c.registryAt = now }) },
+		current: func() { c.post(ctx, c.registryRead) },
 		newest: func(records []platform.KeyedRecord, upTo int64) {
 			var entries []fleet.Entry
 			for _, record := range records {
@@ -143,6 +143,12 @@
 	}
 }
 
+// registryRead notes that the registry is known as it was at a time.
+func (c *control) registryRead(at time.Time) {
+	c.registryAt = at
+	c.registry.Current(at, c.edge.bounds.Load().Drain)
+}
+
 // registryRecord takes one change of the registry.
 func (c *control) registryRecord(record platform.KeyedRecord, now time.Time) {
 	if len(record.Value) == 0 {
--- a/edge/message.go
+++ b/edge/message.go
@@ -273,7 +273,7 @@
 	}
 	hub.registrySeen = told.Version
 	if readAt.After(c.registryAt) {
-		c.registryAt = readAt
+		c.registryRead(readAt)
 	}
 	if told.Hash == c.registry.Hash() {
 		c.mismatches = 0
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -14,6 +14,9 @@
 )
 
 const (
+	// drainShare is the part of the bound on draining in which an upstream gets work after the
+	// notice; the rest is for requests that are on their way to it.
+	drainShare = 0.8
 	// lapseGrace is how long an entry that vanished in an outage of the registry may
 	// take to come back, by the platform's word (about two seconds).
 	lapseGrace = 2 * time.Second
@@ -52,6 +55,8 @@
 	SeenAt time.Time
 	// LeavingAt is when this node learned that it leaves; zero when it does not.
 	LeavingAt time.Time
+	// usableUntil is when it gets no work any more because it leaves.
+	usableUntil time.Time
 	// LapsedAt is when its entry vanished in an outage; zero when it has not.
 	LapsedAt time.Time
 
@@ -100,6 +105,9 @@
 	gone        map[string]goneIncarnation
 	outageEnded time.Time
 	outage      bool
+	// currentAt is when the registry was read last, drainBound the platform's bound on draining.
+	currentAt  time.Time
+	drainBound time.Duration
 	// version rises with each change that readers of this registry must be told.
 	version int64
 	// forgotten is the version up to which removals are forgotten.
@@ -193,7 +201,7 @@
 		known.Draining = true
 		return nil
 	case entry.Draining:
-		known.LeavingAt = now
+		r.leave(known, now)
 		return []Change{{Upstream: *known, What: Draining}}
 	case lapsed:
 		return []Change{{Upstream: *known, What: Back}}
@@ -216,7 +224,7 @@
 	}
 	added := &Upstream{Entry: entry, SeenAt: now, Key: Key(entry.ID, entry.BornMS), changed: r.touch()}
 	if entry.Draining {
-		added.LeavingAt = now
+		r.leave(added, now)
 	}
 	r.upstreams[entry.ID] = added
 	return append(changes, Change{Upstream: *added, What: Added})
@@ -228,10 +236,26 @@
 	if known == nil || known.BornMS != bornMS || !known.LeavingAt.IsZero() {
 		return nil
 	}
-	known.LeavingAt, known.Draining, known.changed = now, true, r.touch()
+	r.leave(known, now)
+	known.Draining, known.changed = true, r.touch()
 	return []Change{{Upstream: *known, What: Draining}}
 }
 
+// leave notes that an upstream leaves, as this node learns now. It may have said so just after
+// the registry was read last.
+func (r *Registry) leave(known *Upstream, now time.Time) {
+	known.LeavingAt, known.usableUntil = now, now.Add(pacing.LeavingUse)
+	if latest := r.currentAt.Add(time.Duration(drainShare * float64(r.drainBound))); !r.currentAt.IsZero() && latest.Before(known.usableUntil) {
+		known.usableUntil = latest
+	}
+}
+
+// Current notes that all that was written up to a time is known, and the time after a notice in
+// which an upstream may get work.
+func (r *Registry) Current(at time.Time, drainBound time.Duration) {
+	r.currentAt, r.drainBound = at, drainBound
+}
+
 // Remove takes the removal of an entry, by the record at an offset. Within the grace after an
 // outage the entry may have lapsed while its upstream lives.
 func (r *Registry) Remove(id string, offset int64, now time.Time) []Change {
@@ -395,5 +419,5 @@
 
 // UsableAt says whether the upstream may get new work at all.
 func (u *Upstream) UsableAt(now time.Time) bool {
-	return u.LeavingAt.IsZero() || now.Sub(u.LeavingAt) < pacing.LeavingUse
+	return u.LeavingAt.IsZero() || now.Before(u.usableUntil)
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -131,3 +131,18 @@
 	r.Renumbered()
 	require.Equal(t, []string{"gone"}, what(r.Replace(nil, 0, at(40))))
 }
+
+// The time in which a notice may have been on its way, by a hub that fell silent, is taken off the
+// use of an upstream that leaves.
+func TestNoticeThatComesLateShortensTheUseOfAnUpstream(t *testing.T) {
+	const bound = 2 * time.Second
+	for _, c := range []struct{ heard, usable, over int }{{100, 800, 900}, {1300, 1500, 1700}, {3000, 0, 3000}} {
+		r := fleet.NewRegistry()
+		r.Put(entry(1, false), at(0))
+		r.Current(at(0), bound)
+		r.Leave("i-1", 100, at(c.heard))
+		upstream := r.Upstreams()[0]
+		require.True(t, upstream.UsableAt(at(c.usable)) || c.usable < c.heard, "heard after %d ms", c.heard)
+		require.False(t, upstream.UsableAt(at(c.over)), "heard after %d ms", c.heard)
+	}
+}
