Soak: engines that name limits, leave by their answers and ask for a pause

A judge that knows only what came over the wire checks all three rules over all nodes, in spans without unplanned faults and restarts.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -34,6 +34,7 @@
 	w.checkDraining()
 	w.checkVersions()
 	w.checkBudget(requests)
+	w.checkNotices()
 	for _, text := range w.cloud.Broken() {
 		w.notes.breach("duties: %s", text)
 	}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -151,6 +151,7 @@
 	}
 	sleep(ctx, time.Duration(random.IntN(500))*time.Millisecond)
 	w.startAgain(n)
+	w.notes.restarted(began, time.Now())
 }
 
 // crash kills nodes at once and starts them again.
--- a/soak/notes_test.go
+++ b/soak/notes_test.go
@@ -16,6 +16,8 @@
 	leaving  map[string]time.Time
 	probes   []probe
 	trouble  []trouble
+	restarts []trouble
+	notices  []noticed
 	breaches []string
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,6 +32,10 @@
 	// faultsFor is the span in which faults begin, faultsInWorld their number.
 	faultsFor     = 9 * time.Second
 	faultsInWorld = 9
+	// noticesInWorld is the number of faults that engines announce in their answers, noticeStream
+	// the stream of a seed's random numbers that draws them.
+	noticesInWorld = 3
+	noticeStream   = 1 << 32
 	// plannedOnly is the part of the seeds with planned work alone, one in so many.
 	plannedOnly = 3
 	// recoverIn is the time after the last fault from which on requests must be served, and
@@ -133,7 +137,7 @@
 	}
 	go w.probe(traffic, rand.New(rand.NewPCG(seed, workers)))
 	sleep(ctx, warmUp)
-	story := w.playFaults(ctx, random, seed%plannedOnly == 0)
+	story := w.playFaults(ctx, random, rand.New(rand.NewPCG(seed, noticeStream)), seed%plannedOnly == 0)
 	sleep(ctx, recoverIn)
 	measured := time.Now()
 	sleep(ctx, measureFor)
@@ -156,17 +160,13 @@
 	t.Logf("seed %d: %s", seed, w.summary())
 }
 
-// playFaults plays a series of faults that may overlap, and returns its story.
-func (w *world) playFaults(ctx context.Context, random *rand.Rand, planned bool) []string {
+// playFaults plays a series of faults that may overlap, and some that engines announce, drawn
+// apart from them, and returns its story.
+func (w *world) playFaults(ctx context.Context, random, notices *rand.Rand, planned bool) []string {
 	var story []string
 	var mu sync.Mutex
 	var running sync.WaitGroup
-	for range faultsInWorld {
-		chosen := faults[random.IntN(len(faults))]
-		for planned && !chosen.planned {
-			chosen = faults[random.IntN(len(faults))]
-		}
-		own := rand.New(rand.NewPCG(random.Uint64(), 0))
+	play := func(chosen fault, own *rand.Rand) {
 		running.Go(func() {
 			from := time.Now()
 			chosen.do(ctx, w, own)
@@ -178,6 +178,19 @@
 			defer mu.Unlock()
 			story = append(story, fmt.Sprintf("%s to %s %s", clockTime(from), clockTime(to), chosen.name))
 		})
+	}
+	running.Go(func() {
+		for range noticesInWorld {
+			sleep(ctx, time.Duration(notices.ExpFloat64()*float64(faultsFor)/(noticesInWorld+1)))
+			play(noticeFaults[notices.IntN(len(noticeFaults))], rand.New(rand.NewPCG(notices.Uint64(), 0)))
+		}
+	})
+	for range faultsInWorld {
+		chosen := faults[random.IntN(len(faults))]
+		for planned && !chosen.planned {
+			chosen = faults[random.IntN(len(faults))]
+		}
+		play(chosen, rand.New(rand.NewPCG(random.Uint64(), 0)))
 		sleep(ctx, time.Duration(random.ExpFloat64()*float64(faultsFor)/faultsInWorld))
 	}
 	running.Wait()
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -56,6 +56,8 @@
 	service  string
 	proxy    *platformtest.Proxy
 	draining bool
+	// held says that a fault decides what the engine says of itself.
+	held atomic.Bool
 }
 
 // published is a version of the configuration with the time of its acknowledgement.
