--- a/edge/control.go
+++ b/edge/control.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/catalog"
 	"github.com/persimmonline/persimmonline/cell"
@@ -101,6 +103,8 @@
 	formerGates map[string]formerGate
 	gateClock   func() time.Time
 	noticed     noticed
+	// noticeLines bounds the log lines on what upstreams say.
+	noticeLines *rate.Limiter
 	holders     map[string]routing.Holder
 	// keys are the upstreams by the hash that messages name them by.
 	keys     map[uint32]string
@@ -119,7 +123,7 @@
 	c := &control{
 		edge: e, events: make(chan event, eventQueue),
 		registry: fleet.NewRegistry(), peers: map[string]*peerState{}, suspects: map[string]time.Time{},
-		trackers: map[string]*routing.Tracker{}, gates: map[string]*pacing.Gate{}, formerGates: map[string]formerGate{}, gateClock: time.Now, holders: map[string]routing.Holder{}, keys: map[uint32]string{}, nodesChanged: true,
+		trackers: map[string]*routing.Tracker{}, gates: map[string]*pacing.Gate{}, formerGates: map[string]formerGate{}, noticeLines: rate.NewLimiter(noticeLineRate, noticeLineBurst), gateClock: time.Now, holders: map[string]routing.Holder{}, keys: map[uint32]string{}, nodesChanged: true,
 		prefixes: routing.NewPrefixes(maxPrefixBlocks), dirty: true,
 		poison: quarantine.NewTable(), fetches: map[string]time.Time{},
 	}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -50,7 +50,7 @@
 			Name: "persimmonline_edge_limited_upstreams", Help: "Upstreams that name a limit of requests a second.",
 		}),
 		logDropped: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "persimmonline_edge_log_lines_dropped_total", Help: "Log lines that the output was too slow for.",
+			Name: "persimmonline_edge_log_lines_dropped_total", Help: "Log lines that were left out, because the output was too slow or upstreams said too much.",
 		}),
 	}
 	registry.MustRegister(m.configVersion, m.storeFailures, m.storeCalls, m.eventWait, m.peerFailures, m.eventsDropped, m.limitedUpstreams, m.logDropped)
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -20,6 +20,9 @@
 	// noticeMemory is how long what an upstream said of itself is kept after its entry was
 	// removed, since the entry may come back.
 	noticeMemory = time.Minute
+	// noticeLineRate and noticeLineBurst bound the log lines a second of what upstreams say.
+	noticeLineRate  = 50
+	noticeLineBurst = 500
 )
 
 // gate returns the gate of an upstream, a new one if nothing is known of it.
@@ -61,9 +64,11 @@
 
 // Noticed implements serving.Events.
 func (c *control) Noticed(upstream *routing.Upstream, notice pacing.Notice) {
-	c.edge.logger.Info().Str("upstream", upstream.ID).Str("born_ms", upstream.Incarnation).Str("address", upstream.Address).
-		Bool("limited", notice.Limited).Float64("limit", notice.Rate).Bool("leaving", notice.Leaving).
-		Dur("pause_ms", notice.Pause).Str("source", "answer").Msg("upstream's notice")
+	if c.noticeLine() {
+		c.edge.logger.Info().Str("upstream", upstream.ID).Str("born_ms", upstream.Incarnation).Str("address", upstream.Address).
+			Bool("limited", notice.Limited).Float64("limit", notice.Rate).Bool("leaving", notice.Leaving).
+			Dur("pause_ms", notice.Pause).Str("source", "answer").Msg("upstream's notice")
+	}
 	c.tryPost(func(now time.Time) {
 		c.publish(now)
 		c.takeLeavingNotices(now)
@@ -71,6 +76,15 @@
 	})
 }
 
+// noticeLine says whether another line on what an upstream says may be written.
+func (c *control) noticeLine() bool {
+	if c.noticeLines.Allow() {
+		return true
+	}
+	c.edge.metrics.logDropped.Inc()
+	return false
+}
+
 // takeLeavingNotices takes the upstreams whose answers say that they leave out of the registry's
 // live ones, as if the registry told so.
 func (c *control) takeLeavingNotices(now time.Time) {
@@ -120,7 +134,10 @@
 	if len(c.noticed.others) > 0 || now.Sub(c.edge.startedSteady) > joinTime {
 		share = pacing.Share(limit.Rate, xxhash.Sum64String(member.Key), xxhash.Sum64String(c.edge.settings.Name), c.noticed.others)
 	}
-	gate.Deal(share, c.gateClock())
+	if gate.Deal(share, c.gateClock()) && c.noticeLine() {
+		c.edge.logger.Info().Str("upstream", member.ID).Int64("born_ms", member.BornMS).Float64("limit", limit.Rate).
+			Float64("share", share).Int("nodes", len(c.noticed.others)+1).Msg("part of a limit")
+	}
 }
 
 // senders returns the hashes of the other nodes that may be sending requests.
@@ -168,8 +185,11 @@
 			continue
 		}
 		heard := pacing.Limit{Limited: limit.Limited, Rate: limit.Rate, At: now.Add(-time.Duration(limit.AgeMS) * time.Millisecond)}
-		if gate.Told(heard, now) {
-			c.dirty = true
+		if !gate.Told(heard, now) {
+			continue
+		}
+		c.dirty = true
+		if c.noticeLine() {
 			c.edge.logger.Info().Str("upstream", limit.ID).Int64("born_ms", limit.BornMS).Bool("limited", limit.Limited).
 				Float64("limit", limit.Rate).Int64("age_ms", limit.AgeMS).Str("source", peer.name).Msg("upstream's notice")
 		}
--- a/pacing/gate.go
+++ b/pacing/gate.go
@@ -128,13 +128,15 @@
 // Noticed says whether the upstream has ever said something of itself.
 func (g *Gate) Noticed() bool { return g.noticed.Load() }
 
-// Deal sets this node's part of the limit, between 0 and 1.
-func (g *Gate) Deal(share float64, now time.Time) {
+// Deal sets this node's part of the limit, between 0 and 1, and returns whether that changes it.
+func (g *Gate) Deal(share float64, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.refill(now)
+	changed := g.share != share
 	g.share = share
 	g.level = min(g.level, g.most())
+	return changed
 }
 
 // rate returns the requests a second that this node may send.
