--- a/edge/notices_test.go
+++ b/edge/notices_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"flag"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,6 +15,11 @@
 	"github.com/persimmonline/persimmonline/platform/platformtest"
 )
 
+var (
+	limitNodes = flag.Int("limit.nodes", 5, "nodes in the test of limits of any size")
+	limitRate  = flag.Float64("limit.rate", 4, "limit in requests a second in that test")
+)
+
 const (
 	// limitWindow, limitFactor and limitSlack are the platform's bound on what reaches an
 	// upstream that names a limit: factor times the limit in the window, and slack.
@@ -202,3 +209,20 @@
 	require.GreaterOrEqual(t, float64(f.served.Load()-served), 0.98*float64(f.asked.Load()-asked)-inFlight)
 	require.LessOrEqual(t, f.arrivals.most(f.engines[0].ID(), limitWindow, time.Time{}), allowed(8))
 }
+
+// A limit holds and is used, at any size of fleet, where no other upstream can take the work.
+func TestLimitIsUsedAndHolds(t *testing.T) {
+	f := newNoticeFleet(t, *limitNodes, 1)
+	f.engines[0].SetNotice(platformtest.EngineNotice{Limit: strconv.FormatFloat(*limitRate, 'f', -1, 64)})
+	f.load(max(2, 2**limitRate/float64(*limitNodes)), 1)
+	named := time.Now()
+	time.Sleep(contactBound + time.Second)
+	counted := time.Now()
+	time.Sleep(4 * limitWindow)
+	used := f.arrivals.between(f.engines[0].ID(), counted, time.Now())
+	most := f.arrivals.most(f.engines[0].ID(), limitWindow, named.Add(contactBound))
+	t.Logf("%d nodes, limit %v: %d requests in %v, at most %d in %v, allowed %d", *limitNodes, *limitRate, used,
+		4*limitWindow, most, limitWindow, allowed(*limitRate))
+	require.LessOrEqual(t, most, allowed(*limitRate))
+	require.GreaterOrEqual(t, float64(used)+1, 0.8**limitRate*4*limitWindow.Seconds())
+}
