Refused callers are not told times of a burst long ago

Found in review of the gate: each refused caller moved the promised times on without a bound, so that a burst of refusals told later callers 10 s for as long as an hour; a node that holds no part of a limit told 10 s where another node may serve at once; and a request that waited for its turn was sent although the upstream had asked for a pause meanwhile. TestRefusedCallersReturnOneAfterAnother, TestNodeWithoutAPartPromisesNoTime and TestReservationEndsWithAPause.

--- a/pacing/gate.go
+++ b/pacing/gate.go
@@ -229,6 +229,13 @@
 	return wait, true
 }
 
+// Keeps says whether a request that was reserved may be sent now that its wait is over.
+func (g *Gate) Keeps(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !now.Before(g.pausedUntil) && g.state(now) != Left
+}
+
 // GiveBack takes back a request that was counted and not sent.
 func (g *Gate) GiveBack() {
 	if g == nil || !g.restricted.Load() {
@@ -262,19 +269,20 @@
 }
 
 // ComeBack returns when a refused caller should ask again. Each is promised a request of its
-// own, so that they return at the pace at which the upstream takes them.
-func (g *Gate) ComeBack(now time.Time) time.Duration {
+// own, so that they return at the pace at which the upstream takes them. ok is false if this
+// node has no part of the limit, so that another node must be asked.
+func (g *Gate) ComeBack(now time.Time) (wait time.Duration, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	next := now.Add(g.wait(now))
-	if g.promised.After(next) {
-		next = g.promised
+	if g.limit.Limited && g.share == 0 {
+		return 0, false
 	}
-	g.promised = next
+	wait = max(g.wait(now), g.promised.Sub(now))
 	if rate := g.rate(); rate > 0 {
-		g.promised = next.Add(time.Duration(min(longestWait.Seconds(), 1/rate) * float64(time.Second)))
+		next := wait + time.Duration(min(longestWait.Seconds(), 1/rate)*float64(time.Second))
+		g.promised = now.Add(min(longestWait, next))
 	}
-	return min(longestWait, next.Sub(now))
+	return min(longestWait, wait), true
 }
 
 // Limit returns the limit that the upstream named last.
--- a/pacing/gate_test.go
+++ b/pacing/gate_test.go
@@ -74,9 +74,37 @@
 // Callers that are refused together do not return together.
 func TestRefusedCallersReturnOneAfterAnother(t *testing.T) {
 	gate := limited(2, 1)
-	require.Equal(t, 500*time.Millisecond, gate.ComeBack(at(0)))
-	require.Equal(t, time.Second, gate.ComeBack(at(0)))
-	require.Equal(t, 1500*time.Millisecond, gate.ComeBack(at(0)))
+	comesBack := func(second float64) time.Duration {
+		wait, ok := gate.ComeBack(at(second))
+		require.True(t, ok)
+		return wait
+	}
+	require.Equal(t, 500*time.Millisecond, comesBack(0))
+	require.Equal(t, time.Second, comesBack(0))
+	require.Equal(t, 1500*time.Millisecond, comesBack(0))
+	for range 10_000 {
+		comesBack(0)
+	}
+	require.Equal(t, 10*time.Second, comesBack(0))
+	require.Less(t, comesBack(12), time.Second, "a burst of refusals is not remembered for longer")
+}
+
+// A node without a part of a limit does not promise what it can't keep.
+func TestNodeWithoutAPartPromisesNoTime(t *testing.T) {
+	_, ok := limited(2, 0).ComeBack(at(0))
+	require.False(t, ok)
+}
+
+// A request that waits for its turn is not sent if the upstream has asked for a pause meanwhile.
+func TestReservationEndsWithAPause(t *testing.T) {
+	gate := limited(1, 1)
+	wait, ok := gate.Reserve(at(0), time.Second)
+	require.True(t, ok)
+	require.True(t, gate.Keeps(at(0).Add(wait)))
+	_, ok = gate.Reserve(at(1), time.Second)
+	require.True(t, ok)
+	gate.Hear(pacing.Notice{Limited: true, Rate: 1, Pause: 4 * time.Second}, at(1), at(1.5))
+	require.False(t, gate.Keeps(at(2)))
 }
 
 // All nodes together are dealt the whole limit and no more, and what they may send at once stays
--- a/serving/run.go
+++ b/serving/run.go
@@ -172,14 +172,17 @@
 		return choice, nil
 	}
 	if errors.Is(err, routing.ErrClosed) {
-		r.opens = choice.Upstream.Gate.ComeBack(time.Now())
+		r.opens = comeBackSoon
+		if wait, ok := choice.Upstream.Gate.ComeBack(time.Now()); ok {
+			r.opens = max(wait, comeBackNow)
+		}
 		r.handler.Metrics.closed.WithLabelValues(r.service).Inc()
 	}
 	return choice, err
 }
 
 // await waits until an upstream takes the request, if the answer can still come in time then. A
-// request that waits is sent in the end, unless its caller leaves.
+// request that waits is sent in the end, unless its caller leaves or the upstream wants none any more.
 func (r *run) await(gate *pacing.Gate) bool {
 	now := time.Now()
 	most := min(r.deadline.Sub(now), r.request.Route.LatencyTarget) / awaitShare
@@ -191,11 +194,13 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return true
+		if gate.Keeps(time.Now()) {
+			return true
+		}
 	case <-r.ctx.Done():
-		gate.GiveBack()
-		return false
 	}
+	gate.GiveBack()
+	return false
 }
 
 // take chooses an upstream and counts a request against its limit. Another request may have
