--- a/pacing/gate.go
+++ b/pacing/gate.go
@@ -25,13 +25,13 @@
 type State int
 
 const (
-	// Open: it takes one.
+	// Open upstreams take one.
 	Open State = iota
-	// LastResort: it leaves, and takes one that no other can take.
+	// LastResort upstreams leave, and take one that no other can take.
 	LastResort
-	// Closed: it takes none now.
+	// Closed upstreams take none now.
 	Closed
-	// Left: it takes none any more.
+	// Left upstreams take none any more.
 	Left
 )
 
