The pause that an upstream asks of a node is not told to callers

It is one upstream's wish to one node: a caller whom no other upstream can serve is asked back soon, and reaches another node. TestPauseIsNotToldToCallers failed before.

--- a/pacing/gate.go
+++ b/pacing/gate.go
@@ -270,11 +270,11 @@
 
 // ComeBack returns when a refused caller should ask again. Each is promised a request of its
 // own, so that they return at the pace at which the upstream takes them. ok is false if this
-// node has no part of the limit, so that another node must be asked.
+// node has no part of the limit, or is asked for a pause, so that another node may do better.
 func (g *Gate) ComeBack(now time.Time) (wait time.Duration, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.limit.Limited && g.share == 0 {
+	if (g.limit.Limited && g.share == 0) || now.Before(g.pausedUntil) {
 		return 0, false
 	}
 	wait = max(g.wait(now), g.promised.Sub(now))
--- a/pacing/gate_test.go
+++ b/pacing/gate_test.go
@@ -95,6 +95,17 @@
 	require.False(t, ok)
 }
 
+// The time for which an upstream wants no requests of this node is not passed on to callers, whom
+// another node may serve.
+func TestPauseIsNotToldToCallers(t *testing.T) {
+	gate := limited(2, 1)
+	gate.Hear(pacing.Notice{Limited: true, Rate: 2, Pause: 4 * time.Second}, at(0), at(1))
+	_, ok := gate.ComeBack(at(2))
+	require.False(t, ok)
+	_, ok = gate.ComeBack(at(5))
+	require.True(t, ok)
+}
+
 // A request that waits for its turn is not sent if the upstream has asked for a pause meanwhile.
 func TestReservationEndsWithAPause(t *testing.T) {
 	gate := limited(1, 1)
