A removal that follows an outage of one node is no lapse

Callers' requests reached engines 2042 to 2053 ms after the store had taken their entries away, and the engines were gone 50 ms later: 502 for one caller.

Cause, from the logs: the store turned away the hub alone from 16 s to 23.5 s. Its members read the registry themselves. At 24.01 s two engines that never say that they drain had their entries removed. The hub reads again at 24.23 s and takes the removals for entries that lapsed in an outage, which get 2 s to come back; the members go by the hub again from 24.41 s on, before their own next read, and a lapsed entry is not told, so that all nodes use the engines until 26.31 s.

Entries lapse only if upstreams can't write. Nodes now tell how old their knowledge of the registry is, and a node whose outage others did not share, with no gap longer than it takes them to begin to read, takes a removal for what it is. TestRemovalAfterAnOutageOfOneNodeIsNoLapse failed before.

--- a/api/edge_gen.go
+++ b/api/edge_gen.go
@@ -83,6 +83,10 @@
 	// Registry is what has changed of the upstreams; only reporters are told.
 	Registry *EdgeRegistry `json:"registry,omitempty,omitzero"`
 
+	// RegistryAgeMS is the time since the sender knew all of the registry, in
+	// milliseconds.
+	RegistryAgeMS int64 `json:"registry_age_ms"`
+
 	// RegistrySeen is the version of the receiver's registry that the sender has; 0
 	// for none.
 	RegistrySeen int64 `json:"registry_seen"`
--- a/edge/message.go
+++ b/edge/message.go
@@ -62,7 +62,8 @@
 		Node: e.settings.Name, Incarnation: e.incarnation, Address: e.peerAddress(), DataCentre: e.settings.DataCentre,
 		ClockMS: e.clock.now().UnixMilli(), SentMS: now.UnixMilli(), All: all,
 		ConfigVersion: c.configVersion(), ConfigAgeMS: ageMS(c.confirmedAt, now),
-		Load: c.loadTold(to, all, now), Suspicions: c.suspicions(now), Leaving: c.leavingTold(now), Limits: c.limitsTold(),
+		RegistryAgeMS: ageMS(c.registryAt, now),
+		Load:          c.loadTold(to, all, now), Suspicions: c.suspicions(now), Leaving: c.leavingTold(now), Limits: c.limitsTold(),
 		Placed: []api.EdgePlacement{}, PlacedSeen: to.placed, MembersKnown: to.membersVersion, RegistrySeen: to.registrySeen,
 	}
 	if c.reportsTo != nil {
--- a/edge/peerstate.go
+++ b/edge/peerstate.go
@@ -115,6 +115,9 @@
 	}
 	c.takeQuota(peer, message, now)
 	c.takeLeaving(message.Leaving, now)
+	if message.RegistryAgeMS < neverMS {
+		c.registry.ServedElsewhere(now.Add(-time.Duration(message.RegistryAgeMS) * time.Millisecond))
+	}
 	c.takeLimits(peer, message.Limits)
 	c.takeSuspicions(message.Suspicions, now)
 	c.takeMembers(peer, message, now)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -17,6 +17,9 @@
 	// drainShare is the part of the bound on draining in which an upstream gets work after the
 	// notice; the rest is for requests that are on their way to it.
 	drainShare = 0.8
+	// servedShare times the bound on draining is the time in which some node has read the registry
+	// as long as it serves any: nodes that went by a hub begin to read within two thirds of it.
+	servedShare = 1.25
 	// lapseGrace is how long an entry that vanished in an outage of the registry may
 	// take to come back, by the platform's word (about two seconds).
 	lapseGrace = 2 * time.Second
@@ -105,6 +108,12 @@
 	gone        map[string]goneIncarnation
 	outageEnded time.Time
 	outage      bool
+	// servedAt is when another node last read the registry in this node's outage, servedGap the
+	// longest time in the outage in which none did.
+	servedAt  time.Time
+	servedGap time.Duration
+	// outageBegan is when this node last read the registry before its outage.
+	outageBegan time.Time
 	// currentAt is when the registry was read last, drainBound the platform's bound on draining.
 	currentAt  time.Time
 	drainBound time.Duration
@@ -172,12 +181,32 @@
 
 // Outage notes that the registry can't be read, or can be read again.
 func (r *Registry) Outage(active bool, now time.Time) {
-	if r.outage && !active {
+	switch {
+	case active && !r.outage:
+		r.outageBegan, r.servedAt, r.servedGap = r.currentAt, r.currentAt, 0
+	case r.outage && !active && r.mayHaveLapsed(now):
 		r.outageEnded = now
 	}
 	r.outage = active
 }
 
+// ServedElsewhere notes that another node had read all of the registry up to a time. In an outage
+// of this node alone upstreams write on, and no entry lapses.
+func (r *Registry) ServedElsewhere(at time.Time) {
+	if r.outage && at.After(r.servedAt) {
+		r.servedGap = max(r.servedGap, at.Sub(r.servedAt))
+		r.servedAt = at
+	}
+}
+
+// mayHaveLapsed says whether entries may have vanished in the present outage though their
+// upstreams live.
+func (r *Registry) mayHaveLapsed(now time.Time) bool {
+	alone := r.servedAt.After(r.outageBegan) &&
+		max(r.servedGap, now.Sub(r.servedAt)) < time.Duration(servedShare*float64(r.drainBound))
+	return r.outage && !alone
+}
+
 // Put takes an entry of an upstream.
 func (r *Registry) Put(entry Entry, now time.Time) []Change {
 	if gone, ok := r.gone[entry.ID]; ok && gone.supersedes(entry) {
@@ -263,7 +292,7 @@
 	if known == nil {
 		return nil
 	}
-	recent := r.outage || (!r.outageEnded.IsZero() && now.Sub(r.outageEnded) < lapseGrace)
+	recent := r.mayHaveLapsed(now) || (!r.outageEnded.IsZero() && now.Sub(r.outageEnded) < lapseGrace)
 	if recent && known.LeavingAt.IsZero() {
 		if !known.LapsedAt.IsZero() {
 			return nil
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -146,3 +146,30 @@
 		require.False(t, upstream.UsableAt(at(c.over)), "heard after %d ms", c.heard)
 	}
 }
+
+// A node that the registry turned away while it served others takes a removal for what it is: no
+// entry has lapsed.
+func TestRemovalAfterAnOutageOfOneNodeIsNoLapse(t *testing.T) {
+	outage := func(servedElsewhere ...int) *fleet.Registry {
+		r := fleet.NewRegistry()
+		r.Put(entry(1, false), at(0))
+		r.Current(at(0), 2*time.Second)
+		r.Outage(true, at(1300))
+		for _, ms := range servedElsewhere {
+			r.ServedElsewhere(at(ms))
+		}
+		return r
+	}
+	r := outage(900, 2000, 3100, 4000, 5500, 7000)
+	require.Equal(t, []string{"gone"}, what(r.Remove("i-1", 5, at(8000))))
+	r = outage(900, 2000, 3100, 4000, 5500, 7000)
+	r.Outage(false, at(7900))
+	require.Equal(t, []string{"gone"}, what(r.Remove("i-1", 5, at(8000))))
+
+	for _, ms := range []int{1500, 4000} {
+		require.Equal(t, []string{"lapsed"}, what(outage().Remove("i-1", 5, at(ms))), "it served nobody")
+	}
+	r = outage(900, 7300)
+	r.Outage(false, at(7900))
+	require.Equal(t, []string{"lapsed"}, what(r.Remove("i-1", 5, at(8000))), "it served nobody for some seconds")
+}
