--- a/edge/exchange_test.go
+++ b/edge/exchange_test.go
@@ -386,3 +386,32 @@
 		})
 	}
 }
+
+// A hub that alone could not read the registry for a while takes the removal of an entry for what it
+// is, and so do the nodes that go by it.
+func TestHubThatWasTurnedAwayAloneTakesARemoval(t *testing.T) {
+	m := newMesh(t, 5, 1)
+	for _, c := range m.nodes {
+		c.registry.Put(fleet.Entry{ID: "u", BornMS: 1, Service: "pool", Address: "10.0.0.1:1", Slots: 1}, m.now)
+		c.registryRead(m.now)
+	}
+	m.run(20)
+	hub, _ := m.hubAndReporter()
+	hub.registry.Outage(true, m.now)
+	for range 80 {
+		for _, c := range m.nodes {
+			if c != hub {
+				c.registryRead(m.now)
+			}
+		}
+		m.run(1)
+	}
+	changes := hub.registry.Remove("u", 5, m.now)
+	require.Len(t, changes, 1)
+	require.Equal(t, fleet.Gone, changes[0].What)
+	hub.registry.Outage(false, m.now)
+	m.run(3)
+	for name, c := range m.nodes {
+		require.Empty(t, c.registry.Upstreams(), name)
+	}
+}
--- a/edge/mesh_test.go
+++ b/edge/mesh_test.go
@@ -36,7 +36,7 @@
 func (m *mesh) start(name, dataCentre string) {
 	e := New(platform.Settings{
 		Name: name, DataCentre: dataCentre, PeerPort: 1,
-		Bounds: platform.Bounds{UsageWindow: 5 * time.Second, Contact: contactBound, ConfigApply: applyBound, Lease: 3 * time.Second},
+		Bounds: platform.Bounds{UsageWindow: 5 * time.Second, Contact: contactBound, ConfigApply: applyBound, Drain: drainBound, Lease: 3 * time.Second},
 	}, zerolog.New(io.Discard))
 	for other, c := range m.nodes {
 		e.control.addPeer(other, other, c.edge.settings.DataCentre, m.now)
