Every limit is told to every node in turn

Found in review: the turn of the older limits that a message tells was one for all peers, so that a hub whose number of messages shares a factor with the number of limits told a node the same ones each time. The turn is kept for each peer now.

--- a/edge/message.go
+++ b/edge/message.go
@@ -63,7 +63,7 @@
 		ClockMS: e.clock.now().UnixMilli(), SentMS: now.UnixMilli(), All: all,
 		ConfigVersion: c.configVersion(), ConfigAgeMS: ageMS(c.confirmedAt, now),
 		RegistryAgeMS: ageMS(c.registryAt, now),
-		Load:          c.loadTold(to, all, now), Suspicions: c.suspicions(now), Leaving: c.leavingTold(now), Limits: c.limitsTold(),
+		Load:          c.loadTold(to, all, now), Suspicions: c.suspicions(now), Leaving: c.leavingTold(now), Limits: c.limitsTold(to),
 		Placed: []api.EdgePlacement{}, PlacedSeen: to.placed, MembersKnown: to.membersVersion, RegistrySeen: to.registrySeen,
 	}
 	if c.reportsTo != nil {
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -102,8 +102,6 @@
 	limited int
 	// others are the other nodes that may be sending requests, by hash; nil until they are needed.
 	others []uint64
-	// turn is where the next message goes on to tell of older limits.
-	turn int
 }
 
 type noticedUpstream struct {
@@ -151,8 +149,9 @@
 	return senders
 }
 
-// limitsTold are the limits of which a message tells: those that have changed, and some others.
-func (c *control) limitsTold() []api.EdgeLimit {
+// limitsTold are the limits of which a message to a peer tells: those that have changed, and some
+// others.
+func (c *control) limitsTold(to *peerState) []api.EdgeLimit {
 	now := c.gateClock()
 	told, older := []api.EdgeLimit{}, []api.EdgeLimit{}
 	for _, upstream := range c.noticed.upstreams {
@@ -170,9 +169,9 @@
 		}
 	}
 	for i := range min(limitsInTurn, len(older)) {
-		told = append(told, older[(c.noticed.turn+i)%len(older)])
+		told = append(told, older[(to.limitsTurn+i)%len(older)])
 	}
-	c.noticed.turn += limitsInTurn
+	to.limitsTurn += limitsInTurn
 	return told
 }
 
--- a/edge/notices_mesh_test.go
+++ b/edge/notices_mesh_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -199,3 +200,37 @@
 	c.tick(m.now)
 	require.Empty(t, c.formerGates)
 }
+
+// A node that was not there when limits were named is told of all of them, whatever their number.
+func TestLateNodeIsToldOfEveryLimit(t *testing.T) {
+	for _, limits := range []int{3, 4, 8, 16} {
+		m := newLimitedMesh(t, 5, 1)
+		entries := func(c *control) {
+			for i := range limits {
+				c.registry.Put(fleet.Entry{ID: fmt.Sprintf("v%d", i), BornMS: 1, Service: "pool", Address: "10.0.0.1:1", Slots: 8}, m.now)
+			}
+			c.publish(m.now)
+		}
+		for _, c := range m.nodes {
+			entries(c)
+		}
+		m.run(20)
+		for i := range limits {
+			m.nodes["n000"].gates[fmt.Sprintf("v%d/1", i)].Hear(pacing.Notice{Limited: true, Rate: 2}, m.now, m.now)
+		}
+		for range 30 {
+			m.step(0)
+		}
+		late := m.nodes["n003"]
+		m.restart(late)
+		late = m.nodes["n003"]
+		m.know(late)
+		entries(late)
+		for range 30 {
+			m.step(0)
+		}
+		for key, gate := range late.gates {
+			require.True(t, key == "u/1" || gate.Limit().Limited, "%d limits, %s", limits, key)
+		}
+	}
+}
--- a/edge/peerstate.go
+++ b/edge/peerstate.go
@@ -47,6 +47,8 @@
 	// placed is the sequence of the newest placement that was taken from it, placedTold
 	// the newest of this node's that it has.
 	placed, placedTold int64
+	// limitsTurn is where the next message to it goes on to tell of older limits.
+	limitsTurn int
 	// members are the nodes that it hears of, by their version; knowsMembers is the version
 	// of this node's members that it has.
 	members                      []string
