A limit is kept for long prompts while others can take the short ones

A limit counts requests whatever their length, and the first ones to come used it. Nothing changes where no upstream names a limit. TestLimitIsKeptForLongPrompts failed before.

--- a/routing/route.go
+++ b/routing/route.go
@@ -20,6 +20,9 @@
 	scoreAll = 24
 	// sampleSize is the number of candidates that are scored when there are more.
 	sampleSize = 12
+	// longPrompt is the length from which a prompt delays the tokens of requests beside it, in
+	// tokens: one chunk of prefill.
+	longPrompt = 4096
 	// maxHolders bounds the holders of the prompt's prefix that are scored beside the sample.
 	maxHolders = 8
 )
@@ -225,7 +228,7 @@
 		price += scorer.Price(candidate, r.request, forecast, r.weights)
 	}
 	kept := &r.best
-	if candidate.Health == membership.StateSuspect || gate == pacing.LastResort {
+	if candidate.Health == membership.StateSuspect || gate == pacing.LastResort || r.sparesLimit(candidate) {
 		kept = &r.suspect
 	}
 	if kept.Upstream != nil && price >= kept.Price {
@@ -240,6 +243,13 @@
 	}
 }
 
+// sparesLimit says whether a request is too short to be counted against an upstream's limit while
+// others can take it. A limit counts requests whatever their length, so that it carries most
+// work if the long ones use it.
+func (r *round) sparesLimit(candidate *Upstream) bool {
+	return r.request.PromptTokens > 0 && r.request.PromptTokens < longPrompt && candidate.Gate.Limit().Limited
+}
+
 func (r *round) noteClosed(candidate *Upstream) {
 	if opens := candidate.Gate.Wait(r.now); r.closed == nil || opens < r.opens {
 		r.closed, r.opens = candidate, opens
--- a/routing/route_test.go
+++ b/routing/route_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/membership"
+	"github.com/persimmonline/persimmonline/pacing"
 	"github.com/persimmonline/persimmonline/prompt"
 )
 
@@ -297,3 +298,21 @@
 		})
 	}
 }
+
+// The requests that an upstream takes under a limit go to long prompts while others can take the
+// short ones.
+func TestLimitIsKeptForLongPrompts(t *testing.T) {
+	limited, other := engine("a", nil), engine("b", nil)
+	limited.Gate = &pacing.Gate{}
+	limited.Gate.Hear(pacing.Notice{Limited: true, Rate: 10}, epoch, epoch)
+	limited.Gate.Deal(1, epoch)
+	now := epoch.Add(time.Second)
+	for range 4 {
+		other.Tracker.Begin(now, 0, 2000, 0)
+	}
+	fleet := fleetOf(nil, now, limited, other)
+	require.Equal(t, "b", choose(t, fleet, Request{PromptTokens: 500, AnswerTokens: 10}, now).Upstream.ID)
+	require.Equal(t, "a", choose(t, fleet, Request{PromptTokens: 8000, AnswerTokens: 10}, now).Upstream.ID)
+	require.Equal(t, "a", choose(t, fleet, Request{PromptTokens: 500, AnswerTokens: 10, Excluded: map[string]bool{"b": true}}, now).Upstream.ID)
+	require.Equal(t, "a", choose(t, fleet, Request{AnswerTokens: 10}, now).Upstream.ID, "a plain call has no length")
+}
