One copy of the time that an age stands for, and simpler steps on the gate

Read again as a whole. The time that a message's age stands for was worked out in four places (a closure, the limits, the registry's age, the suspicions); asOf serves all. A run asks once whether all upstreams are closed, a view takes the gate of an upstream once, and the control state is made in lines that can be read. No decision changes; an age below 0, which no node sends, now counts as 0 for suspicions as it did for the registry.

--- a/edge/control.go
+++ b/edge/control.go
@@ -123,8 +123,10 @@
 	c := &control{
 		edge: e, events: make(chan event, eventQueue),
 		registry: fleet.NewRegistry(), peers: map[string]*peerState{}, suspects: map[string]time.Time{},
-		trackers: map[string]*routing.Tracker{}, gates: map[string]*pacing.Gate{}, formerGates: map[string]formerGate{}, noticeLines: rate.NewLimiter(noticeLineRate, noticeLineBurst), gateClock: time.Now, holders: map[string]routing.Holder{}, keys: map[uint32]string{}, nodesChanged: true,
-		prefixes: routing.NewPrefixes(maxPrefixBlocks), dirty: true,
+		trackers: map[string]*routing.Tracker{}, holders: map[string]routing.Holder{}, keys: map[uint32]string{}, nodesChanged: true,
+		gates: map[string]*pacing.Gate{}, formerGates: map[string]formerGate{}, gateClock: time.Now,
+		noticeLines: rate.NewLimiter(noticeLineRate, noticeLineBurst),
+		prefixes:    routing.NewPrefixes(maxPrefixBlocks), dirty: true,
 		poison: quarantine.NewTable(), fetches: map[string]time.Time{},
 	}
 	c.duties = newDuties(e, c)
@@ -364,9 +366,7 @@
 	for i := range members {
 		member, key := &members[i], members[i].Key
 		live[key] = true
-		if gate := c.gates[key]; gate != nil {
-			c.dealLimit(member, gate, now)
-		}
+		c.dealLimit(member, c.gate(key), now)
 		if !member.UsableAt(now) {
 			sources = append(sources, c.upstream(member, key, api.EdgeLoad{}))
 			continue
@@ -410,7 +410,7 @@
 	}
 	return &routing.Upstream{
 		FetchRate: c.fetchRate(member.Service), Leaving: member.Leaving(), ID: member.ID, Incarnation: incarnationOf(member.BornMS), Address: member.Address,
-		DataCentre: member.DataCentre, Health: health, Tracker: tracker, Gate: c.gate(key), Holder: c.holders[key],
+		DataCentre: member.DataCentre, Health: health, Tracker: tracker, Gate: c.gates[key], Holder: c.holders[key],
 		Load: &api.EngineLoad{
 			AtMS: time.Now().UnixMilli(), BatchSlots: member.Slots,
 			Running: own + load.Running, QueuedTokens: load.QueuedTokens + queued,
--- a/edge/message.go
+++ b/edge/message.go
@@ -115,6 +115,11 @@
 	return max(0, now.Sub(at).Milliseconds())
 }
 
+// asOf returns when something was known that had an age, in milliseconds, at a time.
+func asOf(ageMS int64, at time.Time) time.Time {
+	return at.Add(-time.Duration(max(0, ageMS)) * time.Millisecond)
+}
+
 // neverMS is the age of what was never known: longer than any bound, short enough to add to.
 const neverMS = int64(24 * time.Hour / time.Millisecond)
 
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -183,7 +183,7 @@
 		if gate == nil {
 			continue
 		}
-		heard := pacing.Limit{Limited: limit.Limited, Rate: limit.Rate, At: now.Add(-time.Duration(limit.AgeMS) * time.Millisecond)}
+		heard := pacing.Limit{Limited: limit.Limited, Rate: limit.Rate, At: asOf(limit.AgeMS, now)}
 		if !gate.Told(heard, now) {
 			continue
 		}
--- a/edge/peerstate.go
+++ b/edge/peerstate.go
@@ -118,7 +118,7 @@
 	c.takeQuota(peer, message, now)
 	c.takeLeaving(message.Leaving, now)
 	if message.RegistryAgeMS < neverMS {
-		c.registry.ServedElsewhere(now.Add(-time.Duration(message.RegistryAgeMS) * time.Millisecond))
+		c.registry.ServedElsewhere(asOf(message.RegistryAgeMS, now))
 	}
 	c.takeLimits(peer, message.Limits)
 	c.takeSuspicions(message.Suspicions, now)
@@ -167,16 +167,15 @@
 		c.edge.ledger.Acked(now)
 		c.edge.ledgerLock.Unlock()
 	}
-	knownAt := func(ageMS int64) time.Time { return sentAt.Add(-time.Duration(max(0, ageMS)) * time.Millisecond) }
-	if at := knownAt(message.ConfigAgeMS); message.ConfigVersion == c.configVersion() && at.After(c.confirmedAt) {
+	if at := asOf(message.ConfigAgeMS, sentAt); message.ConfigVersion == c.configVersion() && at.After(c.confirmedAt) {
 		c.confirm(at)
 	}
 	if message.Registry == nil || message.Registry.AgeMS >= neverMS || peer != c.reportsTo {
 		return
 	}
-	c.takeRegistry(peer, message.Registry, knownAt(message.Registry.AgeMS), now)
-	c.edge.vouched.config.Store(knownAt(message.ConfigAgeMS).UnixNano())
-	c.edge.vouched.registry.Store(knownAt(message.Registry.AgeMS).UnixNano())
+	c.takeRegistry(peer, message.Registry, asOf(message.Registry.AgeMS, sentAt), now)
+	c.edge.vouched.config.Store(asOf(message.ConfigAgeMS, sentAt).UnixNano())
+	c.edge.vouched.registry.Store(asOf(message.Registry.AgeMS, sentAt).UnixNano())
 	c.edge.vouched.nodes.Store(now.UnixNano())
 }
 
--- a/edge/poison.go
+++ b/edge/poison.go
@@ -62,7 +62,7 @@
 	for _, known := range heard {
 		c.poison.Merge(quarantine.Suspicion{
 			Fingerprint: known.Fingerprint, Upstreams: known.Upstreams,
-			At: now.Add(-time.Duration(known.AgeMS) * time.Millisecond),
+			At: asOf(known.AgeMS, now),
 		}, now)
 	}
 }
--- a/serving/run.go
+++ b/serving/run.go
@@ -168,16 +168,17 @@
 		return *reserved, nil
 	}
 	choice, err := r.take(r.view)
-	if errors.Is(err, routing.ErrClosed) && r.await(choice.Upstream.Gate) {
+	if !errors.Is(err, routing.ErrClosed) {
+		return choice, err
+	}
+	if r.await(choice.Upstream.Gate) {
 		return choice, nil
 	}
-	if errors.Is(err, routing.ErrClosed) {
-		r.opens = comeBackSoon
-		if wait, ok := choice.Upstream.Gate.ComeBack(time.Now()); ok {
-			r.opens = max(wait, comeBackNow)
-		}
-		r.handler.Metrics.closed.WithLabelValues(r.service).Inc()
+	r.opens = comeBackSoon
+	if wait, ok := choice.Upstream.Gate.ComeBack(time.Now()); ok {
+		r.opens = max(wait, comeBackNow)
 	}
+	r.handler.Metrics.closed.WithLabelValues(r.service).Inc()
 	return choice, err
 }
 
