quota: nodes report usage in sessions, and a root grants absolute credit

Cause: usage was told as sums less a baseline for the former hub, so that what a message meant depended on who had told whom before. While members changed their hub, the same usage was charged again, or nobody was charged.

Now the nodes form a tree. A report holds the total of a session with one parent, a grant the total at which the bucket will be empty; a new parent begins a new session with what no parent was told of. Lost, repeated and late messages leave the same state. Baselines, acknowledged usage and sums of departed peers are gone.

--- a/api/edge_gen.go
+++ b/api/edge_gen.go
@@ -60,9 +60,6 @@
 	// Node is the sender's name.
 	Node string `json:"node"`
 
-	// Nodes is the number of nodes that the message represents.
-	Nodes int `json:"nodes"`
-
 	// Placed are the shared parts of prompts that the nodes have recently sent to
 	// engines.
 	Placed []EdgePlacement `json:"placed"`
@@ -71,17 +68,16 @@
 	// has received.
 	PlacedSeen int64 `json:"placed_seen"`
 
-	// QuotaBase is the part of QuotaUsed that others have received through a hub that
-	// is no longer live; omitted if no hub was lost recently.
-	QuotaBase map[string]float64 `json:"quota_base,omitempty,omitzero"`
+	// QuotaGrant replies to the receiver's reports of its usage of quotas.
+	QuotaGrant *EdgeQuotaGrant `json:"quota_grant,omitempty,omitzero"`
 
 	// QuotaLevels are the levels of the sender's buckets, by workspace; sent only to
 	// a node that has just started.
 	QuotaLevels map[string]float64 `json:"quota_levels,omitempty,omitzero"`
 
-	// QuotaUsed is the usage that the nodes have admitted since the sender started,
-	// by workspace.
-	QuotaUsed map[string]float64 `json:"quota_used"`
+	// QuotaReport is the sender's usage of quotas; sent only to the node that it
+	// reports this to.
+	QuotaReport *EdgeQuotaReport `json:"quota_report,omitempty,omitzero"`
 
 	// Registry holds the changes of the upstreams; it is sent only to the nodes that
 	// report to the sender.
@@ -204,6 +200,35 @@
 	Upstream uint32 `json:"upstream"`
 }
 
+// EdgeQuotaGrant is how much the reporting nodes may use.
+type EdgeQuotaGrant struct {
+	// Credit is the total usage of the session at which the bucket will be empty, by
+	// workspace.
+	Credit map[string]float64 `json:"credit"`
+
+	// Nodes is the number of nodes whose usage is charged together.
+	Nodes int `json:"nodes"`
+
+	// Session that the grant is for.
+	Session int64 `json:"session"`
+}
+
+// EdgeQuotaReport is the usage of quotas by a node and by those that report to it.
+type EdgeQuotaReport struct {
+	// Nodes is the number of nodes that the report covers.
+	Nodes int `json:"nodes"`
+
+	// Parent is the receiver's incarnation as far as the sender knows; another one
+	// ignores the report.
+	Parent string `json:"parent"`
+
+	// Session increases whenever the sender begins to report anew.
+	Session int64 `json:"session"`
+
+	// Used is the total usage in the session, by workspace.
+	Used map[string]float64 `json:"used"`
+}
+
 // EdgeRecord is an entry of the topic of control duties.
 type EdgeRecord struct {
 	// Lease claims, renews or releases a duty.
--- a/edge/cells.go
+++ b/edge/cells.go
@@ -109,7 +109,8 @@
 func (c *control) exchangeTargets(now time.Time) []*peerState {
 	previousHub := c.reportsTo
 	hub, unreachable := c.findHub(now)
-	c.setHub(hub, now)
+	c.setHub(hub)
+	c.setQuotaParent(now)
 	var targets []*peerState
 	if previousHub != nil && previousHub != hub && previousHub.responsive() {
 		// It must not continue to represent this node in parallel with the new hub.
@@ -139,20 +140,10 @@
 }
 
 // setHub sets the hub to which this node reports from now on.
-func (c *control) setHub(hub *peerState, now time.Time) {
+func (c *control) setHub(hub *peerState) {
 	if hub == c.reportsTo {
 		return
 	}
-	c.hubChangedAt = now
-	c.edge.ledgerLock.Lock()
-	if c.reportsTo != nil {
-		// The usage that the former hub forwards arrives through the new one.
-		c.edge.ledger.RemovePeer(c.reportsTo.name)
-	}
-	if hub == nil {
-		c.edge.ledger.BecomeHub(now)
-	}
-	c.edge.ledgerLock.Unlock()
 	name := c.edge.settings.Name
 	if hub != nil {
 		name = hub.name
--- a/edge/control.go
+++ b/edge/control.go
@@ -88,8 +88,9 @@
 	otherHubsContactedAt, probedAt, candidacyCheckedAt time.Time
 	// lastTickAt is the time of the last tick, stalledAt when the loop last detected a stall.
 	lastTickAt, stalledAt time.Time
-	// hubChangedAt is when this node's hub changed.
-	hubChangedAt time.Time
+	// quotaParentIncarnation is the incarnation of the node to which this node reports its usage of
+	// quotas; empty if it is the root.
+	quotaParentIncarnation string
 	// mismatches counts consecutive exchanges in which the registry differed from the hub's.
 	mismatches int
 	// fleetSize is the number of nodes used by the ledger and the feeds.
--- a/edge/message.go
+++ b/edge/message.go
@@ -17,9 +17,6 @@
 const (
 	// maxClocks bounds the clock estimates in a message; a median needs only a few.
 	maxClocks = 6
-	// hubChangeWindow is how long after a change of its hub a node also sends the part of its usage
-	// that others received through the former hub.
-	hubChangeWindow = time.Second
 	// maxLoads bounds the number of upstream loads in a message.
 	maxLoads = 1 << 14
 )
@@ -70,19 +67,7 @@
 	if c.reportsTo != nil {
 		message.Hub = c.reportsTo.name
 	}
-	e.ledgerLock.Lock()
-	represents := func(name string) bool {
-		peer := c.peers[name]
-		return peer != nil && c.represents(peer, to, toReporter)
-	}
-	message.QuotaUsed, message.Nodes = e.ledger.UsageForPeer(to.name, represents, toReporter, now)
-	if now.Sub(c.hubChangedAt) < hubChangeWindow || (toReporter && c.reportsTo != nil) {
-		message.QuotaBase = e.ledger.Baseline(message.QuotaUsed, to.name, represents, toReporter, now)
-	}
-	if to.needsQuotaLevels {
-		message.QuotaLevels = e.ledger.Levels(now)
-	}
-	e.ledgerLock.Unlock()
+	c.addQuota(message, to, now)
 	if c.sameCell(to.name) {
 		message.Placed = c.outgoingPlacements(to, now)
 	}
--- a/edge/peerstate.go
+++ b/edge/peerstate.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/persimmonline/persimmonline/api"
-	"github.com/persimmonline/persimmonline/quota"
 )
 
 const (
@@ -110,6 +109,9 @@
 			Msg("peer is live")
 	}
 	if peer.incarnation != message.Incarnation {
+		e.ledgerLock.Lock()
+		e.ledger.RemoveChild(peer.incarnation)
+		e.ledgerLock.Unlock()
 		peer.resetForIncarnation(message.Incarnation)
 	}
 	peer.address, peer.lastReceivedAt, peer.lastMessage = message.Address, now, message
@@ -148,32 +150,14 @@
 	}
 }
 
-// applyQuota applies a peer's quota usage. Of the peers that represent all nodes only the hub of this
-// node counts, since all of them report the same usage.
-func (c *control) applyQuota(peer *peerState, message *api.EdgeExchange, now time.Time) {
-	if message.All && peer != c.reportsTo && c.reportsTo != nil {
-		return
-	}
-	c.edge.ledgerLock.Lock()
-	defer c.edge.ledgerLock.Unlock()
-	c.edge.ledger.ApplyUpdate(quota.Update{
-		Node: message.Node, Incarnation: message.Incarnation, Reporter: peer.reporter, Nodes: message.Nodes,
-		Used: message.QuotaUsed, Baseline: message.QuotaBase, Levels: message.QuotaLevels, SentAt: time.UnixMilli(message.SentMS),
-	}, now)
-}
-
 // receiveReply applies a peer's reply to a message sent at sentAt. Its data is at most as old as the
 // age that it states plus the duration of the call.
 func (c *control) receiveReply(message *api.EdgeExchange, sentAt, now time.Time) {
+	c.noticeIgnoredReport(message)
 	peer := c.receive(message, now)
 	if peer == nil {
 		return
 	}
-	if peer == c.reportsTo {
-		c.edge.ledgerLock.Lock()
-		c.edge.ledger.RecordAck(now)
-		c.edge.ledgerLock.Unlock()
-	}
 	if at := timeOfAge(message.ConfigAgeMS, sentAt); message.ConfigVersion == c.configVersion() && at.After(c.configConfirmedAt) {
 		c.confirmConfig(at)
 	}
@@ -227,7 +211,7 @@
 			c.nodesChanged = true
 			c.edge.clock.removeEstimate(name)
 			c.edge.ledgerLock.Lock()
-			c.edge.ledger.RemovePeer(name)
+			c.edge.ledger.RemoveChild(peer.incarnation)
 			c.edge.ledgerLock.Unlock()
 			c.edge.logger.Info().Str("peer", name).Str("address", peer.address).Msg("peer evicted")
 		}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -1,8 +1,13 @@
 // Package quota enforces the quota of each workspace over all nodes. Every node has a token
-// bucket per workspace, which it charges with its own usage at once and with the usage of other
-// nodes when it receives their updates. Usage that was admitted in the meantime makes the
-// bucket negative until refills pay for it, so that the excess is bounded by the usage between
-// two exchanges. It has no side effects.
+// bucket per workspace and charges it with its own usage at once. The nodes form a tree: a node
+// reports its usage to its parent, and the root's buckets count for all. Usage that was admitted
+// before it was reported makes a bucket negative until refills pay for it, so that the excess is
+// bounded by the usage between two exchanges. It has no side effects.
+//
+// Both directions carry absolute values, so that a message can be lost or repeated: a report
+// holds the total usage of a session with one parent, and a grant the total at which the bucket
+// will be empty. A new parent starts a new session, which counts only usage that no parent was
+// told of. No usage is therefore charged twice, whatever the order of messages and parents.
 package quota
 
 import (
@@ -14,6 +19,9 @@
 	// minSilence is the shortest time after which the share of a silent node is reserved
 	// for it. It covers several exchanges of a small fleet.
 	minSilence = time.Second
+	// adoptionTimeout is how long a node that has just started waits for the levels of a peer
+	// before it grants usage by its own.
+	adoptionTimeout = time.Second
 	// minRetryAfter keeps refused callers from retrying immediately.
 	minRetryAfter = 200 * time.Millisecond
 	// restartBurstShare is the part of the burst that all nodes together start with in a
@@ -40,64 +48,71 @@
 	RetryAfter time.Duration
 }
 
-// bucket is the token bucket of one workspace; used is the cumulative usage that this node
-// has admitted.
+// bucket is the token bucket of one workspace.
 type bucket struct {
 	limit      Limit
 	level      float64
 	refilledAt time.Time
-	used       float64
 }
 
-// Update is a peer's report of quota usage.
-type Update struct {
-	// Node and Incarnation identify the peer.
-	Node, Incarnation string
-	// Reporter is set when the peer reports to this node: it aggregates its own usage and that
-	// of the nodes that report to it, and this node forwards the sum to all. Updates of other
-	// peers are forwarded only to reporters.
-	Reporter bool
-	// Nodes is the number of nodes that the peer represents.
-	Nodes int
-	// Used is the cumulative usage that these nodes have admitted, by workspace, since an
-	// arbitrary start.
+// Report tells a node's parent the usage of the node and of those that report to it.
+type Report struct {
+	// Node and Parent are the incarnations of the node that reports and of its parent.
+	Node, Parent string
+	// Session increases whenever the node begins to report anew.
+	Session int64
+	// Used is the total usage in the session, by workspace.
 	Used map[string]float64
-	// Baseline is the part of Used that others already received through the peer's previous
-	// hub; nil if there was none recently.
-	Baseline map[string]float64
-	// Levels are the levels of the peer's buckets; nil if the update has none.
-	Levels map[string]float64
-	// SentAt is when the update was sent, by a monotonic clock of the peer.
+	// Nodes is the number of nodes that the report covers.
+	Nodes int
+	// SentAt is when the report was sent, by a monotonic clock of the node.
 	SentAt time.Time
 }
 
-type peer struct {
-	incarnation  string
-	reporter     bool
-	nodes        int
-	lastReceived time.Time
-	// lastSent is when the newest update was sent, by the peer's clock.
-	lastSent time.Time
-	used     map[string]float64
-	// charged is the usage of the peer that was charged to this node's buckets, chargedBeforeHub
-	// its value when this node became a hub.
-	charged, chargedBeforeHub map[string]float64
+// Grant is the parent's reply to the reports of a session.
+type Grant struct {
+	// Session that the grant is for.
+	Session int64
+	// Credit is the total usage of the session at which the bucket will be empty, by workspace.
+	Credit map[string]float64
+	// Nodes is the number of nodes in the tree.
+	Nodes int
+}
+
+// session is the exchange of reports and grants with one parent.
+type session struct {
+	id int64
+	// parent is the incarnation of the parent; empty at the root.
+	parent string
+	// used is the usage in the session, told its value in the last report and toldBefore that in
+	// the one before.
+	used, told, toldBefore map[string]float64
+	// toldAt is when the last report was sent, grantedAt when the last grant arrived.
+	toldAt, grantedAt time.Time
+	// nodes is the number of nodes in the tree as of the last grant.
+	nodes int
 }
 
-// Ledger holds the buckets of one node and the usage of its peers. It is not safe for
-// concurrent use.
+// child is a node that reports to this one.
+type child struct {
+	session int64
+	nodes   int
+	// counted is the usage of the session that this node knows of.
+	counted map[string]float64
+	// receivedAt is when the newest report arrived, sentAt when it was sent by the child's clock.
+	receivedAt, sentAt time.Time
+}
+
+// Ledger holds the buckets of one node and its place in the tree. It is not safe for concurrent
+// use.
 type Ledger struct {
-	buckets map[string]*bucket
-	peers   map[string]*peer
-	// departedCharges is the usage that was charged for peers that were removed or changed their
-	// role, by whether they were reporters and by name.
-	departedCharges map[bool]map[string]map[string]float64
-	// ackedUsage is this node's own usage that its hub last acknowledged, at ackedAt; hubSince is
-	// when this node last became a hub.
-	ackedUsage        map[string]float64
-	ackedAt, hubSince time.Time
-	nodes             int
-	silenceTimeout    time.Duration
+	buckets        map[string]*bucket
+	session        session
+	children       map[string]*child
+	nodes          int
+	silenceTimeout time.Duration
+	// configuredAt is when the limits were first set.
+	configuredAt time.Time
 	// levelsAdopted is set once the levels of a peer were adopted; pendingLevels are levels that
 	// were received before the limits.
 	levelsAdopted bool
@@ -109,8 +124,8 @@
 // NewLedger returns a ledger without limits.
 func NewLedger() *Ledger {
 	return &Ledger{
-		buckets: map[string]*bucket{}, peers: map[string]*peer{}, nodes: 1, silenceTimeout: minSilence,
-		departedCharges: map[bool]map[string]map[string]float64{true: {}, false: {}}, initialBurstShare: 1,
+		buckets: map[string]*bucket{}, children: map[string]*child{}, nodes: 1, silenceTimeout: minSilence,
+		session: session{used: map[string]float64{}}, initialBurstShare: 1,
 	}
 }
 
@@ -128,6 +143,9 @@
 // with this node's part of the burst until levels of a peer are received.
 func (l *Ledger) Configure(limits map[string]Limit, nodes int, silenceTimeout time.Duration, now time.Time) {
 	l.nodes, l.silenceTimeout = max(1, nodes), max(minSilence, silenceTimeout)
+	if l.configuredAt.IsZero() {
+		l.configuredAt = now
+	}
 	for name, limit := range limits {
 		known := l.buckets[name]
 		if known == nil {
@@ -147,24 +165,8 @@
 			delete(l.buckets, name)
 		}
 	}
-	l.adoptLevels(l.pendingLevels)
-}
-
-// adoptLevels adopts the first levels of a peer, except for buckets that this node has
-// charged: the peer may have charged the same usage already.
-func (l *Ledger) adoptLevels(levels map[string]float64) {
-	if l.levelsAdopted || len(levels) == 0 {
-		return
-	}
-	if len(l.buckets) == 0 {
-		l.pendingLevels = levels
-		return
-	}
-	l.levelsAdopted, l.pendingLevels = true, nil
-	for name, level := range levels {
-		if b := l.buckets[name]; b != nil && b.used == 0 {
-			b.level = level
-		}
+	if l.pendingLevels != nil {
+		l.adoptLevels(l.pendingLevels, now)
 	}
 }
 
@@ -180,105 +182,177 @@
 		wait := time.Duration((need - b.level) / l.rate(b, now) * float64(time.Second))
 		return Decision{RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter)}
 	}
-	b.level -= cost
-	b.used += cost
+	l.charge(name, b, cost)
 	return Decision{Admitted: true}
 }
 
 // Refund credits the cost of a request that did not run.
 func (l *Ledger) Refund(name string, cost float64) {
 	if b := l.buckets[name]; b != nil {
-		b.level = min(b.level+cost, b.limit.Burst)
-		b.used -= cost
+		l.charge(name, b, -cost)
 	}
 }
 
-// UsageForPeer returns the usage to report to a peer, which is that of this node and of the peers
-// that it represents since it started, and the number of these nodes. toReporter is set for a
-// recipient that reports, or should report, to this node; its usage includes that of removed
-// peers that were not reporters. The recipient's own usage is excluded.
-func (l *Ledger) UsageForPeer(
-	recipient string, represents func(peer string) bool, toReporter bool, now time.Time,
-) (used map[string]float64, nodes int) {
-	used, nodes = make(map[string]float64, len(l.buckets)), 1
-	for name, b := range l.buckets {
-		used[name] = b.used
+func (l *Ledger) charge(name string, b *bucket, amount float64) {
+	b.level = min(b.level-amount, b.limit.Burst)
+	l.session.used[name] += amount
+}
+
+// SetParent sets the incarnation of the node to which this one reports from now on; empty if it
+// is the root.
+func (l *Ledger) SetParent(incarnation string, now time.Time) {
+	if incarnation != l.session.parent {
+		l.startSession(incarnation, now)
 	}
-	for reporter, departed := range l.departedCharges {
-		for id, charged := range departed {
-			if id != recipient && (reporter || toReporter) {
-				l.addUsage(used, charged, 1)
-			}
-		}
+}
+
+// startSession begins to report anew. Usage that the former parent was not told of is carried
+// over, unless there was no report for so long that the share reserved for this node pays for it.
+func (l *Ledger) startSession(parent string, now time.Time) {
+	former := l.session
+	l.session = session{
+		id: former.id + 1, parent: parent, used: map[string]float64{}, toldAt: former.toldAt,
+		grantedAt: former.grantedAt, nodes: former.nodes,
 	}
-	for id, known := range l.peers {
-		if id == recipient || !represents(id) {
-			continue
-		}
-		l.addUsage(used, known.charged, 1)
-		if now.Sub(known.lastReceived) < l.silenceTimeout {
-			nodes += known.nodes
+	toldAt := former.toldAt
+	if toldAt.IsZero() {
+		toldAt = l.configuredAt
+	}
+	if now.Sub(toldAt) > l.silenceTimeout {
+		return
+	}
+	for name, used := range former.used {
+		l.session.used[name] = used - former.told[name]
+	}
+}
+
+// Report returns the report to the parent; ok is false at the root.
+func (l *Ledger) Report(now time.Time) (report Report, ok bool) {
+	if l.session.parent == "" {
+		return Report{}, false
+	}
+	if !l.session.toldAt.IsZero() && now.Sub(l.session.toldAt) > l.silenceTimeout {
+		l.startSession(l.session.parent, now)
+	}
+	l.markTold(now)
+	return Report{Parent: l.session.parent, Session: l.session.id, Used: l.session.told, Nodes: l.subtree(now), SentAt: now}, true
+}
+
+// markTold records that the usage so far is known to another node.
+func (l *Ledger) markTold(now time.Time) {
+	l.session.toldBefore, l.session.told, l.session.toldAt = l.session.told, maps.Clone(l.session.used), now
+}
+
+// ReportIgnored records that the last report reached a later incarnation of the parent, which has
+// not counted it.
+func (l *Ledger) ReportIgnored() { l.session.told = l.session.toldBefore }
+
+// ApplyReport charges what a child has used since its last report. Reports older than the newest
+// one are ignored. While a child is silent its share of the rate is reserved, which pays for the
+// usage that it admits meanwhile; a report that covers this time is not charged. The silence is
+// measured by send times, since reports that queued up while this node was frozen are all
+// received at once. A node that has just started adopts the levels that its children send, which
+// include their usage; the lowest ones count, since each child lacks some usage of the others.
+func (l *Ledger) ApplyReport(report Report, levels map[string]float64, now time.Time) {
+	paid := l.AdoptLevels(levels, now) || !l.ready(now)
+	known := l.children[report.Node]
+	if known != nil && (report.Session < known.session || (report.Session == known.session && !report.SentAt.After(known.sentAt))) {
+		return
+	}
+	if known == nil || known.session != report.Session {
+		known = &child{session: report.Session, counted: map[string]float64{}}
+		l.children[report.Node] = known
+	} else if report.SentAt.Sub(known.sentAt) > l.silenceTimeout {
+		paid = true
+	}
+	known.receivedAt, known.sentAt, known.nodes = now, report.SentAt, max(1, report.Nodes)
+	for name, total := range report.Used {
+		if b := l.buckets[name]; b != nil && !paid {
+			l.refill(b, now)
+			// The total decreases when requests that did not run are refunded.
+			l.charge(name, b, total-known.counted[name])
 		}
+		known.counted[name] = total
 	}
-	for name, total := range used {
-		if total == 0 {
-			delete(used, name)
+	if now.Sub(l.configuredAt) < 2*adoptionTimeout {
+		for name, level := range levels {
+			if b := l.buckets[name]; b != nil {
+				b.level = min(b.level, level)
+			}
 		}
 	}
-	return used, nodes
 }
 
-// RecordAck records that the hub has received this node's usage and will forward it.
-func (l *Ledger) RecordAck(now time.Time) {
-	l.ackedUsage, l.ackedAt = make(map[string]float64, len(l.buckets)), now
-	for name, b := range l.buckets {
-		l.ackedUsage[name] = b.used
+// GrantFor returns the grant for a child; ok is false if the node does not report to this one or
+// the levels of this node are not known yet.
+func (l *Ledger) GrantFor(node string, now time.Time) (grant Grant, ok bool) {
+	known := l.children[node]
+	if known == nil || !l.ready(now) {
+		return Grant{}, false
+	}
+	grant = Grant{Session: known.session, Credit: l.Levels(now), Nodes: l.tree(now)}
+	for name := range grant.Credit {
+		grant.Credit[name] += known.counted[name]
 	}
+	return grant, true
 }
 
-// BecomeHub records that this node becomes a hub: no other hub has forwarded the usage that it
-// charges for its reporters from now on.
-func (l *Ledger) BecomeHub(now time.Time) {
-	l.hubSince = now
-	for _, known := range l.peers {
-		known.chargedBeforeHub = maps.Clone(known.charged)
+// ApplyGrant applies the grant of the parent; one for an earlier session is ignored.
+func (l *Ledger) ApplyGrant(grant Grant, now time.Time) {
+	if grant.Session != l.session.id || l.session.parent == "" {
+		return
+	}
+	l.session.grantedAt, l.session.nodes, l.levelsAdopted = now, max(1, grant.Nodes), true
+	for name, credit := range grant.Credit {
+		if b := l.buckets[name]; b != nil {
+			b.level, b.refilledAt = min(credit-l.session.used[name], b.limit.Burst), now
+		}
 	}
 }
 
-// Baseline returns the part of the usage for a peer that the peer already received through the
-// previous hub, if this node changed its hub recently; nil if it had none recently.
-func (l *Ledger) Baseline(
-	usage map[string]float64, recipient string, represents func(peer string) bool, toReporter bool, now time.Time,
-) map[string]float64 {
-	recentHub := now.Sub(l.hubSince) < l.silenceTimeout
-	if now.Sub(l.ackedAt) > 2*l.silenceTimeout || (!recentHub && now.Sub(l.ackedAt) > l.silenceTimeout) {
+// ready reports whether the levels of this node hold for others.
+func (l *Ledger) ready(now time.Time) bool {
+	return l.levelsAdopted || (!l.configuredAt.IsZero() && now.Sub(l.configuredAt) > adoptionTimeout)
+}
+
+// LevelsForNewcomer returns the levels of the buckets, for a node that has just started; nil if
+// this node does not know them itself. Their receiver knows the usage of this node.
+func (l *Ledger) LevelsForNewcomer(now time.Time) map[string]float64 {
+	if !l.ready(now) {
 		return nil
 	}
-	baseline := maps.Clone(usage)
-	for name, b := range l.buckets {
-		baseline[name] -= b.used - l.ackedUsage[name]
+	if l.session.parent != "" {
+		l.markTold(now)
 	}
-	if !recentHub || !toReporter {
-		return baseline
+	return l.Levels(now)
+}
+
+// AdoptLevels adopts the first levels that a peer sends, less this node's own usage, which the
+// peer does not know of. It returns false if this node has levels already.
+func (l *Ledger) AdoptLevels(levels map[string]float64, now time.Time) bool {
+	if l.ready(now) || len(levels) == 0 {
+		return false
 	}
-	for id, known := range l.peers {
-		if id != recipient && represents(id) {
-			l.addUsage(baseline, known.charged, -1)
-			l.addUsage(baseline, known.chargedBeforeHub, 1)
-		}
+	if len(l.buckets) == 0 {
+		l.pendingLevels = levels
+		return false
 	}
-	return baseline
+	l.adoptLevels(levels, now)
+	return true
 }
 
-// addUsage adds a multiple of amounts to the usage of those workspaces that have a quota.
-func (l *Ledger) addUsage(used, amounts map[string]float64, factor float64) {
-	for name, amount := range amounts {
-		if l.buckets[name] != nil {
-			used[name] += factor * amount
+func (l *Ledger) adoptLevels(levels map[string]float64, now time.Time) {
+	l.levelsAdopted, l.pendingLevels = true, nil
+	for name, level := range levels {
+		if b := l.buckets[name]; b != nil {
+			b.level, b.refilledAt = min(level-l.session.used[name], b.limit.Burst), now
 		}
 	}
 }
 
+// RemoveChild removes a node that no longer reports.
+func (l *Ledger) RemoveChild(node string) { delete(l.children, node) }
+
 // Levels returns the levels of the buckets.
 func (l *Ledger) Levels(now time.Time) map[string]float64 {
 	levels := make(map[string]float64, len(l.buckets))
@@ -289,62 +363,6 @@
 	return levels
 }
 
-// ApplyUpdate applies the update of a peer. Updates older than the newest one are ignored. A node
-// that has just started adopts the first levels that it receives.
-func (l *Ledger) ApplyUpdate(update Update, now time.Time) {
-	known := l.peers[update.Node]
-	if known == nil || known.incarnation != update.Incarnation || known.reporter != update.Reporter {
-		l.RemovePeer(update.Node)
-		known = &peer{
-			incarnation: update.Incarnation, reporter: update.Reporter, lastSent: update.SentAt.Add(-1),
-			used: maps.Clone(update.Used), charged: map[string]float64{},
-		}
-		if update.Baseline != nil {
-			known.used = maps.Clone(update.Baseline)
-		}
-		if known.used == nil {
-			known.used = map[string]float64{}
-		}
-		l.peers[update.Node] = known
-	}
-	if !update.SentAt.After(known.lastSent) {
-		return
-	}
-	// While a peer is silent its share of the rate is reserved, which pays for the usage that
-	// it admits meanwhile; an update that covers this time must not be charged again. The
-	// silence is measured by send times, since updates that queued up while this node was
-	// frozen are all received at once.
-	spansSilence := update.SentAt.Sub(known.lastSent) > l.silenceTimeout
-	known.lastReceived, known.lastSent, known.nodes = now, update.SentAt, max(1, update.Nodes)
-	for name, total := range update.Used {
-		if b := l.buckets[name]; b != nil && !spansSilence {
-			l.refill(b, now)
-			// The total decreases when requests that did not run are refunded.
-			b.level = min(b.level-(total-known.used[name]), b.limit.Burst)
-			known.charged[name] += total - known.used[name]
-		}
-		known.used[name] = total
-	}
-	l.adoptLevels(update.Levels)
-}
-
-// RemovePeer removes a peer that has left or no longer sends updates to this node.
-func (l *Ledger) RemovePeer(id string) {
-	known := l.peers[id]
-	if known == nil {
-		return
-	}
-	departed := l.departedCharges[known.reporter][id]
-	if departed == nil {
-		departed = map[string]float64{}
-		l.departedCharges[known.reporter][id] = departed
-	}
-	for name, amount := range known.charged {
-		departed[name] += amount
-	}
-	delete(l.peers, id)
-}
-
 // refill adds the tokens accrued since the last refill.
 func (l *Ledger) refill(b *bucket, now time.Time) {
 	elapsed := now.Sub(b.refilledAt).Seconds()
@@ -355,14 +373,27 @@
 	b.refilledAt = now
 }
 
-// rate returns the refill rate of a bucket: the rate of the limit less the shares of silent
-// nodes, which may be admitting requests.
+// rate returns the refill rate of a bucket: the rate of the limit less the shares of the nodes
+// outside the tree, which may be admitting requests.
 func (l *Ledger) rate(b *bucket, now time.Time) float64 {
-	reachableNodes := 1
-	for _, known := range l.peers {
-		if now.Sub(known.lastReceived) < l.silenceTimeout {
-			reachableNodes += known.nodes
+	return b.limit.Rate * min(1, float64(l.tree(now))/float64(l.nodes))
+}
+
+// tree returns the number of nodes whose usage is charged to the same root as this node's.
+func (l *Ledger) tree(now time.Time) int {
+	if now.Sub(l.session.grantedAt) < l.silenceTimeout {
+		return l.session.nodes
+	}
+	return l.subtree(now)
+}
+
+// subtree returns the number of nodes that a report of this node covers.
+func (l *Ledger) subtree(now time.Time) int {
+	nodes := 1
+	for _, known := range l.children {
+		if now.Sub(known.receivedAt) < l.silenceTimeout {
+			nodes += known.nodes
 		}
 	}
-	return b.limit.Rate * min(1, float64(reachableNodes)/float64(l.nodes))
+	return nodes
 }
