quota: the burst after a restart of all nodes is a part of the tolerance

Cause: after all nodes were lost with their levels, they started with a quarter of the burst together, however small the tolerance; where a burst is large, what was used before and after exceeds the quota.

Now it is a quarter of the tolerance, and at most what it was.

--- a/edge/control.go
+++ b/edge/control.go
@@ -51,6 +51,10 @@
 	cacheShare = 0.7
 	// toleranceShare is the fraction of a quota's tolerance that callers may use.
 	toleranceShare = 0.5
+	// restartToleranceShare is the fraction of a quota's tolerance that nodes may admit after all of
+	// them were lost with their levels; maxRestartBurstShare bounds it as a fraction of the burst.
+	restartToleranceShare = 0.25
+	maxRestartBurstShare  = 0.25
 	// maxMissedExchanges is the number of missed exchanges after which a node's share of the quotas
 	// is reserved for it, since it may be admitting requests that it can't report.
 	maxMissedExchanges = 5
@@ -349,9 +353,12 @@
 	bounds := c.edge.bounds.Load()
 	factor := 1 + toleranceShare*bounds.QuotaOverage
 	limit := quota.Limit{Rate: workspace.Rate * factor, Burst: max(workspace.Burst, 1) * factor}
+	tolerance := bounds.QuotaOverage * (workspace.Rate*bounds.QuotaWindow.Seconds() + workspace.Burst)
 	if workspace.CountsTokens {
 		limit.Burst += toleranceShare * bounds.QuotaSlack
+		tolerance += bounds.QuotaSlack
 	}
+	limit.RestartBurst = min(maxRestartBurstShare*limit.Burst, restartToleranceShare*tolerance)
 	return limit
 }
 
--- a/edge/exchange_test.go
+++ b/edge/exchange_test.go
@@ -114,7 +114,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		const seconds, rate = 8, 1000.0
 		m := newMesh(t, rapid.SampledFrom([]int{3, 5, 12}).Draw(t, "nodes"), 3)
-		limits := map[string]quota.Limit{"w": {Rate: rate, Burst: rate}}
+		limits := map[string]quota.Limit{"w": {Rate: rate, Burst: rate, RestartBurst: rate / 4}}
 		for _, c := range m.nodes {
 			c.edge.ledger.Configure(limits, len(m.nodes), maxMissedExchanges*exchangeInterval, m.now)
 		}
--- a/edge/mesh_test.go
+++ b/edge/mesh_test.go
@@ -93,6 +93,7 @@
 
 // limit sets the quota of the workspace w at all nodes.
 func (m *mesh) limit(limit quota.Limit) {
+	limit.RestartBurst = limit.Burst / 4
 	for _, c := range m.nodes {
 		c.edge.ledger.Configure(map[string]quota.Limit{"w": limit}, len(m.nodes), maxMissedExchanges*exchangeInterval, m.now)
 	}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -24,10 +24,6 @@
 	adoptionTimeout = time.Second
 	// minRetryAfter keeps refused callers from retrying immediately.
 	minRetryAfter = 200 * time.Millisecond
-	// restartBurstShare is the part of the burst that all nodes together start with in a
-	// system that ran before. It is within the tolerance for requests that nodes admit
-	// before they receive each other's updates.
-	restartBurstShare = 0.25
 	// maxRetryAfter bounds the retry delay of a refused caller.
 	maxRetryAfter = 5 * time.Second
 )
@@ -36,8 +32,9 @@
 type Limit struct {
 	// Rate is in units per second; 0 means no limit.
 	Rate float64
-	// Burst is the number of units that may be used at once.
-	Burst float64
+	// Burst is the number of units that may be used at once, RestartBurst the part of it that all
+	// nodes together start with in a system that ran before.
+	Burst, RestartBurst float64
 }
 
 // Decision is the outcome for a request.
@@ -117,25 +114,28 @@
 	// were received before the limits.
 	levelsAdopted bool
 	pendingLevels map[string]float64
-	// initialBurstShare is the part of the burst that all nodes together start with.
-	initialBurstShare float64
+	// systemRestart is set if the system ran before this node started.
+	systemRestart bool
 }
 
 // NewLedger returns a ledger without limits.
 func NewLedger() *Ledger {
 	return &Ledger{
 		buckets: map[string]*bucket{}, children: map[string]*child{}, nodes: 1, silenceTimeout: minSilence,
-		session: session{used: map[string]float64{}}, initialBurstShare: 1,
+		session: session{used: map[string]float64{}},
 	}
 }
 
 // MarkSystemRestart records that the system ran before this node started: workspaces may have
 // used their burst shortly before, and there may be no node left that has a record of it.
-func (l *Ledger) MarkSystemRestart() { l.initialBurstShare = restartBurstShare }
+func (l *Ledger) MarkSystemRestart() { l.systemRestart = true }
 
 // initialLevel returns this node's part of the burst before it has received any levels.
 func (l *Ledger) initialLevel(limit Limit) float64 {
-	return l.initialBurstShare * limit.Burst / float64(l.nodes)
+	if l.systemRestart {
+		return limit.RestartBurst / float64(l.nodes)
+	}
+	return limit.Burst / float64(l.nodes)
 }
 
 // Configure sets the limits of all workspaces, the number of nodes, including this one, and
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -229,7 +229,7 @@
 // itself at first. Together they admit only a part of the burst.
 func TestNodesThatAllStartAgainDoNotGiveOutTheBurstAgain(t *testing.T) {
 	const nodes, burst = 30, 3000.0
-	limits := map[string]quota.Limit{"a": {Rate: 1, Burst: burst}}
+	limits := map[string]quota.Limit{"a": {Rate: 1, Burst: burst, RestartBurst: burst / 4}}
 	total := 0.0
 	for range nodes {
 		l := quota.NewLedger()
