quota: nodes expect what others have used since the last grant

Cause: after the burst of a workspace is used up, all nodes go on admitting until the next grant, which is itself as old as the reports that it rests on.

Now a node subtracts what the others use at the rate between the last two grants.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -50,6 +50,8 @@
 	limit      Limit
 	level      float64
 	refilledAt time.Time
+	// othersRate is the usage of the other nodes in units per second between the last two grants.
+	othersRate float64
 }
 
 // Report tells a node's parent the usage of the node and of those that report to it.
@@ -86,6 +88,8 @@
 	used, told, toldBefore map[string]float64
 	// toldAt is when the last report was sent, grantedAt when the last grant arrived.
 	toldAt, grantedAt time.Time
+	// grantInterval is the time between the last two grants.
+	grantInterval time.Duration
 	// nodes is the number of nodes in the tree as of the last grant.
 	nodes int
 }
@@ -177,15 +181,26 @@
 		return Decision{Admitted: true}
 	}
 	l.refill(b, now)
-	need := min(cost, b.limit.Burst)
-	if b.level < need {
-		wait := time.Duration((need - b.level) / l.rate(b, now) * float64(time.Second))
+	need, level := min(cost, b.limit.Burst), b.level-l.unreported(b, now)
+	if level < need {
+		wait := time.Duration((need - level) / l.rate(b, now) * float64(time.Second))
 		return Decision{RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter)}
 	}
 	l.charge(name, b, cost)
 	return Decision{Admitted: true}
 }
 
+// unreported returns what the other nodes are expected to have used that the last grant did not
+// include, since their reports were up to one exchange old when it was sent. Without it, all nodes
+// go on admitting at full speed for an exchange after a burst is used up.
+func (l *Ledger) unreported(b *bucket, now time.Time) float64 {
+	age := now.Sub(l.session.grantedAt)
+	if l.session.parent == "" || age > l.silenceTimeout {
+		return 0
+	}
+	return b.othersRate * (age + l.session.grantInterval).Seconds()
+}
+
 // Refund credits the cost of a request that did not run.
 func (l *Ledger) Refund(name string, cost float64) {
 	if b := l.buckets[name]; b != nil {
@@ -302,11 +317,24 @@
 	if grant.Session != l.session.id || l.session.parent == "" {
 		return
 	}
-	l.session.grantedAt, l.session.nodes, l.levelsAdopted = now, max(1, grant.Nodes), true
+	interval := now.Sub(l.session.grantedAt)
+	if interval > l.silenceTimeout {
+		interval = 0
+	}
+	l.session.grantInterval, l.session.grantedAt = interval, now
+	l.session.nodes, l.levelsAdopted = max(1, grant.Nodes), true
 	for name, credit := range grant.Credit {
-		if b := l.buckets[name]; b != nil {
-			b.level, b.refilledAt = min(credit-l.session.used[name], b.limit.Burst), now
+		b := l.buckets[name]
+		if b == nil {
+			continue
+		}
+		l.refill(b, now)
+		level := min(credit-l.session.used[name], b.limit.Burst)
+		b.othersRate = 0
+		if interval > 0 {
+			b.othersRate = max(0, b.level-level) / interval.Seconds()
 		}
+		b.level, b.refilledAt = level, now
 	}
 }
 
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -250,3 +250,41 @@
 	exchange(t, root, child, start.Add(time.Millisecond))
 	require.InDelta(t, 1000, root.Levels(start)["a"], 0.1)
 }
+
+// A workspace asks for six times its rate at all nodes at once until its burst is used up. The nodes
+// stop before the excess reaches half of the tolerance, though they learn of each other's usage only
+// every 200 ms.
+func TestBurstOfAllNodesIsNotExceededByWhatIsUnreported(t *testing.T) {
+	const nodes, step, exchangeSteps = 30, 20 * time.Millisecond, 10
+	limit := quota.Limit{Rate: 660_000, Burst: 3_000_000}
+	tolerance := 0.1*(limit.Rate*8+limit.Burst) + 190_000
+	root := ledger(nodes, limit)
+	root.AdoptLevels(map[string]float64{"a": limit.Burst}, start)
+	children := make([]*quota.Ledger, nodes)
+	for i := range children {
+		children[i] = ledger(nodes, limit)
+		children[i].SetParent("root", start)
+	}
+	lowest, admitted := limit.Burst, 0.0
+	cost := 6 * limit.Rate * step.Seconds() / nodes
+	for i := range 400 {
+		now := start.Add(time.Duration(i) * step)
+		for j, child := range children {
+			if child.Admit("a", cost, now).Admitted {
+				admitted += cost
+			}
+			if (i+j)%exchangeSteps == 0 {
+				sent, ok := child.Report(now)
+				require.True(t, ok)
+				sent.Node = fmt.Sprint(j)
+				root.ApplyReport(sent, nil, now)
+				grant, ok := root.GrantFor(sent.Node, now)
+				require.True(t, ok)
+				child.ApplyGrant(grant, now)
+			}
+		}
+		lowest = min(lowest, root.Levels(now)["a"])
+	}
+	require.Greater(t, lowest, -tolerance/2)
+	require.Greater(t, admitted, 0.95*(limit.Rate*8+limit.Burst), "what is asked for is admitted")
+}
