routing: lateness is priced instead of waits, and the reading speed is learned apart from the fixed time

Load: long prompts at engines that read slowly (further, prefill 0.35, memory 0.5), where of 1,368 short streams 880 were late, nearly all by pauses while a long prompt was read, and long prompts waited for others.

Prices of a wait and of a stall grow with the chance to miss the target of the first token or of the pause, whose length under load is learned from the events; where pauses stay short nothing is kept apart. The price of interference with its fixed tolerance goes.

--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -31,11 +31,13 @@
 
 // estimate holds the expected speed of an upstream and the load that other nodes put
 // on it, as of the construction of the fleet. rate is in tokens per second; step,
-// slotTime and fleetStep are in seconds.
+// slotTime, pause and fleetStep are in seconds.
 type estimate struct {
 	rate         float64
 	step         float64
 	slotTime     float64
+	pause        float64
+	overhead     float64
 	slots        float64
 	otherRunning float64
 	otherQueued  float64
@@ -87,7 +89,7 @@
 
 // fleetMeans are the averages over a fleet, used for upstreams without observations.
 type fleetMeans struct {
-	rate, step, slotTime geometricMean
+	rate, overhead, step, slotTime, pause geometricMean
 }
 
 // geometricMean accumulates a geometric mean, on which one slow engine has little effect.
@@ -114,10 +116,12 @@
 	var running, ownInFlight, reportCount float64
 	for _, upstream := range upstreams {
 		upstream.hash = hashID(upstream.ID)
-		rate, step, slotTime := upstream.Tracker.speeds()
+		rate, overhead, step, slotTime, pause := upstream.Tracker.speeds()
 		means.slotTime.add(slotTime.value)
 		means.rate.add(rate.value)
+		means.overhead.add(overhead.value)
 		means.step.add(step.value)
+		means.pause.add(pause.value)
 		upstream.estimate = estimateOtherLoad(upstream)
 		if upstream.Load != nil {
 			running += upstream.estimate.otherRunning
@@ -127,12 +131,16 @@
 	}
 	meanRate, meanStep, meanSlotTime := means.rate.valueOr(defaultPrefillTokensPerSecond),
 		means.step.valueOr(defaultDecodeStepSeconds), means.slotTime.valueOr(defaultSlotSeconds)
+	meanOverhead := means.overhead.valueOr(defaultDecodeStepSeconds)
+	meanPause := means.pause.valueOr(defaultDecodeStepSeconds)
 	for _, upstream := range upstreams {
-		rate, step, slotTime := upstream.Tracker.speeds()
+		rate, overhead, step, slotTime, pause := upstream.Tracker.speeds()
 		est := &upstream.estimate
 		est.rate = decayedSpeed(rate, meanRate, now)
+		est.overhead = decayedSpeed(overhead, meanOverhead, now)
 		est.step = decayedSpeed(step, meanStep, now)
 		est.slotTime = decayedSpeed(slotTime, meanSlotTime, now)
+		est.pause = decayedSpeed(pause, meanPause, now)
 		est.fleetStep = meanStep
 		if upstream.Load == nil {
 			continue
--- a/routing/route.go
+++ b/routing/route.go
@@ -92,6 +92,9 @@
 	AnswerTokens int
 	// Priority, 0 (first) to 9.
 	Priority int
+	// FirstTokenTarget is the time left in which the first token is on time, GapTarget the longest
+	// pause between two tokens of an answer that is on time; 0 if there is no such target.
+	FirstTokenTarget, GapTarget time.Duration
 	// DataCentre of this node.
 	DataCentre string
 	// AllowedDataCentres of the route; empty means any.
--- a/routing/score.go
+++ b/routing/score.go
@@ -74,12 +74,6 @@
 	// fullPenaltySeconds is the price of an upstream with one free slot; it spreads requests
 	// over otherwise equal upstreams.
 	fullPenaltySeconds = 6
-	// toleratedStallSeconds is the uninterrupted prefill that does not yet make other
-	// answers of the batch late.
-	toleratedStallSeconds = 0.2
-	// stallCostFraction is the price of each second of stall beyond that, as a fraction of
-	// the value of an answer.
-	stallCostFraction = 0.5
 )
 
 // ContinuousScorers are the scorers for plain services and for engines whose step time
@@ -89,7 +83,8 @@
 	{Name: "queue", Price: priceQueue},
 	{Name: "prefix", Price: pricePrefix},
 	{Name: "fetch", Price: priceFetch},
-	{Name: "interference", Price: priceInterference},
+	{Name: "late", Price: priceLate},
+	{Name: "stall", Price: priceStall},
 	{Name: "slow", Price: priceSlow},
 	{Name: "full", Price: priceFull},
 	{Name: "distance", Price: priceDistance},
@@ -107,16 +102,6 @@
 	return weights.Latency * max(0, forecast.Decode-slowFactor*typical)
 }
 
-// priceInterference prices the pauses that a long prefill causes in other answers of the
-// batch: while an engine processes prompts, each of its steps includes a full chunk.
-func priceInterference(_ *Upstream, _ *Request, forecast Forecast, weights Weights) float64 {
-	stall := forecast.Queue + forecast.Prefill - toleratedStallSeconds
-	if forecast.Prefill == 0 || stall <= 0 {
-		return 0
-	}
-	return weights.Latency * stallCostFraction * forecast.Running * min(stall, forecast.Prefill)
-}
-
 // priceFull prices the fraction of the slots that are occupied.
 func priceFull(candidate *Upstream, _ *Request, forecast Forecast, weights Weights) float64 {
 	return weights.Latency * fullPenaltySeconds * forecast.Running / candidate.estimate.slots
--- a/routing/tracker.go
+++ b/routing/tracker.go
@@ -38,9 +38,11 @@
 	lastRead historyRead
 	history  [historySteps]historyEntry
 	latest   historyEntry
-	rate     movingAverage
+	reading  readingModel
 	step     movingAverage
 	slotTime movingAverage
+	// pause is the time between two tokens of an answer while the engine reads prompts.
+	pause movingAverage
 }
 
 // historyEntry holds the counts at the end of one step of the history.
@@ -79,6 +81,10 @@
 	tokensAhead  int64
 	sentAt       time.Time
 	firstTokenAt time.Time
+	// lastTokenAt is when the last token arrived, readingAtLast whether the engine was reading
+	// prompts then.
+	lastTokenAt   time.Time
+	readingAtLast bool
 }
 
 // Begin records that a request of a priority was sent. Its prefill has the given number
@@ -108,9 +114,8 @@
 	defer t.mu.Unlock()
 	t.removePending(a)
 	t.recordCounts(now)
-	elapsed := now.Sub(a.sentAt).Seconds() - t.step.value
-	if a.tokensAhead >= minRateSampleTokens && elapsed > 0 {
-		t.rate.observe(float64(a.tokensAhead)/elapsed, now)
+	if elapsed := now.Sub(a.sentAt).Seconds(); a.tokensAhead >= minRateSampleTokens && elapsed > 0 {
+		t.reading.observe(float64(a.tokensAhead), elapsed, now)
 	}
 }
 
@@ -193,12 +198,14 @@
 	return best.inFlight, best.pendingTokens
 }
 
-// speeds returns the learned prefill rate in tokens per second, the decode step in
-// seconds and the time that an answer occupies a slot, in seconds.
-func (t *Tracker) speeds() (rate, step, slotTime movingAverage) {
+// speeds returns the learned prefill rate in tokens per second, and in seconds the decode step,
+// the time that an answer occupies a slot, and the pause between two tokens while the engine reads
+// prompts.
+func (t *Tracker) speeds() (rate, overhead, step, slotTime, pause movingAverage) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.rate, t.step, t.slotTime
+	rate, overhead = t.reading.estimate()
+	return rate, overhead, t.step, t.slotTime, t.pause
 }
 
 // AwaitingFirstToken returns the number of attempts that await their first token, and the
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -331,6 +331,7 @@
 		x.run.markStarted()
 		x.tracked.RecordFirstToken(time.Now())
 	}
+	x.tracked.RecordToken(time.Now())
 	x.eventCount++
 }
 
--- a/serving/run.go
+++ b/serving/run.go
@@ -225,6 +225,7 @@
 	request := &routing.Request{
 		Service: r.service, Blocks: r.blocks, PromptTokens: r.request.PromptTokens,
 		AnswerTokens: r.request.AnswerTokens, Priority: r.request.Priority, DataCentre: view.DataCentre,
+		FirstTokenTarget: r.request.Route.LatencyTarget - time.Since(r.request.ArrivedAt), GapTarget: r.request.Route.GapTarget,
 		Excluded: r.excluded, Key: r.shared.Chain, Seed: r.handler.nextRandom(),
 	}
 	return routing.PickWith(routing.ContinuousScorers, view.Fleet, request, routing.Weights{Latency: latencyWeight}, time.Now())
