A node that starts asks engines for the prompt parts that they have cached

Load: all nodes are killed or lose power and callers return at once; each prompt was read again, though the engines had it.

The list names parts, and only a request tells their order, so that the index learns when one arrives, for 20 s. Plain services and engines that just started are not asked.

--- a/edge/control.go
+++ b/edge/control.go
@@ -114,9 +114,14 @@
 	noticeLogLimiter *rate.Limiter
 	holders          map[string]routing.Holder
 	// keyByHash holds the keys of upstreams by the hash used in messages.
-	keyByHash         map[uint32]string
-	prefixes          *routing.PrefixIndex
-	recentPlacements  []placement
+	keyByHash        map[uint32]string
+	prefixes         *routing.PrefixIndex
+	recentPlacements []placement
+	// cacheListsWanted holds the keys of upstreams that were not asked for their cached prompt parts
+	// yet, cacheLists their lists, and cacheListCalls the number of calls that are under way.
+	cacheListsWanted  map[string]bool
+	cacheLists        []cacheList
+	cacheListCalls    int
 	placementSequence int64
 	duties            *duties
 	poison            *quarantine.Table
@@ -131,7 +136,7 @@
 	c := &control{
 		edge: e, events: make(chan event, eventQueue),
 		registry: fleet.NewRegistry(), peers: map[string]*peerState{}, suspectUntil: map[string]time.Time{},
-		trackers: map[string]*routing.Tracker{}, holders: map[string]routing.Holder{}, keyByHash: map[uint32]string{}, nodesChanged: true,
+		trackers: map[string]*routing.Tracker{}, holders: map[string]routing.Holder{}, cacheListsWanted: map[string]bool{}, keyByHash: map[uint32]string{}, nodesChanged: true,
 		gates: map[string]*pacing.Gate{}, removedGates: map[string]removedGate{}, gateClock: time.Now,
 		noticeLogLimiter: rate.NewLimiter(noticeLogRate, noticeLogBurst),
 		prefixes:         routing.NewPrefixIndex(maxPrefixBlocks), publishNow: true,
@@ -392,11 +397,13 @@
 			delete(c.trackers, key)
 			c.retireGate(key, now)
 			delete(c.holders, key)
+			delete(c.cacheListsWanted, key)
 			delete(c.keyByHash, upstreamHash(key))
 		}
 	}
 	view.Fleet = routing.NewFleet(byService, c.prefixes, 1, time.Now())
 	view.Fleet.BlockTokens = serving.BlockTokens
+	view.CacheLists = c.currentCacheLists(now)
 	for _, source := range sources {
 		view.Fleet.AddSource(source)
 	}
@@ -413,8 +420,13 @@
 		c.keyByHash[upstreamHash(key)] = key
 		if blocks := c.cacheBlocks(member.Service); blocks > 0 {
 			c.holders[key] = c.prefixes.AddHolder(member.ID, incarnationOf(member.BornMS), blocks)
+			c.cacheListsWanted[key] = true
 		}
 	}
+	if c.cacheListsWanted[key] && c.table != nil {
+		delete(c.cacheListsWanted, key)
+		c.requestCacheList(member, c.holders[key])
+	}
 	ownRunning := int(tracker.InFlight.Load())
 	_, queued := tracker.AwaitingFirstToken()
 	health := membership.StateLive
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -74,6 +74,7 @@
 	// storeReaders is the assumed number of nodes that read topics of the store, this one included.
 	storeReaders atomic.Int64
 
+	engines    *platform.Engines
 	ledgerLock sync.Mutex
 	ledger     *quota.Ledger
 	usageLock  sync.Mutex
@@ -92,7 +93,7 @@
 func New(settings platform.Settings, logger zerolog.Logger) *Edge {
 	e := &Edge{
 		settings: settings, incarnation: uuid.NewString(), clock: newClock(),
-		store: platform.NewStore(settings.StoreAddress), pool: relay.NewPool(), ledger: quota.NewLedger(),
+		store: platform.NewStore(settings.StoreAddress), pool: relay.NewPool(), engines: platform.NewEngines(), ledger: quota.NewLedger(),
 		idle: newIdleConnections(), reloads: make(chan struct{}, 1),
 	}
 	e.logger = logger.With().Str("node", settings.Name).Logger()
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -138,6 +138,9 @@
 		deadline: deadlineOf(request), excluded: map[string]bool{}, lastEventID: request.LastEventID,
 	}
 	run.blocks = run.shared.Blocks()
+	for _, list := range view.CacheLists {
+		list.learn(view.Fleet.Prefixes, run.shared, request.Parts)
+	}
 	run.serve()
 	if run.possibleRuns == 0 {
 		h.refund(request, cost)
--- a/serving/prompt.go
+++ b/serving/prompt.go
@@ -38,7 +38,7 @@
 func sharedPrefix(parts []PromptPart) SharedPrefix {
 	var shared SharedPrefix
 	digest := xxhash.New()
-	for _, part := range parts[:min(sharedParts, max(0, len(parts)-1))] {
+	for _, part := range sharedPartsOf(parts) {
 		_, _ = digest.WriteString(part.ID)
 		_, _ = digest.WriteString(",")
 		shared.Chain = digest.Sum64()
@@ -47,6 +47,11 @@
 	return shared
 }
 
+// sharedPartsOf returns the parts of a prompt that other requests may share.
+func sharedPartsOf(parts []PromptPart) []PromptPart {
+	return parts[:min(sharedParts, max(0, len(parts)-1))]
+}
+
 func blockHash(chain uint64, block int) uint64 {
 	var raw [16]byte
 	binary.LittleEndian.PutUint64(raw[:], chain)
--- a/serving/view.go
+++ b/serving/view.go
@@ -18,6 +18,8 @@
 	ConfigUnconfirmed bool
 	// Fleet holds the upstreams that may receive requests.
 	Fleet *routing.Fleet
+	// CacheLists hold what engines had cached before this node knew of them.
+	CacheLists []*CacheList
 	// RegistryReadAt is when the registry was last read.
 	RegistryReadAt time.Time
 	// DataCentre of this node.
