--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -31,7 +31,7 @@
 
 // estimate holds the expected speed of an upstream and the load that other nodes put
 // on it, as of the construction of the fleet. rate is in tokens per second; step,
-// slotTime, pause and fleetStep are in seconds.
+// overhead, slotTime, pause and fleetStep are in seconds.
 type estimate struct {
 	rate         float64
 	step         float64
@@ -116,12 +116,12 @@
 	var running, ownInFlight, reportCount float64
 	for _, upstream := range upstreams {
 		upstream.hash = hashID(upstream.ID)
-		rate, overhead, step, slotTime, pause := upstream.Tracker.speeds()
-		means.slotTime.add(slotTime.value)
-		means.rate.add(rate.value)
-		means.overhead.add(overhead.value)
-		means.step.add(step.value)
-		means.pause.add(pause.value)
+		learned := upstream.Tracker.speeds()
+		means.slotTime.add(learned.slotTime.value)
+		means.rate.add(learned.rate.value)
+		means.overhead.add(learned.overhead.value)
+		means.step.add(learned.step.value)
+		means.pause.add(learned.pause.value)
 		upstream.estimate = estimateOtherLoad(upstream)
 		if upstream.Load != nil {
 			running += upstream.estimate.otherRunning
@@ -129,18 +129,17 @@
 			reportCount++
 		}
 	}
-	meanRate, meanStep, meanSlotTime := means.rate.valueOr(defaultPrefillTokensPerSecond),
-		means.step.valueOr(defaultDecodeStepSeconds), means.slotTime.valueOr(defaultSlotSeconds)
-	meanOverhead := means.overhead.valueOr(defaultDecodeStepSeconds)
+	meanRate, meanOverhead := means.rate.valueOr(defaultPrefillTokensPerSecond), means.overhead.valueOr(defaultDecodeStepSeconds)
+	meanStep, meanSlotTime := means.step.valueOr(defaultDecodeStepSeconds), means.slotTime.valueOr(defaultSlotSeconds)
 	meanPause := means.pause.valueOr(defaultDecodeStepSeconds)
 	for _, upstream := range upstreams {
-		rate, overhead, step, slotTime, pause := upstream.Tracker.speeds()
+		learned := upstream.Tracker.speeds()
 		est := &upstream.estimate
-		est.rate = decayedSpeed(rate, meanRate, now)
-		est.overhead = decayedSpeed(overhead, meanOverhead, now)
-		est.step = decayedSpeed(step, meanStep, now)
-		est.slotTime = decayedSpeed(slotTime, meanSlotTime, now)
-		est.pause = decayedSpeed(pause, meanPause, now)
+		est.rate = decayedSpeed(learned.rate, meanRate, now)
+		est.overhead = decayedSpeed(learned.overhead, meanOverhead, now)
+		est.step = decayedSpeed(learned.step, meanStep, now)
+		est.slotTime = decayedSpeed(learned.slotTime, meanSlotTime, now)
+		est.pause = decayedSpeed(learned.pause, meanPause, now)
 		est.fleetStep = meanStep
 		if upstream.Load == nil {
 			continue
--- a/routing/reading_test.go
+++ b/routing/reading_test.go
@@ -21,9 +21,9 @@
 		attempt.RecordFirstToken(now)
 		attempt.End(now, 1)
 	}
-	learned, overhead, _, _, _ := tracker.speeds()
-	require.InEpsilon(t, rate, learned.value, 0.05)
-	require.InEpsilon(t, fixed, overhead.value, 0.05)
+	learned := tracker.speeds()
+	require.InEpsilon(t, rate, learned.rate.value, 0.05)
+	require.InEpsilon(t, fixed, learned.overhead.value, 0.05)
 }
 
 // Prompts of one length say nothing of the fixed part, and those that take less time the longer they
--- a/routing/tracker.go
+++ b/routing/tracker.go
@@ -198,14 +198,19 @@
 	return best.inFlight, best.pendingTokens
 }
 
-// speeds returns the learned prefill rate in tokens per second, and in seconds the decode step,
-// the time that an answer occupies a slot, and the pause between two tokens while the engine reads
-// prompts.
-func (t *Tracker) speeds() (rate, overhead, step, slotTime, pause movingAverage) {
+// speeds are what a tracker has learned of an engine: the prefill rate in tokens per second, and in
+// seconds the fixed time of a prefill, the decode step, the time that an answer occupies a slot, and
+// the pause between two tokens while the engine reads prompts.
+type speeds struct {
+	rate, overhead, step, slotTime, pause movingAverage
+}
+
+// speeds returns the learned speeds.
+func (t *Tracker) speeds() speeds {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	rate, overhead = t.reading.estimate()
-	return rate, overhead, t.step, t.slotTime, t.pause
+	rate, overhead := t.reading.estimate()
+	return speeds{rate: rate, overhead: overhead, step: t.step, slotTime: t.slotTime, pause: t.pause}
 }
 
 // AwaitingFirstToken returns the number of attempts that await their first token, and the
