routing: a fixed time of prefill is learned only for engines whose prefill is linear

Such engines learn a mean rate as before; the edge's are marked as linear and decide as before this commit.

--- a/edge/control.go
+++ b/edge/control.go
@@ -415,7 +415,7 @@
 func (c *control) routingUpstream(member *fleet.Upstream, key string, load api.EdgeLoad) *routing.Upstream {
 	tracker := c.trackers[key]
 	if tracker == nil {
-		tracker = &routing.Tracker{}
+		tracker = &routing.Tracker{LinearPrefill: true}
 		c.trackers[key] = tracker
 		c.keyByHash[upstreamHash(key)] = key
 		if blocks := c.cacheBlocks(member.Service); blocks > 0 {
--- a/routing/punctuality_test.go
+++ b/routing/punctuality_test.go
@@ -11,6 +11,7 @@
 // between tokens while it reads.
 func readingEngine(id string, rate float64, pause time.Duration) *Upstream {
 	e := engine(id, nil)
+	e.Tracker.LinearPrefill = true
 	now := epoch
 	for i := range 20 {
 		tokens := []int{1_000, 8_000}[i%2]
--- a/routing/reading_test.go
+++ b/routing/reading_test.go
@@ -12,7 +12,7 @@
 // elsewhere for nothing.
 func TestShortPromptsDoNotMakeAnEngineLookSlow(t *testing.T) {
 	const rate, fixed = 50_000.0, 0.05
-	var tracker Tracker
+	tracker := Tracker{LinearPrefill: true}
 	now := epoch
 	for i := range 60 {
 		tokens := []int{1_000, 1_200, 4_000, 900, 12_000}[i%5]
--- a/routing/tracker.go
+++ b/routing/tracker.go
@@ -24,6 +24,9 @@
 // counts of the last seconds, and learns the upstream's speed from answers. It is shared
 // by request goroutines; a routing decision reads only its atomics.
 type Tracker struct {
+	// LinearPrefill is set for an engine whose time to the first token is a fixed time and one for
+	// each token ahead; for others, whose steps grow with the batch, a mean rate is learned.
+	LinearPrefill bool
 	// InFlight is the number of attempts in flight.
 	InFlight atomic.Int64
 
@@ -38,6 +41,7 @@
 	lastRead historyRead
 	history  [historySteps]historyEntry
 	latest   historyEntry
+	rate     movingAverage
 	reading  readingModel
 	step     movingAverage
 	slotTime movingAverage
@@ -114,8 +118,13 @@
 	defer t.mu.Unlock()
 	t.removePending(a)
 	t.recordCounts(now)
-	if elapsed := now.Sub(a.sentAt).Seconds(); a.tokensAhead >= minRateSampleTokens && elapsed > 0 {
-		t.reading.observe(float64(a.tokensAhead), elapsed, now)
+	elapsed := now.Sub(a.sentAt).Seconds()
+	if a.tokensAhead < minRateSampleTokens || elapsed <= 0 {
+		return
+	}
+	t.reading.observe(float64(a.tokensAhead), elapsed, now)
+	if elapsed > t.step.value {
+		t.rate.observe(float64(a.tokensAhead)/(elapsed-t.step.value), now)
 	}
 }
 
@@ -209,8 +218,11 @@
 func (t *Tracker) speeds() speeds {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	rate, overhead := t.reading.estimate()
-	return speeds{rate: rate, overhead: overhead, step: t.step, slotTime: t.slotTime, pause: t.pause}
+	learned := speeds{rate: t.rate, step: t.step, slotTime: t.slotTime, pause: t.pause}
+	if t.LinearPrefill {
+		learned.rate, learned.overhead = t.reading.estimate()
+	}
+	return learned
 }
 
 // AwaitingFirstToken returns the number of attempts that await their first token, and the
