quota: a node that is cut off keeps its share of the burst

Cause: each node that was cut off from its hub went on with the whole level of a bucket as its own root.

Once a root has had no parent for two bounds of silence, its buckets hold the share of its tree.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -397,10 +397,19 @@
 	if elapsed <= 0 {
 		return
 	}
-	b.level = min(b.level+elapsed*l.rate(b, now), b.limit.Burst)
+	b.level = min(b.level+elapsed*l.rate(b, now), b.limit.Burst*l.burstShare(now))
 	b.refilledAt = now
 }
 
+// burstShare returns the share of the burst that this node's tree may hold: a node that was cut off
+// must not use the whole of it beside the others.
+func (l *Ledger) burstShare(now time.Time) float64 {
+	if l.session.parent != "" || now.Sub(l.session.grantedAt) < 2*l.silenceTimeout || l.session.grantedAt.IsZero() {
+		return 1
+	}
+	return min(1, float64(l.tree(now))/float64(l.nodes))
+}
+
 // rate returns the refill rate of a bucket: the rate of the limit less the shares of the nodes
 // outside the tree, which may be admitting requests.
 func (l *Ledger) rate(b *bucket, now time.Time) float64 {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -288,3 +288,15 @@
 	require.Greater(t, lowest, -tolerance/2)
 	require.Greater(t, admitted, 0.95*(limit.Rate*8+limit.Burst), "what is asked for is admitted")
 }
+
+// A node that is cut off with a full bucket beside others keeps its share of the burst, not all of it.
+func TestNodeThatIsCutOffKeepsItsShareOfTheBurst(t *testing.T) {
+	limit := quota.Limit{Rate: 100, Burst: 3000}
+	root, child := ledger(30, limit), ledger(30, limit)
+	root.AdoptLevels(map[string]float64{"a": limit.Burst}, start)
+	child.SetParent("root", start)
+	exchange(t, root, child, start)
+	require.InDelta(t, 3000, child.Levels(start)["a"], 1)
+	child.SetParent("", start.Add(time.Second))
+	require.InDelta(t, 100, child.Levels(start.Add(4 * time.Second))["a"], 1)
+}
