--- a/edge/control.go
+++ b/edge/control.go
@@ -98,11 +98,13 @@
 	// mismatches counts consecutive exchanges in which the registry differed from the hub's.
 	mismatches int
 	// fleetSize is the number of nodes used by the ledger and the feeds.
-	fleetSize    atomic.Int64
-	peakNodes    int
-	peakNodesAt  time.Time
-	suspectUntil map[string]time.Time
-	trackers     map[string]*routing.Tracker
+	fleetSize   atomic.Int64
+	peakNodes   int
+	peakNodesAt time.Time
+	// loggedRetryBurst is the share of the retry budget's burst that was last logged.
+	loggedRetryBurst float64
+	suspectUntil     map[string]time.Time
+	trackers         map[string]*routing.Tracker
 	// gates hold the limits and pauses that upstreams announce, by upstream key. gateClock is
 	// their clock, which is also read by the goroutines that serve requests.
 	gates map[string]*pacing.Gate
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -22,7 +22,9 @@
 	eventsDropped prometheus.Counter
 	// limitedUpstreams is the number of upstreams that announce a limit.
 	limitedUpstreams prometheus.Gauge
-	logDropped       prometheus.Counter
+	// retryBurst is this node's share of the retry budget's burst.
+	retryBurst prometheus.Gauge
+	logDropped prometheus.Counter
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -49,11 +51,14 @@
 		limitedUpstreams: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "persimmonline_edge_limited_upstreams", Help: "Upstreams that name a limit of requests a second.",
 		}),
+		retryBurst: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "persimmonline_edge_retry_burst", Help: "This node's share of the retries that need no earlier requests to fund them.",
+		}),
 		logDropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "persimmonline_edge_log_lines_dropped_total", Help: "Log lines that were left out, because the output was too slow or upstreams said too much.",
 		}),
 	}
-	registry.MustRegister(m.configVersion, m.storeFailures, m.storeCalls, m.eventWait, m.peerFailures, m.eventsDropped, m.limitedUpstreams, m.logDropped)
+	registry.MustRegister(m.configVersion, m.storeFailures, m.storeCalls, m.eventWait, m.peerFailures, m.eventsDropped, m.limitedUpstreams, m.retryBurst, m.logDropped)
 	return m
 }
 
--- a/edge/peerstate.go
+++ b/edge/peerstate.go
@@ -247,7 +247,20 @@
 	if nodes >= c.peakNodes || now.Sub(c.peakNodesAt) > peakNodesRetention {
 		c.peakNodes, c.peakNodesAt = nodes, now
 	}
-	return retryBurstShare * c.edge.bounds.Load().RetryBurst / float64(max(1, c.peakNodes))
+	share := retryBurstShare * c.edge.bounds.Load().RetryBurst / float64(max(1, c.peakNodes))
+	c.recordRetryBurst(share, nodes, now)
+	return share
+}
+
+// recordRetryBurst exposes this node's share of the retry budget's burst, and logs it if it changed.
+func (c *control) recordRetryBurst(share float64, nodes int, now time.Time) {
+	c.edge.metrics.retryBurst.Set(share)
+	if share == c.loggedRetryBurst {
+		return
+	}
+	c.loggedRetryBurst = share
+	c.edge.logger.Info().Float64("retry_burst", share).Int("nodes", nodes).Int("peak_nodes", c.peakNodes).
+		Dur("since_start_ms", now.Sub(c.edge.startedMonotonic)).Msg("share of the retry budget changed")
 }
 
 // peerLoad sums the load of the other nodes at each upstream.
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -319,8 +319,14 @@
 // takeRetry takes a retry from the budget of the service, and reports whether there was one.
 func (h *Handler) takeRetry(service string, burst float64) bool {
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.budget(service).TakeRetry(time.Now(), burst)
+	granted := h.budget(service).TakeRetry(time.Now(), burst)
+	h.mu.Unlock()
+	result := "granted"
+	if !granted {
+		result = "denied"
+	}
+	h.Metrics.retries.WithLabelValues(service, result).Inc()
+	return granted
 }
 
 func (h *Handler) budget(service string) *retry.WindowBudget {
--- a/serving/metrics.go
+++ b/serving/metrics.go
@@ -14,6 +14,7 @@
 	requests   *prometheus.CounterVec
 	refusals   *prometheus.CounterVec
 	attempts   *prometheus.CounterVec
+	retries    *prometheus.CounterVec
 	limited    *prometheus.CounterVec
 	throttled  *prometheus.CounterVec
 	firstByte  *prometheus.HistogramVec
@@ -33,6 +34,9 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "persimmonline_edge_attempts_total", Help: "Attempts by service and result.",
 		}, []string{"service", "result"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "persimmonline_edge_retries_total", Help: "Retries that the budget granted or denied, by service.",
+		}, []string{"service", "result"}),
 		limited: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "persimmonline_edge_limited_attempts_total", Help: "Attempts at upstreams that were known to name a limit, by service.",
 		}, []string{"service"}),
@@ -49,7 +53,7 @@
 	m.viewAge = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "persimmonline_edge_view_age_seconds", Help: "Age of the view that a request was decided by.", Buckets: latencyBuckets,
 	})
-	registry.MustRegister(m.requests, m.refusals, m.attempts, m.limited, m.throttled, m.firstByte, m.suppressed, m.viewAge)
+	registry.MustRegister(m.requests, m.refusals, m.attempts, m.retries, m.limited, m.throttled, m.firstByte, m.suppressed, m.viewAge)
 	return m
 }
 
--- a/serving/run.go
+++ b/serving/run.go
@@ -96,6 +96,8 @@
 	// reserved is the upstream of the next attempt if the retry budget has already granted it; else
 	// nil.
 	reserved atomic.Pointer[routing.Choice]
+	// retryDenied is set once the retry budget has denied a retry.
+	retryDenied atomic.Bool
 	// throttledFor is the time after which a caller should retry because all upstreams are throttled;
 	// 0 if that was not the reason.
 	throttledFor time.Duration
@@ -244,12 +246,21 @@
 	case outcomeUnreachable:
 		return true
 	case outcomeNotRun:
-		return r.handler.takeRetry(r.service, r.view.RetryBurst)
+		return r.takeRetry(r.view.RetryBurst)
 	default:
-		return repeatable && r.possibleRuns < r.request.Route.MaxAttempts && r.handler.takeRetry(r.service, r.view.RetryBurst)
+		return repeatable && r.possibleRuns < r.request.Route.MaxAttempts && r.takeRetry(r.view.RetryBurst)
 	}
 }
 
+// takeRetry takes a retry from the budget of the request's service.
+func (r *requestRun) takeRetry(burst float64) bool {
+	granted := r.handler.takeRetry(r.service, burst)
+	if !granted {
+		r.retryDenied.Store(true)
+	}
+	return granted
+}
+
 // enginePriority returns a higher priority for short prompts: they delay long ones only a little, and
 // would otherwise wait for all of them (head-of-line blocking).
 func (r *requestRun) enginePriority() int {
@@ -269,7 +280,7 @@
 	if err != nil {
 		return false
 	}
-	if !r.handler.takeRetry(r.service, view.RetryBurst) {
+	if !r.takeRetry(view.RetryBurst) {
 		choice.Upstream.Gate.Refund()
 		return false
 	}
@@ -383,6 +394,9 @@
 	if !r.firstByte.IsZero() {
 		event = event.Dur("first_byte_ms", r.firstByte.Sub(r.request.ArrivedAt))
 	}
+	if r.retryDenied.Load() {
+		event = event.Bool("retry_denied", true).Float64("retry_burst", r.view.RetryBurst)
+	}
 	event.Str("request", r.request.ID).Int("prompt_tokens", r.request.PromptTokens).
 		Uint64("prefix", r.shared.Chain).Int("shared_tokens", r.shared.Tokens).
 		Str("route", route.Name).Str("workspace", r.request.Workspace).
