--- a/edge/mesh_test.go
+++ b/edge/mesh_test.go
@@ -34,17 +34,34 @@
 
 // start adds a node that has the addresses of all others, as if read from the topic of nodes.
 func (m *mesh) start(name, dataCentre string) {
+	m.startAlone(name, dataCentre)
+	for other := range m.nodes {
+		m.introduce(name, other)
+	}
+}
+
+// startAlone adds a node that knows no other node, as while the store is down.
+func (m *mesh) startAlone(name, dataCentre string) {
 	e := New(platform.Settings{
 		Name: name, DataCentre: dataCentre, PeerPort: 1,
-		Bounds: platform.Bounds{UsageWindow: 5 * time.Second, Contact: contactBound, ConfigApply: applyBound, Drain: drainBound, Lease: 3 * time.Second},
+		Bounds: platform.Bounds{
+			UsageWindow: 5 * time.Second, Contact: contactBound, ConfigApply: applyBound, Drain: drainBound, Lease: 3 * time.Second,
+			RetryRatio: retryRatio, RetryWindow: retryWindow, RetryBurst: retryBurst,
+		},
 	}, zerolog.New(io.Discard))
-	for other, c := range m.nodes {
-		e.control.addPeer(other, other, c.edge.settings.DataCentre, m.now)
-		c.addPeer(name, name, dataCentre, m.now)
-	}
+	e.startedMonotonic = m.now
 	m.nodes[name] = e.control
 }
 
+// introduce gives two nodes each other's address.
+func (m *mesh) introduce(a, b string) {
+	for _, pair := range [][2]string{{a, b}, {b, a}} {
+		if c := m.nodes[pair[1]]; c != nil && pair[0] != pair[1] && m.nodes[pair[0]] != nil {
+			m.nodes[pair[0]].addPeer(pair[1], pair[1], c.edge.settings.DataCentre, m.now)
+		}
+	}
+}
+
 func (m *mesh) kill(c *control) { delete(m.nodes, c.edge.settings.Name) }
 
 func (m *mesh) restart(c *control) {
--- a/internal/netopt/netopt.go
+++ b/internal/netopt/netopt.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// unackedTimeout closes a connection whose data is not acknowledged (TCP_USER_TIMEOUT).
-	unackedTimeout = 2 * time.Second
+	// UnackedTimeout closes a connection whose data is not acknowledged (TCP_USER_TIMEOUT).
+	UnackedTimeout = 2 * time.Second
 	// probeIdle, probeInterval and probeCount detect within three seconds that the peer of a
 	// connection that only reads is unresponsive; one second is the kernel's resolution.
 	probeIdle     = time.Second
@@ -49,7 +49,7 @@
 func control(_, _ string, raw syscall.RawConn) error {
 	var optionErr error
 	err := raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UnackedTimeout.Milliseconds()))
 	})
 	if err != nil {
 		return err
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -155,6 +156,33 @@
 	answer.Abort()
 }
 
+// A request that was given up while its link was cut reaches the upstream when the link heals.
+func TestGivenUpRequestArrivesLater(t *testing.T) {
+	for _, giveUp := range []string{"canceled", "answer aborted"} {
+		received := make(chan error, 1)
+		heal := make(chan struct{})
+		to := listen(t, func(_ int, conn net.Conn) {
+			if giveUp == "answer aborted" {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart")
+			}
+			<-heal
+			_, err := io.ReadAll(conn)
+			received <- err
+		})
+		pool := relay.NewPool()
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		answer, err := pool.Send(ctx, to, getCall())
+		if err == nil {
+			answer.Abort()
+		}
+		time.Sleep(50 * time.Millisecond)
+		close(heal)
+		require.ErrorIs(t, <-received, syscall.ECONNRESET, "%s: bytes that are still on their way must be discarded", giveUp)
+		cancel()
+		pool.Close()
+	}
+}
+
 // Guards against reuse of a connection whose upstream answered before it had read a long
 // body: the rest of the body must not become the next request.
 func TestConnectionWhoseBodyIsNotWholeIsNotUsedAgain(t *testing.T) {
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -62,6 +62,8 @@
 	view    atomic.Pointer[serving.View]
 	runs    atomic.Int64
 	stopped atomic.Int64
+	// clockOffset is added to the monotonic clock.
+	clockOffset atomic.Int64
 }
 
 // behaviour handles the nth request (from 1) that reaches any upstream.
@@ -100,8 +102,9 @@
 	pool := relay.NewPool()
 	t.Cleanup(pool.Close)
 	handler := serving.New(serving.Settings{
-		Adapter: platform.Protocol{}, CurrentView: d.view.Load, Pool: pool, Ledger: ledger, LedgerLock: &sync.Mutex{}, MonotonicNow: time.Now,
-		Events: d.events, RetryRatio: 0.2, RetryWindow: 10 * time.Second, Logger: zerolog.Nop(),
+		Adapter: platform.Protocol{}, CurrentView: d.view.Load, Pool: pool, Ledger: ledger, LedgerLock: &sync.Mutex{},
+		MonotonicNow: func() time.Time { return time.Now().Add(time.Duration(d.clockOffset.Load())) },
+		Events:       d.events, RetryRatio: 0.2, RetryWindow: 10 * time.Second, Logger: zerolog.Nop(),
 		Metrics: serving.NewMetrics(prometheus.NewRegistry()),
 	})
 	front := httptest.NewServer(handler)
@@ -449,3 +452,20 @@
 	}
 	require.Equal(t, http.StatusOK, request("/safe/x", "key").StatusCode)
 }
+
+// The retry budget's window passes by the wall clock, which a step may set ahead.
+func TestClockStepRefillsTheRetryBudget(t *testing.T) {
+	const calls = 4
+	d := deploy(t, 3, shed)
+	retries := func() int64 {
+		before := d.runs.Load()
+		for range calls {
+			require.Equal(t, http.StatusServiceUnavailable, d.call(t.Context(), "safe", nil).status)
+		}
+		return d.runs.Load() - before - calls
+	}
+	require.Greater(t, retries()+retries(), int64(4), "the burst")
+	require.LessOrEqual(t, retries(), int64(1), "what the requests have paid for")
+	d.clockOffset.Store(int64(time.Minute))
+	require.Greater(t, retries(), int64(3), "the window has passed by the clock that is never set")
+}
