relay: a request that is given up is reset, so that it can't arrive later

Callers and engines saw: a retry was sent elsewhere because a link was cut, and the first request still reached its engine when the link healed, in one window with the retries of that moment. Cause: the connection was closed, and a close waits for what is unsent. A reset discards it.

TestGivenUpRequestArrivesLater failed before (the receiver read the request and an orderly end) and passes now, for a canceled request and an aborted answer. Ruled out: the handshake, before which nothing is sent.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -120,6 +120,15 @@
 	expiresAt time.Time
 }
 
+// reset closes the connection with a TCP reset, so that bytes which a broken link holds back are
+// discarded: the upstream must not get a request that was given up.
+func (c *conn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // NewPool returns an empty pool.
 func NewPool() *Pool {
 	return &Pool{dialer: netopt.Dialer(dialTimeout), idle: map[string][]*conn{}}
@@ -141,7 +150,7 @@
 		return nil, &Error{Step: StepConnect, Peer: to.Address, Err: err}
 	}
 	answer := &Answer{pool: p, conn: c, method: call.Method, written: make(chan error, 1)}
-	answer.stopContextWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
+	answer.stopContextWatch = context.AfterFunc(ctx, c.reset)
 	head := call.head()
 	if len(call.Body) <= maxInlineBodyBytes {
 		if _, err := c.Write(append(head, call.Body...)); err != nil {
@@ -393,14 +402,14 @@
 	}
 }
 
-// Abort closes the connection.
+// Abort resets the connection.
 func (a *Answer) Abort() {
 	if a.ended {
 		return
 	}
 	a.ended = true
 	a.stopContextWatch()
-	_ = a.conn.Close()
+	a.conn.reset()
 }
 
 // keepAliveTimeout returns how long a connection may stay idle, from the upstream's Keep-Alive
