serving: the retry budget's window passes by the monotonic clock

A step of the wall clock emptied the window, so that a node had its whole share again, or set it back onto slices that were overwritten with the retries in them. The budget now goes by the clock of the quota ledger, which includes the time for which a host is suspended and is never set.

TestClockStepRefillsTheRetryBudget failed before (1 retry where the budget was due again, by a clock that the test moves) and passes now. The same class elsewhere: routing's trackers measure the age of pending requests and their history by the wall clock; that moves placement and breaks no promise.

--- a/serving/handler.go
+++ b/serving/handler.go
@@ -54,7 +54,7 @@
 	Ledger *quota.Ledger
 	// LedgerLock guards Ledger.
 	LedgerLock *sync.Mutex
-	// MonotonicNow is the clock of Ledger; it includes the time for which the host is suspended.
+	// MonotonicNow is the clock of Ledger and of the retry budget; it includes the time for which the host is suspended.
 	MonotonicNow func() time.Time
 	// Events receives the observations of the serving path.
 	Events Events
@@ -313,13 +313,13 @@
 func (h *Handler) countRequest(service string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.budget(service).RecordRequest(time.Now())
+	h.budget(service).RecordRequest(h.MonotonicNow())
 }
 
 // takeRetry takes a retry from the budget of the service, and reports whether there was one.
 func (h *Handler) takeRetry(service string, burst float64) bool {
 	h.mu.Lock()
-	granted := h.budget(service).TakeRetry(time.Now(), burst)
+	granted := h.budget(service).TakeRetry(h.MonotonicNow(), burst)
 	h.mu.Unlock()
 	result := "granted"
 	if !granted {
