edge: a node that starts takes no part of the retries' burst within a window

Callers saw no harm; engines got more retries than operators allow. Cause: what a node has spent and how many nodes share the burst were known to its process alone. A process that starts had a full share again, though the one before it had spent one in the same window, and divided by the peers that it had found so far: five nodes that find each other slowly after a restart took 14 each of 56.

A share is now taken only once a window and the transit time have passed since the start, when nothing of the process before can arrive any more and the peers are known; until then requests pay for retries, as ever. The number of nodes is remembered for 10 minutes instead of 30 s, since sides of a partition that forget each other take a share each, and is never assumed to be under five.

Ruled out: sends that are not charged; an upstream that could not be reached got nothing, and every other further attempt takes a retry.

--- a/edge/peerstate.go
+++ b/edge/peerstate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/retry"
 )
 
 const (
@@ -17,15 +18,15 @@
 	// maxLoadAge is how long the load that a peer reports is used.
 	maxLoadAge = 700 * time.Millisecond
 	// peakNodesRetention is how long the highest number of nodes determines the shares of the
-	// retry budget; it covers several of the budget's windows.
-	peakNodesRetention = 30 * time.Second
-	// joinDelay is how long after its start a node that knows no peer takes no share of the retry
-	// budget and of the upstreams' limits.
+	// retry budget; regions may lose each other for minutes.
+	peakNodesRetention = 10 * time.Minute
+	// joinDelay is how long after its start a node that knows no peer takes no share of the
+	// upstreams' limits.
 	joinDelay = 2 * time.Second
-	// assumedNodes is the minimum number of nodes that a node assumes while it knows no peer.
+	// assumedNodes is the minimum number of nodes that share the retry budget.
 	assumedNodes = 5
 	// retryBurstShare is the fraction of the budget's burst that is distributed to the nodes; the
-	// rest covers nodes that restart with a full share.
+	// rest covers nodes that do not know all others yet.
 	retryBurstShare = 0.5
 )
 
@@ -237,17 +238,16 @@
 // retryBurst returns this node's share of the retry budget's burst: the retries that are allowed
 // without earlier requests to fund them.
 func (c *control) retryBurst(now time.Time) float64 {
-	nodes := c.nodeCount(now)
-	if nodes == 1 {
-		if now.Sub(c.edge.startedMonotonic) < joinDelay {
-			return 0
-		}
-		nodes = max(assumedNodes, c.peakNodes)
-	}
+	nodes := max(assumedNodes, c.nodeCount(now))
 	if nodes >= c.peakNodes || now.Sub(c.peakNodesAt) > peakNodesRetention {
 		c.peakNodes, c.peakNodesAt = nodes, now
 	}
-	share := retryBurstShare * c.edge.bounds.Load().RetryBurst / float64(max(1, c.peakNodes))
+	bounds := c.edge.bounds.Load()
+	share := retryBurstShare * bounds.RetryBurst / float64(c.peakNodes)
+	if now.Sub(c.edge.startedMonotonic) < retry.RetryRetention(bounds.RetryWindow) {
+		// The previous process of this node may have used the share, and peers may still be unknown.
+		share = 0
+	}
 	c.recordRetryBurst(share, nodes, now)
 	return share
 }
