--- a/edge/peerstate.go
+++ b/edge/peerstate.go
@@ -244,7 +244,7 @@
 	}
 	bounds := c.edge.bounds.Load()
 	share := retryBurstShare * bounds.RetryBurst / float64(c.peakNodes)
-	if now.Sub(c.edge.startedMonotonic) < retry.RetryRetention(bounds.RetryWindow) {
+	if now.Sub(c.edge.startedMonotonic) < retry.Retention(bounds.RetryWindow) {
 		// The previous process of this node may have used the share, and peers may still be unknown.
 		share = 0
 	}
--- a/retry/window.go
+++ b/retry/window.go
@@ -29,14 +29,14 @@
 	retries  float64
 }
 
-// RetryRetention returns how long a retry is counted: for the window, and for the time that it may
+// Retention returns how long a retry is counted: for the window, and for the time that it may
 // take to arrive.
-func RetryRetention(window time.Duration) time.Duration { return window + maxTransit }
+func Retention(window time.Duration) time.Duration { return window + maxTransit }
 
 // NewWindowBudget returns a budget of ratio retries per request over a window.
 func NewWindowBudget(ratio float64, window time.Duration) *WindowBudget {
 	slice := window / slicesPerWindow
-	retained := (RetryRetention(window) + slice - 1) / slice
+	retained := (Retention(window) + slice - 1) / slice
 	return &WindowBudget{ratio: ratio * ratioSafetyFactor, slice: slice, slices: make([]windowSlice, retained+1)}
 }
 
