--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -22,6 +22,8 @@
 	eventsDropped prometheus.Counter
 	// limitedUpstreams is the number of upstreams that announce a limit.
 	limitedUpstreams prometheus.Gauge
+	// upstreamCrashes counts the upstreams that died while they ran a request of this node.
+	upstreamCrashes prometheus.Counter
 	// retryBurst is this node's share of the retry budget's burst.
 	retryBurst prometheus.Gauge
 	logDropped prometheus.Counter
@@ -51,6 +53,9 @@
 		limitedUpstreams: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "persimmonline_edge_limited_upstreams", Help: "Upstreams that name a limit of requests a second.",
 		}),
+		upstreamCrashes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "persimmonline_edge_upstream_crashes_total", Help: "Requests of this node under which an upstream died.",
+		}),
 		retryBurst: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "persimmonline_edge_retry_burst", Help: "This node's share of the retries that need no earlier requests to fund them.",
 		}),
@@ -58,7 +63,7 @@
 			Name: "persimmonline_edge_log_lines_dropped_total", Help: "Log lines that were left out, because the output was too slow or upstreams said too much.",
 		}),
 	}
-	registry.MustRegister(m.configVersion, m.storeFailures, m.storeCalls, m.eventWait, m.peerFailures, m.eventsDropped, m.limitedUpstreams, m.retryBurst, m.logDropped)
+	registry.MustRegister(m.configVersion, m.storeFailures, m.storeCalls, m.eventWait, m.peerFailures, m.eventsDropped, m.limitedUpstreams, m.upstreamCrashes, m.retryBurst, m.logDropped)
 	return m
 }
 
--- a/edge/poison.go
+++ b/edge/poison.go
@@ -26,6 +26,7 @@
 			return
 		}
 		c.tryPost(func(now time.Time) {
+			c.edge.metrics.upstreamCrashes.Inc()
 			c.poison.RecordCrash(fingerprint, upstream.Key(), now)
 			verdict := c.poison.Verdict(fingerprint, now)
 			c.edge.logger.Warn().Err(err).Str("upstream", upstream.ID).Uint64("fingerprint", fingerprint).
--- a/serving/prompt.go
+++ b/serving/prompt.go
@@ -58,3 +58,12 @@
 	binary.LittleEndian.PutUint64(raw[8:], uint64(block))
 	return xxhash.Sum64(raw[:])
 }
+
+// partIDs returns the ids of the parts of a prompt, in order.
+func partIDs(parts []PromptPart) []string {
+	ids := make([]string, 0, len(parts))
+	for _, part := range parts {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
--- a/serving/run.go
+++ b/serving/run.go
@@ -394,6 +394,9 @@
 	if !r.firstByte.IsZero() {
 		event = event.Dur("first_byte_ms", r.firstByte.Sub(r.request.ArrivedAt))
 	}
+	if r.possibleRuns > 0 && r.result != "answered" {
+		event = event.Strs("parts", partIDs(r.request.Parts))
+	}
 	if r.retryDenied.Load() {
 		event = event.Bool("retry_denied", true).Float64("retry_burst", r.view.RetryBurst)
 	}
