--- /dev/null
+++ b/edge/crashes_test.go
@@ -0,0 +1,212 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonline/persimmonline/platform"
+	"github.com/persimmonline/persimmonline/platform/platformtest"
+)
+
+const (
+	badPart = "bad0"
+	// maxCrashes is the number of crashes after which requests with the part may run no more, and
+	// maxFurtherRuns the number that may nevertheless reach upstreams later than the contact bound.
+	maxCrashes     = 5
+	maxFurtherRuns = 3
+	// engineRestart is how long an engine is away after a crash.
+	engineRestart = time.Second
+)
+
+const streamConfig = `{"version":1,"routes":[{"name":"r","host":"h.example","pathPrefix":"/a/","type":"streaming","timeoutMs":3000,
+ "targetLatencyMs":1000,"gapTargetMs":500,"service":"s","maxAttempts":2,"streamResume":true}],"services":[{"name":"s","healthPath":"/healthz"}],
+ "limits":{},"tenants":[{"name":"w","apiKeys":["k"],"ratePerS":10000,"burst":10000}]}`
+
+// crashFleet is a fleet of nodes in front of engines that crash on a part of a prompt and start again
+// with another id.
+type crashFleet struct {
+	t     *testing.T
+	store storeServer
+	nodes []*Edge
+
+	mu       sync.Mutex
+	started  int
+	crashes  []time.Time
+	arrivals []crashArrival
+	served   []time.Time
+	failed   []time.Time
+}
+
+type crashArrival struct {
+	bad bool
+	at  time.Time
+}
+
+func (f *crashFleet) RequestArrived(_, _, request string, at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.arrivals = append(f.arrivals, crashArrival{strings.HasPrefix(request, "bad"), at})
+}
+
+func (f *crashFleet) RequestExecuted(platformtest.Execution) {}
+
+func newCrashFleet(t *testing.T, nodes, engines int) *crashFleet {
+	f := &crashFleet{t: t, store: newStore(t)}
+	f.store.PublishConfig([]byte(streamConfig))
+	for range engines {
+		f.startEngine()
+	}
+	for i := range nodes {
+		e, _ := start(t, settings(t, fmt.Sprintf("n%d", i), f.store.address()))
+		f.nodes = append(f.nodes, e)
+	}
+	for _, e := range f.nodes {
+		require.Eventually(t, func() bool { return ready(e) }, eventually, 10*time.Millisecond)
+	}
+	return f
+}
+
+// startEngine starts an engine, and another one some time after it has crashed.
+func (f *crashFleet) startEngine() {
+	f.mu.Lock()
+	f.started++
+	id := fmt.Sprintf("i-%d", f.started)
+	f.mu.Unlock()
+	engine, err := platformtest.StartEngine("127.0.0.1", platformtest.EngineSettings{
+		ID: id, Service: "s", DataCentre: "z", Slots: 64, Work: 20 * time.Millisecond, Events: 8, Pause: 20 * time.Millisecond, Recorder: f,
+	})
+	require.NoError(f.t, err)
+	engine.SetFaults(platformtest.EngineFaults{CrashPart: badPart})
+	engine.OnCrash(func() {
+		f.mu.Lock()
+		f.crashes = append(f.crashes, time.Now())
+		f.mu.Unlock()
+		time.AfterFunc(engineRestart, func() {
+			if f.t.Context().Err() == nil {
+				f.store.Put(platform.TopicRegistry, id, nil)
+				f.startEngine()
+			}
+		})
+	})
+	f.t.Cleanup(engine.Crash)
+	f.store.register(id, engine.Address())
+}
+
+// request sends a request with the given parts and one of its own to a node.
+func (f *crashFleet) request(e *Edge, kind string, parts ...string) {
+	own := fmt.Sprintf("%s-%d", kind, rand.Uint64())
+	prefix := ""
+	for _, part := range append(parts, own) {
+		prefix += part + ":100,"
+	}
+	r, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, "http://"+e.settings.CallerAddress+"/a/x", strings.NewReader(own))
+	if err != nil {
+		return
+	}
+	r.Host = "h.example"
+	r.Header.Set("X-Request-Id", own)
+	r.Header.Set("X-Token-Usage", "300,10")
+	r.Header.Set("X-Prefix-Hash", strings.TrimSuffix(prefix, ","))
+	r.Header.Set("Authorization", "Bearer k")
+	response, err := http.DefaultClient.Do(r)
+	ok := err == nil && response.StatusCode == http.StatusOK
+	if err == nil {
+		_, err = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}
+	if kind == "bad" {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if ok && err == nil {
+		f.served = append(f.served, time.Now())
+	} else {
+		f.failed = append(f.failed, time.Now())
+	}
+}
+
+// load sends requests of a kind at a rate to nodes in random order until the test ends.
+func (f *crashFleet) load(kind string, perSecond float64, parts func() []string) {
+	var requests sync.WaitGroup
+	requests.Go(func() {
+		ticker := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
+		defer ticker.Stop()
+		for {
+			select {
+			case <-f.t.Context().Done():
+				return
+			case <-ticker.C:
+			}
+			requests.Go(func() { f.request(f.nodes[rand.IntN(len(f.nodes))], kind, parts()...) })
+		}
+	})
+	f.t.Cleanup(requests.Wait)
+}
+
+// badAfter returns how many requests with the bad part reached engines after a time.
+func (f *crashFleet) badAfter(from time.Time) (count int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, arrival := range f.arrivals {
+		if arrival.bad && arrival.at.After(from) {
+			count++
+		}
+	}
+	return count
+}
+
+// servedShare returns the share of the sound requests that were served after a time.
+func (f *crashFleet) servedShare(from time.Time) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	served, failed := 0, 0
+	for _, at := range f.served {
+		if at.After(from) {
+			served++
+		}
+	}
+	for _, at := range f.failed {
+		if at.After(from) {
+			failed++
+		}
+	}
+	return float64(served) / float64(max(1, served+failed))
+}
+
+// crashedAt returns when the nth engine crashed; zero if that has not happened.
+func (f *crashFleet) crashedAt(n int) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.crashes) < n {
+		return time.Time{}
+	}
+	return f.crashes[n-1]
+}
+
+// Requests with one part in common, no two alike, crash engine after engine.
+func TestPromptPartCrashesEngineAfterEngine(t *testing.T) {
+	t.Parallel()
+	f := newCrashFleet(t, 3, 6)
+	sound := func() []string { return []string{"system", fmt.Sprintf("subject%d", rand.IntN(3))} }
+	f.load("sound", 40, sound)
+	time.Sleep(time.Second)
+	f.load("bad", 6, func() []string { return append(sound(), badPart) })
+	require.Eventually(t, func() bool { return f.crashedAt(3) != (time.Time{}) }, eventually, 10*time.Millisecond)
+	time.Sleep(contactBound + 2*time.Second)
+	last := f.crashedAt(maxCrashes)
+	if last.IsZero() {
+		last = f.crashedAt(3)
+	}
+	time.Sleep(3 * time.Second)
+	require.LessOrEqual(t, f.badAfter(last.Add(contactBound)), maxFurtherRuns, "requests with the part are still sent to engines")
+	require.Greater(t, f.servedShare(last.Add(contactBound)), 0.98, "sound requests with the same key and first parts")
+}
