quarantine, edge: parts of prompts that crash upstreams are found and refused

The class of fault: blame is given to what was sent and not to what several requests have in common. The fingerprint of a request holds its whole body, so that no two of these were alike and each was a first offence (56 fingerprints in 58 lines).

A crash now counts against each trait of the requests that its upstream was running: the request as a whole, and each part of its prompt but the last. A trait is refused after three crashes apart in time (two for a request that is sent again) since a request with it last completed anywhere; crashes that a refused part explains count against nothing else, so that sound parts are not condemned with it. An upstream that left on notice, that can't be reached, or that had been writing the answer for a second counts against nothing. Answers that end with their connection prove nothing. Refusals, crashes and successes travel with the exchange of nodes, refusals at once to nodes that start; the number of suspects no longer pushes a refusal out of messages or of the verdict. After 10 s one request may run on trial at one node, twice at most, and lifts a wrong refusal.

--- a/api/edge_gen.go
+++ b/api/edge_gen.go
@@ -95,7 +95,8 @@
 	// the sender's incarnation.
 	SentMS int64 `json:"sent_ms"`
 
-	// Suspicions are the requests suspected of crashing upstreams, newest first.
+	// Suspicions are the requests and parts of prompts suspected of crashing
+	// upstreams.
 	Suspicions []EdgeSuspicion `json:"suspicions"`
 
 	// Usage in the newest windows, by node incarnation, window and workspace.
@@ -257,16 +258,27 @@
 	Whole bool `json:"whole"`
 }
 
-// EdgeSuspicion is a request suspected of crashing upstreams.
+// EdgeSuspicion is a request, or a part of prompts, suspected of crashing
+// upstreams.
 type EdgeSuspicion struct {
-	// AgeMS is the time since the last crash, in milliseconds.
+	// AgeMS is the time since the last crash or since it completed, in milliseconds.
 	AgeMS int64 `json:"age_ms"`
 
-	// Fingerprint of the request.
+	// Fingerprint of the request or the part.
 	Fingerprint uint64 `json:"fingerprint"`
 
-	// Upstreams that crashed while they ran it, by id and incarnation.
+	// Upstreams that crashed while they ran it, by id and incarnation; empty if it
+	// has completed since.
 	Upstreams []string `json:"upstreams"`
+
+	// Waivers is the number of requests that ran although it was withheld.
+	Waivers int `json:"waivers"`
+
+	// Where is the position of the part in the prompt, from 1; 0 for a whole request.
+	Where int `json:"where"`
+
+	// Withheld is set if requests with it are refused.
+	Withheld bool `json:"withheld"`
 }
 
 // EdgeUpstream is an upstream of the registry.
--- a/edge/control.go
+++ b/edge/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -126,9 +127,12 @@
 	cacheListCalls    int
 	placementSequence int64
 	duties            *duties
-	poison            *quarantine.Table
-	draining          bool
-	refusingRequests  bool
+	attribution       *quarantine.Attribution
+	// refusedTraits are the traits whose requests are refused, trials the offers to run one of them.
+	refusedTraits    map[uint64]bool
+	trials           map[uint64]*atomic.Bool
+	draining         bool
+	refusingRequests bool
 	// publishNow is set if the view must be published at once, publishPending if that may wait
 	// until the next publish interval.
 	publishNow, publishPending bool
@@ -142,7 +146,8 @@
 		gates: map[string]*pacing.Gate{}, removedGates: map[string]removedGate{}, gateClock: time.Now,
 		noticeLogLimiter: rate.NewLimiter(noticeLogRate, noticeLogBurst),
 		prefixes:         routing.NewPrefixIndex(maxPrefixBlocks), publishNow: true,
-		poison: quarantine.NewTable(), configFetches: map[string]time.Time{},
+		attribution: quarantine.NewAttribution(e.successes), refusedTraits: map[uint64]bool{}, trials: map[uint64]*atomic.Bool{},
+		configFetches: map[string]time.Time{},
 	}
 	c.duties = newDuties(e, c)
 	return c
@@ -222,6 +227,7 @@
 	c.evictGates(now)
 	c.evictPeers(now)
 	c.updateNodeCount(now)
+	c.tickAttribution(now)
 	c.updateDutyCandidacy(now)
 	c.edge.clock.correct()
 	c.edge.pool.Sweep(c.isTracked)
@@ -375,7 +381,7 @@
 	view := &serving.View{
 		Table: c.table, RegistryReadAt: time.Now().Add(-now.Sub(c.registryCurrentAt)), DataCentre: c.edge.settings.DataCentre,
 		RetryBurst: c.retryBurst(now), Draining: c.draining, RefusingRequests: c.refusingRequests,
-		Poisoned: c.poisonedRequests(now), PublishedAt: time.Now(), ConfigUnconfirmed: c.configUnconfirmed(now),
+		RefusedTraits: c.refusedTraits, Trials: maps.Clone(c.trials), PublishedAt: time.Now(), ConfigUnconfirmed: c.configUnconfirmed(now),
 	}
 	byService := map[string][]*routing.Upstream{}
 	var sources []*routing.Upstream
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -24,6 +24,7 @@
 
 	"github.com/persimmonline/persimmonline/internal/netopt"
 	"github.com/persimmonline/persimmonline/platform"
+	"github.com/persimmonline/persimmonline/quarantine"
 	"github.com/persimmonline/persimmonline/quota"
 	"github.com/persimmonline/persimmonline/relay"
 	"github.com/persimmonline/persimmonline/serving"
@@ -75,6 +76,7 @@
 	storeReaders atomic.Int64
 
 	engines    *platform.Engines
+	successes  *quarantine.Successes
 	ledgerLock sync.Mutex
 	ledger     *quota.Ledger
 	usageLock  sync.Mutex
@@ -93,7 +95,7 @@
 func New(settings platform.Settings, logger zerolog.Logger) *Edge {
 	e := &Edge{
 		settings: settings, incarnation: uuid.NewString(), clock: newClock(),
-		store: platform.NewStore(settings.StoreAddress), pool: relay.NewPool(), engines: platform.NewEngines(), ledger: quota.NewLedger(),
+		store: platform.NewStore(settings.StoreAddress), pool: relay.NewPool(), engines: platform.NewEngines(), successes: quarantine.NewSuccesses(), ledger: quota.NewLedger(),
 		idle: newIdleConnections(), reloads: make(chan struct{}, 1),
 	}
 	e.logger = logger.With().Str("node", settings.Name).Logger()
@@ -117,8 +119,8 @@
 	e.control.publish(e.startedMonotonic)
 	e.handler = serving.New(serving.Settings{
 		Adapter: platform.Protocol{}, CurrentView: e.view.Load, Pool: e.pool, Ledger: e.ledger, LedgerLock: &e.ledgerLock,
-		MonotonicNow: e.clock.monotonic,
-		Events:       e.control, RetryRatio: settings.Bounds.RetryRatio, RetryWindow: settings.Bounds.RetryWindow,
+		MonotonicNow: e.clock.monotonic, Successes: e.successes,
+		Events: e.control, RetryRatio: settings.Bounds.RetryRatio, RetryWindow: settings.Bounds.RetryWindow,
 		Logger: e.logger, Metrics: serving.NewMetrics(registry),
 	})
 	return e
--- /dev/null
+++ b/quarantine/attribution.go
@@ -0,0 +1,310 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// partCrashes is the number of crashes, apart in time, after which requests with a part of a
+	// prompt are refused; requestCrashes is that for a request that is sent again.
+	partCrashes    = 3
+	requestCrashes = 2
+	// crashSpacing is the time within which crashes count as one, since a fault of hosts ends many
+	// upstreams at once.
+	crashSpacing = 200 * time.Millisecond
+	// maxSuspectUpstreams bounds the upstreams that are kept of one suspect.
+	maxSuspectUpstreams = 16
+	// trialDelay is how long after its refusal, or after the last trial, a trait is tried again.
+	trialDelay = 10 * time.Second
+	// maxTrials bounds the requests that run although their trait is refused.
+	maxTrials = 2
+	// announceTime is how long messages include a suspect that has changed.
+	announceTime = 3 * time.Second
+)
+
+// Trait is something that requests have in common.
+type Trait struct {
+	// Hash identifies the trait.
+	Hash uint64
+	// Position of a part in the prompt, from 1; 0 if the trait is the whole request.
+	Position int
+}
+
+// Suspect is a trait of requests that upstreams were running when they crashed.
+type Suspect struct {
+	Trait
+	// Upstreams that crashed, the latest last; empty in a message that only clears the trait.
+	Upstreams []string
+	// CrashedAt is the time of the last crash, ClearedAt that of the last complete response.
+	CrashedAt, ClearedAt time.Time
+	// RefusedAt is when the trait was refused; zero if it is not.
+	RefusedAt time.Time
+	// Trials is the number of requests that ran although the trait was refused.
+	Trials int
+
+	triedAt, changedAt time.Time
+}
+
+// Cleared reports whether a request with the trait has completed since the last crash.
+func (s *Suspect) Cleared() bool { return s.ClearedAt.After(s.CrashedAt) }
+
+// Attribution finds what the requests that crash upstreams have in common. An upstream that crashes
+// ends all exchanges that it had under way, most of them sound, so that a trait is refused only if
+// upstreams crashed again and again while no request with it completed. It is not safe for
+// concurrent use.
+type Attribution struct {
+	successes *Successes
+	suspects  map[uint64]*Suspect
+	// crashes are the times at which upstreams crashed.
+	crashes map[string]time.Time
+}
+
+// NewAttribution returns an empty attribution that goes by successes.
+func NewAttribution(successes *Successes) *Attribution {
+	return &Attribution{successes: successes, suspects: map[uint64]*Suspect{}, crashes: map[string]time.Time{}}
+}
+
+// RecordCrash records that an upstream crashed while it ran a request with some traits.
+func (a *Attribution) RecordCrash(upstream string, traits []Trait, now time.Time) {
+	for _, trait := range traits {
+		a.add(trait, []string{upstream}, now, now)
+	}
+	a.decide(now)
+}
+
+// add adds crashed upstreams to a suspect, and returns it.
+func (a *Attribution) add(trait Trait, upstreams []string, at, now time.Time) *Suspect {
+	suspect := a.suspects[trait.Hash]
+	if suspect == nil {
+		suspect = &Suspect{Trait: trait, ClearedAt: a.successes.Last(trait.Hash)}
+		a.suspects[trait.Hash] = suspect
+		a.evictOldest(suspect)
+	}
+	suspect.Position = max(suspect.Position, trait.Position)
+	for _, upstream := range upstreams {
+		if slices.Contains(suspect.Upstreams, upstream) {
+			continue
+		}
+		if _, known := a.crashes[upstream]; !known {
+			a.crashes[upstream] = at
+		}
+		suspect.Upstreams = append(suspect.Upstreams, upstream)
+		suspect.Upstreams = suspect.Upstreams[max(0, len(suspect.Upstreams)-maxSuspectUpstreams):]
+		suspect.changedAt = now
+		if suspect.CrashedAt.Before(at) {
+			suspect.CrashedAt = at
+		}
+		if suspect.Trials > 0 {
+			suspect.Trials = maxTrials
+		}
+	}
+	return suspect
+}
+
+// evictOldest removes the suspect with the oldest crash that is not refused when there are too many.
+func (a *Attribution) evictOldest(added *Suspect) {
+	if len(a.suspects) <= maxSuspicions {
+		return
+	}
+	var oldest *Suspect
+	for _, suspect := range a.suspects {
+		if suspect != added && suspect.RefusedAt.IsZero() && (oldest == nil || suspect.CrashedAt.Before(oldest.CrashedAt)) {
+			oldest = suspect
+		}
+	}
+	if oldest != nil {
+		delete(a.suspects, oldest.Hash)
+	}
+}
+
+// Merge applies suspects that were received from another node. What is known already is ignored, so
+// that times can't drift from node to node.
+func (a *Attribution) Merge(received []Suspect, now time.Time) {
+	changed := false
+	for _, suspect := range received {
+		changed = a.merge(suspect, now) || changed
+	}
+	if changed {
+		a.decide(now)
+	}
+}
+
+// merge applies one suspect, and reports whether anything was new.
+func (a *Attribution) merge(received Suspect, now time.Time) bool {
+	known := a.suspects[received.Hash]
+	if len(received.Upstreams) == 0 {
+		return known != nil && !known.Cleared() && a.clear(known, received.ClearedAt, now)
+	}
+	if now.Sub(received.CrashedAt) > retention {
+		return false
+	}
+	suspect := a.add(received.Trait, received.Upstreams, received.CrashedAt, now)
+	if received.Trials > suspect.Trials {
+		suspect.Trials, suspect.triedAt, suspect.changedAt = received.Trials, now, now
+	}
+	if !received.RefusedAt.IsZero() && suspect.RefusedAt.IsZero() && !suspect.Cleared() {
+		suspect.RefusedAt, suspect.changedAt = now, now
+	}
+	return suspect.changedAt.Equal(now)
+}
+
+// clear applies a complete response to a request with the trait, and reports whether it came after the
+// last crash.
+func (a *Attribution) clear(suspect *Suspect, at, now time.Time) bool {
+	if !at.After(suspect.CrashedAt) {
+		return false
+	}
+	suspect.ClearedAt, suspect.RefusedAt, suspect.Trials, suspect.changedAt = at, time.Time{}, 0, now
+	return true
+}
+
+// Tick applies this node's successes, and forgets what is older than the retention time.
+func (a *Attribution) Tick(now time.Time) {
+	for hash, suspect := range a.suspects {
+		if now.Sub(suspect.CrashedAt) > retention {
+			delete(a.suspects, hash)
+			continue
+		}
+		if !suspect.Cleared() {
+			a.clear(suspect, a.successes.Last(hash), now)
+		}
+	}
+	for upstream, at := range a.crashes {
+		if now.Sub(at) > retention {
+			delete(a.crashes, upstream)
+		}
+	}
+}
+
+// decide refuses the traits that explain the crashes: the one with the most crashes first. Crashes
+// that it explains count against no other.
+func (a *Attribution) decide(now time.Time) {
+	for {
+		explained := a.explained()
+		var worst *Suspect
+		worstCrashes := 0
+		for _, suspect := range a.suspects {
+			count, required := a.unexplainedCrashes(suspect, explained), partCrashes
+			if suspect.Position == 0 {
+				required = requestCrashes
+			}
+			if !suspect.RefusedAt.IsZero() || count < required {
+				continue
+			}
+			if worst == nil || moreSuspicious(suspect, worst, count, worstCrashes) {
+				worst, worstCrashes = suspect, count
+			}
+		}
+		if worst == nil {
+			return
+		}
+		worst.RefusedAt, worst.changedAt = now, now
+	}
+}
+
+// moreSuspicious orders two suspects: parts before whole requests, then by crashes, then those without
+// any complete response, then the more specific one, which is later in the prompt.
+func moreSuspicious(a, b *Suspect, aCrashes, bCrashes int) bool {
+	rank := func(s *Suspect, crashes int) []int {
+		isPart, neverCleared := 0, 0
+		if s.Position > 0 {
+			isPart = 1
+		}
+		if s.ClearedAt.IsZero() {
+			neverCleared = 1
+		}
+		return []int{isPart, crashes, neverCleared, s.Position}
+	}
+	if order := slices.Compare(rank(a, aCrashes), rank(b, bCrashes)); order != 0 {
+		return order > 0
+	}
+	return a.Hash < b.Hash
+}
+
+// explained returns the upstreams whose crash is explained by a part that is refused.
+func (a *Attribution) explained() map[string]bool {
+	explained := map[string]bool{}
+	for _, suspect := range a.suspects {
+		if suspect.Position > 0 && !suspect.RefusedAt.IsZero() {
+			for _, upstream := range suspect.Upstreams {
+				explained[upstream] = true
+			}
+		}
+	}
+	return explained
+}
+
+// unexplainedCrashes returns the number of crashes since the trait's last complete response that no
+// refused part explains. Those of parts count only if they are apart in time.
+func (a *Attribution) unexplainedCrashes(suspect *Suspect, explained map[string]bool) int {
+	var times []time.Time
+	for _, upstream := range suspect.Upstreams {
+		if at := a.crashes[upstream]; at.After(suspect.ClearedAt) && !explained[upstream] {
+			times = append(times, at)
+		}
+	}
+	if suspect.Position == 0 {
+		return len(times)
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	count := 0
+	var counted time.Time
+	for _, at := range times {
+		if count == 0 || at.Sub(counted) >= crashSpacing {
+			count, counted = count+1, at
+		}
+	}
+	return count
+}
+
+// Refused returns the traits whose requests are refused.
+func (a *Attribution) Refused() []Suspect {
+	var refused []Suspect
+	for _, suspect := range a.suspects {
+		if !suspect.RefusedAt.IsZero() {
+			refused = append(refused, *suspect)
+		}
+	}
+	return refused
+}
+
+// TrialDue reports whether one request with a refused trait may run to see whether it still crashes
+// its upstream.
+func (s *Suspect) TrialDue(now time.Time) bool {
+	last := s.RefusedAt
+	if s.triedAt.After(last) {
+		last = s.triedAt
+	}
+	return !s.RefusedAt.IsZero() && s.Trials < maxTrials && now.Sub(last) >= trialDelay
+}
+
+// RecordTrial records that a request with a refused trait runs.
+func (a *Attribution) RecordTrial(hash uint64, now time.Time) {
+	if suspect := a.suspects[hash]; suspect != nil {
+		suspect.Trials++
+		suspect.triedAt, suspect.changedAt = now, now
+	}
+}
+
+// Outgoing returns the suspects for a message to another node: those that are refused and those that
+// changed recently, at most MaxSuspicionsPerMessage.
+func (a *Attribution) Outgoing(now time.Time) []Suspect {
+	var outgoing []Suspect
+	for _, suspect := range a.suspects {
+		if !suspect.RefusedAt.IsZero() || now.Sub(suspect.changedAt) < announceTime {
+			outgoing = append(outgoing, *suspect)
+		}
+	}
+	slices.SortFunc(outgoing, func(a, b Suspect) int {
+		if refused := b.RefusedAt.Compare(a.RefusedAt); refused != 0 {
+			return refused
+		}
+		if newer := b.changedAt.Compare(a.changedAt); newer != 0 {
+			return newer
+		}
+		return cmp.Compare(a.Hash, b.Hash)
+	})
+	return outgoing[:min(len(outgoing), MaxSuspicionsPerMessage)]
+}
--- /dev/null
+++ b/quarantine/attribution_test.go
@@ -0,0 +1,174 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonline/persimmonline/quarantine"
+)
+
+// step is an event of a table test: a crash of an upstream, or a success.
+type step struct {
+	at       time.Duration
+	upstream string
+	traits   []quarantine.Trait
+}
+
+func part(hash uint64, position int) quarantine.Trait {
+	return quarantine.Trait{Hash: hash, Position: position}
+}
+
+func request(hash uint64) quarantine.Trait { return quarantine.Trait{Hash: hash} }
+
+const (
+	system, subject, bad, other = 1, 2, 3, 4
+)
+
+// badPrompt returns the traits of a request with the bad part.
+func badPrompt(own uint64) []quarantine.Trait {
+	return []quarantine.Trait{request(1000 + own), part(system, 1), part(subject, 2), part(bad, 3)}
+}
+
+func soundPrompt(own uint64) []quarantine.Trait {
+	return []quarantine.Trait{request(1000 + own), part(system, 1), part(subject, 2)}
+}
+
+func TestTraitsThatAreRefused(t *testing.T) {
+	second := time.Second
+	cases := []struct {
+		name  string
+		steps []step
+		want  []uint64
+	}{
+		{"two crashes", []step{{1 * second, "a", badPrompt(1)}, {2 * second, "b", badPrompt(2)}}, nil},
+		{"the most specific of three parts", []step{{1 * second, "a", badPrompt(1)}, {2 * second, "b", badPrompt(2)}, {3 * second, "c", badPrompt(3)}}, []uint64{bad}},
+		{"one crash that many nodes see", []step{{1 * second, "a", badPrompt(1)}, {1 * second, "a", badPrompt(2)}, {1 * second, "a", badPrompt(3)}}, nil},
+		{"many upstreams at once", []step{{1 * second, "a", badPrompt(1)}, {1 * second, "b", badPrompt(2)}, {1 * second, "c", badPrompt(3)}}, nil},
+		{"a sound part between successes", []step{
+			{1 * second, "a", soundPrompt(1)},
+			{2 * second, "", soundPrompt(2)},
+			{3 * second, "b", soundPrompt(3)},
+			{4 * second, "", soundPrompt(4)},
+			{5 * second, "c", soundPrompt(5)},
+			{6 * second, "d", soundPrompt(5)},
+		}, []uint64{1005}},
+		{"a sound part that was under way each time", []step{
+			{1 * second, "a", badPrompt(1)},
+			{1 * second, "a", []quarantine.Trait{part(other, 5)}},
+			{2 * second, "b", badPrompt(2)},
+			{2 * second, "b", []quarantine.Trait{part(other, 5)}},
+			{2500 * time.Millisecond, "", []quarantine.Trait{part(other, 5)}},
+			{3 * second, "c", badPrompt(3)},
+			{3 * second, "c", []quarantine.Trait{part(other, 5)}},
+		}, []uint64{bad}},
+		{"a request that is sent again", []step{{1 * second, "a", []quarantine.Trait{request(7)}}, {1 * second, "b", []quarantine.Trait{request(7)}}}, []uint64{7}},
+		{"a request that has completed since", []step{
+			{1 * second, "a", []quarantine.Trait{request(7)}}, {2 * second, "b", []quarantine.Trait{request(7)}}, {3 * second, "", []quarantine.Trait{request(7)}},
+		}, nil},
+	}
+	for _, c := range cases {
+		successes := quarantine.NewSuccesses()
+		a := quarantine.NewAttribution(successes)
+		for _, s := range c.steps {
+			if s.upstream == "" {
+				successes.Record(s.traits, start.Add(s.at))
+			} else {
+				a.RecordCrash(s.upstream, s.traits, start.Add(s.at))
+			}
+			a.Tick(start.Add(s.at))
+		}
+		require.Equal(t, c.want, refusedHashes(a), c.name)
+	}
+}
+
+func refusedHashes(a *quarantine.Attribution) (hashes []uint64) {
+	for _, suspect := range a.Refused() {
+		hashes = append(hashes, suspect.Hash)
+	}
+	return hashes
+}
+
+// crashed returns an attribution that refuses the bad part.
+func crashed(t *testing.T) (*quarantine.Attribution, time.Time) {
+	a := quarantine.NewAttribution(quarantine.NewSuccesses())
+	now := start
+	for i := range 3 {
+		now = now.Add(time.Second)
+		a.RecordCrash(fmt.Sprintf("u%d", i), badPrompt(uint64(i)), now)
+	}
+	require.Equal(t, []uint64{bad}, refusedHashes(a))
+	return a, now
+}
+
+// Sound suspects of many crashes push the part that is refused out of messages.
+func TestRefusedPartIsPushedOutOfMessages(t *testing.T) {
+	a, now := crashed(t)
+	for i := range uint64(500) {
+		a.RecordCrash("w", []quarantine.Trait{request(5000 + i)}, now.Add(time.Second))
+	}
+	outgoing := a.Outgoing(now.Add(time.Second))
+	require.Len(t, outgoing, quarantine.MaxSuspicionsPerMessage)
+	require.EqualValues(t, bad, outgoing[0].Hash)
+	later := a.Outgoing(now.Add(time.Minute))
+	require.Len(t, later, 1, "what has not changed is not sent, but for what is refused")
+}
+
+// A node that has just started learns from its peers what is refused, and their successes lift it.
+func TestNodeThatStartsSendsWhatOthersRefuse(t *testing.T) {
+	a, now := crashed(t)
+	successes := quarantine.NewSuccesses()
+	fresh := quarantine.NewAttribution(successes)
+	fresh.Merge(a.Outgoing(now), now)
+	require.Equal(t, []uint64{bad}, refusedHashes(fresh))
+	successes.Record(badPrompt(7), now.Add(time.Second))
+	fresh.Tick(now.Add(time.Second))
+	require.Empty(t, fresh.Refused())
+	outgoing := fresh.Outgoing(now.Add(time.Second))
+	for i := range outgoing {
+		if outgoing[i].Cleared() {
+			outgoing[i].Upstreams = nil
+		}
+	}
+	a.Merge(outgoing, now.Add(time.Second))
+	require.Empty(t, a.Refused())
+}
+
+// Suspicions that nodes exchange again and again get newer each time.
+func TestSuspicionsDoNotAge(t *testing.T) {
+	a, now := crashed(t)
+	b := quarantine.NewAttribution(quarantine.NewSuccesses())
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		for _, pair := range [][2]*quarantine.Attribution{{a, b}, {b, a}} {
+			outgoing := pair[0].Outgoing(now)
+			for i := range outgoing {
+				outgoing[i].CrashedAt = outgoing[i].CrashedAt.Add(5 * time.Millisecond)
+			}
+			pair[1].Merge(outgoing, now)
+		}
+	}
+	require.Equal(t, start.Add(3*time.Second), a.Refused()[0].CrashedAt)
+	require.WithinDuration(t, start.Add(3*time.Second), b.Refused()[0].CrashedAt, 10*time.Millisecond)
+}
+
+// A refused part is tried without end, or never again.
+func TestTrialsOfARefusedPart(t *testing.T) {
+	a, now := crashed(t)
+	due := func(after time.Duration) bool { suspect := a.Refused()[0]; return suspect.TrialDue(now.Add(after)) }
+	require.False(t, due(9*time.Second))
+	require.True(t, due(11*time.Second))
+	a.RecordTrial(bad, now.Add(11*time.Second))
+	require.False(t, due(12*time.Second))
+	require.True(t, due(22*time.Second), "the trial had no result")
+	a.RecordTrial(bad, now.Add(22*time.Second))
+	require.False(t, due(10*time.Minute), "no third one")
+
+	a, now = crashed(t)
+	a.RecordTrial(bad, now.Add(11*time.Second))
+	a.RecordCrash("again", badPrompt(9), now.Add(12*time.Second))
+	require.False(t, due(10*time.Minute), "the trial crashed its upstream")
+	require.Equal(t, []uint64{bad}, refusedHashes(a))
+}
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -35,6 +35,9 @@
 	eventBuffer = 4 << 10
 	// maxEventBytes bounds the size of one event of a stream.
 	maxEventBytes = 1 << 20
+	// maxCrashDelay is the longest time from the first event of an answer to the crash of an upstream
+	// that it causes.
+	maxCrashDelay = time.Second
 	// writeSlack is the time after the deadline at which the connection of a caller that does not
 	// read is closed.
 	writeSlack = time.Second
@@ -58,8 +61,8 @@
 	answer     *relay.Answer
 	info       ResponseInfo
 	eventCount int
-	// sentAt is when the request was sent.
-	sentAt time.Time
+	// sentAt is when the request was sent, firstEventAt when the first event of a stream arrived.
+	sentAt, firstEventAt time.Time
 	// fetchFrom is the address of the engine from whose cache the prompt's prefix is copied.
 	fetchFrom string
 	// ctx is done with the request, or when another upstream takes over from a silent one.
@@ -270,6 +273,9 @@
 		r.failureResponse = buffered
 		return outcomeFailed, fmt.Errorf("upstream answered %d", x.answer.Response.StatusCode)
 	}
+	if success {
+		x.recordSuccess()
+	}
 	r.deliver(buffered)
 	return outcomeAnswered, nil
 }
@@ -328,6 +334,7 @@
 // recordEvent counts an event; the first one shows that the prompt was processed.
 func (x *exchange) recordEvent() {
 	if x.eventCount == 0 {
+		x.firstEventAt = time.Now()
 		x.run.markStarted()
 		x.tracked.RecordFirstToken(time.Now())
 	}
@@ -367,12 +374,27 @@
 	return nil
 }
 
+// writingForLong reports whether the upstream has been writing the answer for so long that the request
+// did not crash it.
+func (x *exchange) writingForLong() bool {
+	return x.eventCount > 0 && time.Since(x.firstEventAt) > maxCrashDelay
+}
+
+// recordSuccess records that the upstream has completed the request. An answer that ends with its
+// connection proves nothing: a crash ends it as well.
+func (x *exchange) recordSuccess() {
+	if x.answer.Framed() {
+		x.run.handler.Successes.Record(x.run.traits, x.run.handler.MonotonicNow())
+	}
+}
+
 // classifyStreamEnd distinguishes the regular end of a stream from a broken one.
 func (x *exchange) classifyStreamEnd(rest []byte, err error) (outcome, error) {
 	r := x.run
 	switch {
 	case errors.Is(err, io.EOF) && len(rest) == 0 && r.headerSent:
 		x.answer.Finish()
+		x.recordSuccess()
 		return outcomeAnswered, nil
 	case r.ctx.Err() != nil:
 		r.markStarted()
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -10,11 +10,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
 	"github.com/persimmonline/persimmonline/catalog"
+	"github.com/persimmonline/persimmonline/quarantine"
 	"github.com/persimmonline/persimmonline/quota"
 	"github.com/persimmonline/persimmonline/refusal"
 	"github.com/persimmonline/persimmonline/relay"
@@ -28,8 +28,8 @@
 	retryAfterSoon = 300 * time.Millisecond
 	// retryAfterOtherNode is sent to callers whom other nodes can serve at once.
 	retryAfterOtherNode = 20 * time.Millisecond
-	// retryAfterPoison is sent to callers whose request crashes upstreams.
-	retryAfterPoison = 10 * time.Second
+	// retryAfterCrashes is sent to callers whose request crashes upstreams.
+	retryAfterCrashes = 10 * time.Second
 	// successLogRate limits the log lines per second of successful requests; those of failures
 	// and refusals are limited only by the output's buffer.
 	successLogRate = 200
@@ -56,6 +56,8 @@
 	LedgerLock *sync.Mutex
 	// MonotonicNow is the clock of Ledger and of the retry budget; it includes the time for which the host is suspended.
 	MonotonicNow func() time.Time
+	// Successes records when requests with a trait last completed.
+	Successes *quarantine.Successes
 	// Events receives the observations of the serving path.
 	Events Events
 	// RetryRatio and RetryWindow configure the retry budget.
@@ -121,9 +123,10 @@
 		h.refuse(w, view, request, refused)
 		return
 	}
-	if len(view.Poisoned) > 0 && view.Poisoned[fingerprint(request)] {
-		h.refuse(w, view, request, refusal.New(http.StatusServiceUnavailable, refusal.CodeCrashesUpstreams,
-			"the request crashes the upstreams that run it").WithRetryAfter(retryAfterPoison))
+	traits := traitsOf(request)
+	trial, allowed := h.checkTraits(view, traits)
+	if !allowed {
+		h.refuse(w, view, request, crashRefusal())
 		return
 	}
 	cost := quotaCost(view.Table, request)
@@ -135,7 +138,7 @@
 	defer cancel()
 	run := &requestRun{
 		handler: h, view: view, request: request, ctx: ctx, caller: w, shared: sharedPrefix(request.Parts),
-		deadline: deadlineOf(request), excluded: map[string]bool{}, lastEventID: request.LastEventID,
+		traits: traits, trial: trial, deadline: deadlineOf(request), excluded: map[string]bool{}, lastEventID: request.LastEventID,
 	}
 	run.blocks = run.shared.Blocks()
 	for _, list := range view.CacheLists {
@@ -151,18 +154,6 @@
 	}
 }
 
-// fingerprint identifies a request regardless of its id, so that a repeated request is recognized by
-// its key, target and body.
-func fingerprint(request *Request) uint64 {
-	digest := xxhash.New()
-	for _, part := range []string{request.Key, request.Method, request.Host, request.Target} {
-		_, _ = digest.WriteString(part)
-		_, _ = digest.WriteString("\n")
-	}
-	_, _ = digest.Write(request.Body)
-	return digest.Sum64()
-}
-
 // deadlineOf returns when the final response is due: at the caller's or the route's timeout,
 // whichever is earlier.
 func deadlineOf(request *Request) time.Time {
--- a/serving/run.go
+++ b/serving/run.go
@@ -11,6 +11,7 @@
 
 	"github.com/persimmonline/persimmonline/catalog"
 	"github.com/persimmonline/persimmonline/pacing"
+	"github.com/persimmonline/persimmonline/quarantine"
 	"github.com/persimmonline/persimmonline/refusal"
 	"github.com/persimmonline/persimmonline/relay"
 	"github.com/persimmonline/persimmonline/routing"
@@ -40,6 +41,9 @@
 	tokensPerPriority = 4096
 )
 
+// errCrashesUpstreams means that requests like this one crash the upstreams that run them.
+var errCrashesUpstreams = errors.New("such requests crash upstreams")
+
 // outcome is the result of an attempt.
 type outcome int
 
@@ -70,13 +74,17 @@
 
 // requestRun is the state of one request until its final response.
 type requestRun struct {
-	handler  *Handler
-	view     *View
-	request  *Request
-	ctx      context.Context
-	caller   http.ResponseWriter
-	shared   SharedPrefix
-	blocks   []uint64
+	handler *Handler
+	view    *View
+	request *Request
+	ctx     context.Context
+	caller  http.ResponseWriter
+	shared  SharedPrefix
+	blocks  []uint64
+	// traits are what the request may have in common with others that crash upstreams; trial is set if
+	// it runs although one of them is refused.
+	traits   []quarantine.Trait
+	trial    bool
 	deadline time.Time
 
 	service     string
@@ -96,6 +104,8 @@
 	// reserved is the upstream of the next attempt if the retry budget has already granted it; else
 	// nil.
 	reserved atomic.Pointer[routing.Choice]
+	// crashesUpstreams is set once requests like this one are refused.
+	crashesUpstreams bool
 	// retryDenied is set once the retry budget has denied a retry.
 	retryDenied atomic.Bool
 	// throttledFor is the time after which a caller should retry because all upstreams are throttled;
@@ -170,7 +180,14 @@
 func (r *requestRun) pickUpstream() (routing.Choice, error) {
 	// A newer view includes failures of upstreams in the meantime.
 	r.view = r.handler.CurrentView()
-	if reserved := r.reserved.Swap(nil); reserved != nil {
+	reserved := r.reserved.Swap(nil)
+	if len(r.attempts) > 0 && r.refusedMeanwhile() {
+		if reserved != nil {
+			reserved.Upstream.Gate.Refund()
+		}
+		return routing.Choice{}, errCrashesUpstreams
+	}
+	if reserved != nil {
 		return *reserved, nil
 	}
 	choice, err := r.takeUpstream(r.view)
@@ -188,6 +205,16 @@
 	return choice, err
 }
 
+// refusedMeanwhile reports whether requests like this one are refused since it was admitted.
+func (r *requestRun) refusedMeanwhile() bool {
+	if !r.trial {
+		for _, trait := range r.traits {
+			r.crashesUpstreams = r.crashesUpstreams || r.view.RefusedTraits[trait.Hash]
+		}
+	}
+	return r.crashesUpstreams
+}
+
 // awaitCapacity waits for a throttled upstream, if the response can still arrive in time after the
 // wait. It returns false if the wait would be too long, the caller disconnects, or the upstream starts
 // a pause or leaves in the meantime.
@@ -236,7 +263,7 @@
 // shouldRetry reports whether another attempt is made after one without a response.
 func (r *requestRun) shouldRetry(result outcome) bool {
 	repeatable := r.request.Route.Repeatable()
-	if len(r.attempts) >= maxSends {
+	if len(r.attempts) >= maxSends || (r.trial && r.possibleRuns > 0) {
 		return false
 	}
 	if r.reserved.Load() != nil {
@@ -269,7 +296,7 @@
 
 // repeatAllowed reports whether a request without a response may be sent to another upstream.
 func (r *requestRun) repeatAllowed() bool {
-	return r.request.Route.Repeatable() && r.possibleRuns+1 < r.request.Route.MaxAttempts && len(r.attempts)+1 < maxSends
+	return r.request.Route.Repeatable() && !r.trial && r.possibleRuns+1 < r.request.Route.MaxAttempts && len(r.attempts)+1 < maxSends
 }
 
 // reserveNextAttempt reserves an upstream and a retry of the budget for the next attempt; it returns
@@ -302,6 +329,8 @@
 		r.refuse(refusal.New(http.StatusGatewayTimeout, refusal.CodeDeadline, "no answer in time").WithUnknownOutcome())
 	case r.possibleRuns > 0:
 		r.refuse(refusal.New(http.StatusBadGateway, refusal.CodeUpstreamFailed, "the upstream broke off").WithUnknownOutcome())
+	case r.crashesUpstreams:
+		r.refuse(crashRefusal())
 	case time.Until(r.deadline) < minRemaining:
 		r.refuse(refusal.New(http.StatusServiceUnavailable, refusal.CodeDeadline, "the time ended before the request ran").
 			WithRetryAfter(retryAfterSoon))
@@ -352,8 +381,8 @@
 		upstream.Gate.Refund()
 		r.handler.Events.UpstreamUnreachable(upstream)
 	case outcomeBroken:
-		if !exchange.upstreamSilent() {
-			r.handler.Events.ExchangeBroken(upstream, fingerprint(r.request))
+		if !exchange.upstreamSilent() && !exchange.writingForLong() {
+			r.handler.Events.ExchangeBroken(upstream, r.traits)
 		}
 	}
 	return result
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -20,6 +20,7 @@
 	"github.com/persimmonline/persimmonline/membership"
 	"github.com/persimmonline/persimmonline/pacing"
 	"github.com/persimmonline/persimmonline/platform"
+	"github.com/persimmonline/persimmonline/quarantine"
 	"github.com/persimmonline/persimmonline/quota"
 	"github.com/persimmonline/persimmonline/relay"
 	"github.com/persimmonline/persimmonline/routing"
@@ -31,7 +32,8 @@
 	mu                       sync.Mutex
 	started, broken          int
 	misdirected, unreachable int
-	fingerprints             []uint64
+	traits                   [][]quarantine.Trait
+	trials                   int
 }
 
 func (e *events) increment(count *int) {
@@ -42,12 +44,14 @@
 
 func (e *events) UpstreamMisdirected(*routing.Upstream) { e.increment(&e.misdirected) }
 func (e *events) UpstreamUnreachable(*routing.Upstream) { e.increment(&e.unreachable) }
-func (e *events) ExchangeBroken(_ *routing.Upstream, fingerprint uint64) {
+func (e *events) ExchangeBroken(_ *routing.Upstream, traits []quarantine.Trait) {
 	e.increment(&e.broken)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.fingerprints = append(e.fingerprints, fingerprint)
+	e.traits = append(e.traits, traits)
 }
+
+func (e *events) TrialStarted(uint64)                                       { e.increment(&e.trials) }
 func (e *events) PromptPlaced(*routing.Upstream, serving.SharedPrefix, int) {}
 func (e *events) NoticeReceived(*routing.Upstream, pacing.Notice)           {}
 func (e *events) RequestStarted(string)                                     { e.increment(&e.started) }
@@ -104,7 +108,7 @@
 	handler := serving.New(serving.Settings{
 		Adapter: platform.Protocol{}, CurrentView: d.view.Load, Pool: pool, Ledger: ledger, LedgerLock: &sync.Mutex{},
 		MonotonicNow: func() time.Time { return time.Now().Add(time.Duration(d.clockOffset.Load())) },
-		Events:       d.events, RetryRatio: 0.2, RetryWindow: 10 * time.Second, Logger: zerolog.Nop(),
+		Events:       d.events, Successes: quarantine.NewSuccesses(), RetryRatio: 0.2, RetryWindow: 10 * time.Second, Logger: zerolog.Nop(),
 		Metrics: serving.NewMetrics(prometheus.NewRegistry()),
 	})
 	front := httptest.NewServer(handler)
@@ -396,16 +400,76 @@
 func TestPoisonedRequestIsNotRun(t *testing.T) {
 	d := deploy(t, 2, truncated)
 	require.Equal(t, 502, d.call(context.Background(), "unsafe", nil).status)
-	require.Len(t, d.events.fingerprints, 1)
-	view := *d.view.Load()
-	view.Poisoned = map[uint64]bool{d.events.fingerprints[0]: true}
-	d.view.Store(&view)
+	require.Len(t, d.events.traits, 1)
+	d.refuse(d.events.traits[0][0].Hash, nil)
 	again := func(r *http.Request) { r.Header.Set("X-Request-Id", "id-2") }
 	require.Equal(t, 503, d.call(context.Background(), "unsafe", again).status, "the caller sends it again")
 	require.EqualValues(t, 1, d.runs.Load())
 	require.Equal(t, 502, d.call(context.Background(), "stream", nil).status, "another request")
 }
 
+// refuse publishes that requests with a trait are refused, with an offer to run one on trial if given.
+func (d *deployment) refuse(trait uint64, offer *atomic.Bool) {
+	view := *d.view.Load()
+	view.RefusedTraits = map[uint64]bool{trait: true}
+	view.Trials = map[uint64]*atomic.Bool{}
+	if offer != nil {
+		view.Trials[trait] = offer
+	}
+	d.view.Store(&view)
+}
+
+func withParts(id string, parts string) func(r *http.Request) {
+	return func(r *http.Request) {
+		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(id)), int64(len(id))
+		r.Header.Set("X-Request-Id", id)
+		r.Header.Set("X-Token-Usage", "300,10")
+		r.Header.Set("X-Prefix-Hash", parts)
+	}
+}
+
+// Requests with a part that crashes upstreams run, since no two of them are alike.
+func TestPartThatCrashesUpstreamsIsRun(t *testing.T) {
+	d := deploy(t, 2, truncated)
+	d.call(context.Background(), "stream", withParts("r1", "aa:100,bb:100,c1:10"))
+	require.Len(t, d.events.traits, 1)
+	require.Len(t, d.events.traits[0], 3, "the request and its parts but the last")
+	runs := d.runs.Load()
+	d.refuse(d.events.traits[0][2].Hash, nil)
+	refused := d.call(context.Background(), "stream", withParts("r2", "aa:100,bb:100,c2:10"))
+	require.Equal(t, 503, refused.status)
+	require.NotEmpty(t, refused.header.Get("Retry-After"))
+	require.Equal(t, runs, d.runs.Load(), "what is refused with 503 has not run")
+	d.call(context.Background(), "stream", withParts("r3", "aa:100,dd:100,c3:10"))
+	require.Equal(t, runs+1, d.runs.Load(), "the other parts are not refused")
+}
+
+// A request that runs on trial is repeated at further upstreams, or more than one takes the offer.
+func TestTrialRunsMoreThanOnce(t *testing.T) {
+	d := deploy(t, 3, truncated)
+	d.call(context.Background(), "resume", withParts("r1", "aa:100,c1:10"))
+	runs, offer := d.runs.Load(), &atomic.Bool{}
+	d.refuse(d.events.traits[0][1].Hash, offer)
+	for range 3 {
+		d.call(context.Background(), "resume", withParts("r2", "aa:100,c2:10"))
+	}
+	require.Equal(t, runs+1, d.runs.Load())
+	require.Equal(t, 1, d.events.count(func(e *events) int { return e.trials }))
+}
+
+// A request goes to another upstream although requests like it are refused since it was sent.
+func TestRetryOfARequestThatIsRefusedMeanwhile(t *testing.T) {
+	d := deploy(t, 3, func(d *deployment, run int64, w http.ResponseWriter, r *http.Request) {
+		if run > 1 {
+			d.refuse(d.events.traits[0][1].Hash, nil)
+		}
+		truncated(d, run, w, r)
+	})
+	d.call(context.Background(), "unsafe", withParts("r1", "aa:100,c1:10"))
+	require.Equal(t, 502, d.call(context.Background(), "safe", withParts("r2", "aa:100,c2:10")).status, "it may have run")
+	require.EqualValues(t, 2, d.runs.Load())
+}
+
 func TestUpstreamThatTakesNoConnectionIsPassedOver(t *testing.T) {
 	d := deploy(t, 2, ok)
 	members := d.view.Load().Fleet.ByService["s"]
--- a/serving/view.go
+++ b/serving/view.go
@@ -1,10 +1,12 @@
 package serving
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/persimmonline/persimmonline/catalog"
 	"github.com/persimmonline/persimmonline/pacing"
+	"github.com/persimmonline/persimmonline/quarantine"
 	"github.com/persimmonline/persimmonline/routing"
 )
 
@@ -27,8 +29,10 @@
 	// RetryBurst is this node's share of the retry budget's burst: the retries that are allowed
 	// without earlier requests to fund them.
 	RetryBurst float64
-	// Poisoned are the fingerprints of requests that crash the upstreams that run them.
-	Poisoned map[uint64]bool
+	// RefusedTraits are the hashes of requests, and of parts of prompts, that crash the upstreams that
+	// run them. Trials offers to run one request with such a trait, by hash; who sets it takes it.
+	RefusedTraits map[uint64]bool
+	Trials        map[uint64]*atomic.Bool
 	// Draining is set while this node is stopping; it closes the connections after each response.
 	Draining bool
 	// RefusingRequests is set once the load balancer has had time to stop sending connections, so
@@ -42,8 +46,11 @@
 	UpstreamMisdirected(upstream *routing.Upstream)
 	// UpstreamUnreachable reports that no connection to the upstream could be established.
 	UpstreamUnreachable(upstream *routing.Upstream)
-	// ExchangeBroken reports that an exchange with the upstream broke off while it ran a request.
-	ExchangeBroken(upstream *routing.Upstream, fingerprint uint64)
+	// ExchangeBroken reports that an exchange with the upstream broke off while it ran a request with
+	// some traits.
+	ExchangeBroken(upstream *routing.Upstream, traits []quarantine.Trait)
+	// TrialStarted reports that a request with a refused trait runs on trial.
+	TrialStarted(trait uint64)
 	// PromptPlaced reports that a prompt was sent to an engine, which will cache its shared prefix;
 	// uncached is the number of tokens that the engine still has to process.
 	PromptPlaced(upstream *routing.Upstream, shared SharedPrefix, uncached int)
