quarantine: a common part of prompts is not refused while nothing completes

Nodes that had lost an engine before the node that had sent the request in question told of it had three crashes with the part that all prompts begin with, and none with the other. All nodes took that refusal over, so that nothing could complete that would lift it, and the trials went to requests with the other part.

A part with which requests have completed before now needs nine crashes since; a node that knows of such a success does not take a refusal over; of several suspects those without any success and then the more specific one go first. The first trial comes after 3 s, only for a request with no other refused trait.

--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -8,18 +8,23 @@
 
 const (
 	// partCrashes is the number of crashes, apart in time, after which requests with a part of a
-	// prompt are refused; requestCrashes is that for a request that is sent again.
-	partCrashes    = 3
-	requestCrashes = 2
+	// prompt are refused, and provenPartCrashes that for a part with which requests have completed
+	// before; requestCrashes is that for a request that is sent again.
+	partCrashes       = 3
+	provenPartCrashes = 9
+	requestCrashes    = 2
 	// crashSpacing is the time within which crashes count as one, since a fault of hosts ends many
 	// upstreams at once.
 	crashSpacing = 200 * time.Millisecond
 	// maxSuspectUpstreams bounds the upstreams that are kept of one suspect.
 	maxSuspectUpstreams = 16
-	// trialDelay is how long after its refusal, or after the last trial, a trait is tried again.
-	trialDelay = 10 * time.Second
-	// maxTrials bounds the requests that run although their trait is refused.
-	maxTrials = 2
+	// firstTrialDelay is how long after its refusal a trait is tried again, nextTrialDelay how long
+	// after a trial without a result, and failedTrialDelay after one that crashed its upstream and
+	// after maxTrials.
+	firstTrialDelay  = 3 * time.Second
+	nextTrialDelay   = 10 * time.Second
+	failedTrialDelay = 10 * time.Minute
+	maxTrials        = 2
 	// announceTime is how long messages include a suspect that has changed.
 	announceTime = 3 * time.Second
 )
@@ -44,7 +49,7 @@
 	// Trials is the number of requests that ran although the trait was refused.
 	Trials int
 
-	triedAt, changedAt time.Time
+	nextTrialAt, changedAt time.Time
 }
 
 // Cleared reports whether a request with the trait has completed since the last crash.
@@ -97,7 +102,7 @@
 			suspect.CrashedAt = at
 		}
 		if suspect.Trials > 0 {
-			suspect.Trials = maxTrials
+			suspect.nextTrialAt = now.Add(failedTrialDelay)
 		}
 	}
 	return suspect
@@ -141,11 +146,12 @@
 		return false
 	}
 	suspect := a.add(received.Trait, received.Upstreams, received.CrashedAt, now)
-	if received.Trials > suspect.Trials {
-		suspect.Trials, suspect.triedAt, suspect.changedAt = received.Trials, now, now
+	// A node that has seen such requests complete goes by the crashes that it knows.
+	if !received.RefusedAt.IsZero() && suspect.RefusedAt.IsZero() && suspect.ClearedAt.IsZero() {
+		a.refuse(suspect, now)
 	}
-	if !received.RefusedAt.IsZero() && suspect.RefusedAt.IsZero() && !suspect.Cleared() {
-		suspect.RefusedAt, suspect.changedAt = now, now
+	if received.Trials > suspect.Trials {
+		suspect.recordTrials(received.Trials, now)
 	}
 	return suspect.changedAt.Equal(now)
 }
@@ -178,19 +184,16 @@
 	}
 }
 
-// decide refuses the traits that explain the crashes: the one with the most crashes first. Crashes
-// that it explains count against no other.
+// decide refuses the traits that explain the crashes, the most suspicious one first. Crashes that it
+// explains count against no other.
 func (a *Attribution) decide(now time.Time) {
 	for {
 		explained := a.explained()
 		var worst *Suspect
 		worstCrashes := 0
 		for _, suspect := range a.suspects {
-			count, required := a.unexplainedCrashes(suspect, explained), partCrashes
-			if suspect.Position == 0 {
-				required = requestCrashes
-			}
-			if !suspect.RefusedAt.IsZero() || count < required {
+			count := a.unexplainedCrashes(suspect, explained)
+			if !suspect.RefusedAt.IsZero() || count < suspect.requiredCrashes() {
 				continue
 			}
 			if worst == nil || moreSuspicious(suspect, worst, count, worstCrashes) {
@@ -200,12 +203,29 @@
 		if worst == nil {
 			return
 		}
-		worst.RefusedAt, worst.changedAt = now, now
+		a.refuse(worst, now)
+	}
+}
+
+// refuse refuses a trait from now on.
+func (a *Attribution) refuse(suspect *Suspect, now time.Time) {
+	suspect.RefusedAt, suspect.changedAt, suspect.nextTrialAt = now, now, now.Add(firstTrialDelay)
+}
+
+// requiredCrashes returns the number of crashes after which the trait is refused.
+func (s *Suspect) requiredCrashes() int {
+	switch {
+	case s.Position == 0:
+		return requestCrashes
+	case s.ClearedAt.IsZero():
+		return partCrashes
+	default:
+		return provenPartCrashes
 	}
 }
 
-// moreSuspicious orders two suspects: parts before whole requests, then by crashes, then those without
-// any complete response, then the more specific one, which is later in the prompt.
+// moreSuspicious orders two suspects: parts before whole requests, then those without any complete
+// response, then the more specific one, which is later in the prompt, then by crashes.
 func moreSuspicious(a, b *Suspect, aCrashes, bCrashes int) bool {
 	rank := func(s *Suspect, crashes int) []int {
 		isPart, neverCleared := 0, 0
@@ -215,7 +235,7 @@
 		if s.ClearedAt.IsZero() {
 			neverCleared = 1
 		}
-		return []int{isPart, crashes, neverCleared, s.Position}
+		return []int{isPart, neverCleared, s.Position, crashes}
 	}
 	if order := slices.Compare(rank(a, aCrashes), rank(b, bCrashes)); order != 0 {
 		return order > 0
@@ -273,18 +293,21 @@
 // TrialDue reports whether one request with a refused trait may run to see whether it still crashes
 // its upstream.
 func (s *Suspect) TrialDue(now time.Time) bool {
-	last := s.RefusedAt
-	if s.triedAt.After(last) {
-		last = s.triedAt
+	return !s.RefusedAt.IsZero() && !now.Before(s.nextTrialAt)
+}
+
+// recordTrials sets the number of trials after another one.
+func (s *Suspect) recordTrials(trials int, now time.Time) {
+	s.Trials, s.changedAt, s.nextTrialAt = trials, now, now.Add(nextTrialDelay)
+	if trials >= maxTrials {
+		s.nextTrialAt = now.Add(failedTrialDelay)
 	}
-	return !s.RefusedAt.IsZero() && s.Trials < maxTrials && now.Sub(last) >= trialDelay
 }
 
 // RecordTrial records that a request with a refused trait runs.
 func (a *Attribution) RecordTrial(hash uint64, now time.Time) {
 	if suspect := a.suspects[hash]; suspect != nil {
-		suspect.Trials++
-		suspect.triedAt, suspect.changedAt = now, now
+		suspect.recordTrials(suspect.Trials+1, now)
 	}
 }
 
--- a/serving/traits.go
+++ b/serving/traits.go
@@ -26,23 +26,29 @@
 }
 
 // checkTraits reports whether a request with some traits may run. If it runs on trial although one of
-// them is refused, it returns true twice.
+// them is refused, it returns true twice; with two refused traits a trial would prove nothing.
 func (h *Handler) checkTraits(view *View, traits []quarantine.Trait) (trial, allowed bool) {
 	if len(view.RefusedTraits) == 0 {
 		return false, true
 	}
+	var refused []uint64
 	for _, trait := range traits {
-		if !view.RefusedTraits[trait.Hash] {
-			continue
+		if view.RefusedTraits[trait.Hash] {
+			refused = append(refused, trait.Hash)
 		}
-		offer := view.Trials[trait.Hash]
-		if offer == nil || !offer.CompareAndSwap(false, true) {
-			return trial, false
-		}
-		trial = true
-		h.Events.TrialStarted(trait.Hash)
 	}
-	return trial, true
+	switch len(refused) {
+	case 0:
+		return false, true
+	case 1:
+	default:
+		return false, false
+	}
+	if offer := view.Trials[refused[0]]; offer == nil || !offer.CompareAndSwap(false, true) {
+		return false, false
+	}
+	h.Events.TrialStarted(refused[0])
+	return true, true
 }
 
 func crashRefusal() *refusal.Refusal {
