--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -46,13 +46,15 @@
 // sentRequest is a request and its result as seen by the caller. start counts the starts of the node's
 // process, so that node and start identify the process.
 type sentRequest struct {
-	id            string
-	kind          kind
-	node          string
-	start         int
-	method        string
-	target        string
-	bodySum       uint64
+	id      string
+	kind    kind
+	node    string
+	start   int
+	method  string
+	target  string
+	bodySum uint64
+	// prefix lists the parts of its prompt; empty for a plain call.
+	prefix        string
 	began         time.Time
 	ended         time.Time
 	status        int
@@ -135,9 +137,17 @@
 		s.method = http.MethodGet
 	}
 	s.target = fmt.Sprintf("/%s/x?n=%d", s.kind, random.IntN(1000))
+	if s.kind.streams() {
+		s.prefix = fmt.Sprintf("%s,%s:20", sharedParts(random), s.id)
+	}
 	return s
 }
 
+// sharedParts returns the parts that prompts have in common.
+func sharedParts(random *rand.Rand) string {
+	return fmt.Sprintf("system:200,subject%d:100", random.IntN(3))
+}
+
 // connection is a caller's connection, without the automatic retries of an HTTP client.
 type connection struct {
 	net.Conn
@@ -181,9 +191,13 @@
 	c.requests = append(c.requests, s)
 	c.mu.Unlock()
 	key := c.world.key.Load()
+	prompt := ""
+	if s.prefix != "" {
+		prompt = fmt.Sprintf("X-Token-Usage: 320,%d\r\nX-Prefix-Hash: %s\r\n", streamEvents, s.prefix)
+	}
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n"+
-		"Authorization: Bearer %s\r\nX-Tenant: smuggled\r\nContent-Length: %d\r\n\r\n",
-		s.method, s.target, s.id, callerTimeout.Milliseconds(), *key, len(body))
+		"Authorization: Bearer %s\r\nX-Tenant: smuggled\r\n%sContent-Length: %d\r\n\r\n",
+		s.method, s.target, s.id, callerTimeout.Milliseconds(), *key, prompt, len(body))
 	failure := conn.SetDeadline(time.Now().Add(callerTimeout + 2*time.Second))
 	if failure == nil {
 		_, failure = conn.Write(append([]byte(head), body...))
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -34,6 +34,7 @@
 	w.checkVersions()
 	w.checkBudget(requests)
 	w.checkNotices()
+	w.checkCrashes(requests)
 	for _, text := range w.cloud.Violations() {
 		w.observed.violation("duties: %s", text)
 	}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -114,7 +114,7 @@
 	}},
 	{"engine faults", false, func(ctx context.Context, w *world, random *rand.Rand) {
 		engine := w.pickEngine(random)
-		engine.SetFaults(platformtest.EngineFaults{Fail: 0.2, LoseAnswers: 0.2, BreakStreams: 0.3})
+		engine.SetFaults(platformtest.EngineFaults{Fail: 0.2, LoseAnswers: 0.2, BreakStreams: 0.3, Unframed: 0.3})
 		sleep(ctx, randomDuration(random))
 		engine.SetFaults(platformtest.EngineFaults{})
 	}},
--- a/soak/notices_test.go
+++ b/soak/notices_test.go
@@ -102,14 +102,15 @@
 	o.restarts = append(o.restarts, timeSpan{"restart", from, to})
 }
 
-// stable reports whether a span was undisturbed and no node was restarted in it or shortly before.
-func (o *observations) stable(from, to time.Time) bool {
+// stable reports whether a span was undisturbed, but for excepted faults, and no node was restarted in it
+// or shortly before.
+func (o *observations) stable(from, to time.Time, except ...string) bool {
 	for _, t := range o.restarts {
 		if t.from.Before(to) && t.to.Add(contactSpan).After(from) {
 			return false
 		}
 	}
-	return o.undisturbed(from, to)
+	return o.undisturbed(from, to, except...)
 }
 
 // checkNotices checks that nodes respect the engines' notices.
--- a/soak/observations_test.go
+++ b/soak/observations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,7 +19,10 @@
 	faultSpans []timeSpan
 	restarts   []timeSpan
 	notices    []noticeSpan
-	violations []string
+	// crashes are the times at which requests crashed engines; they were sent until badPromptsEndAt.
+	crashes         []time.Time
+	badPromptsEndAt time.Time
+	violations      []string
 }
 
 // arrival is the arrival of a request at an engine.
@@ -82,10 +86,13 @@
 	o.violations = append(o.violations, fmt.Sprintf(format, args...))
 }
 
-// undisturbed reports whether no unplanned fault occurred in a span, or so shortly before it that the
-// nodes may still be recovering.
-func (o *observations) undisturbed(from, to time.Time) bool {
+// undisturbed reports whether no unplanned fault but the excepted ones occurred in a span, or so shortly
+// before it that the nodes may still be recovering.
+func (o *observations) undisturbed(from, to time.Time, except ...string) bool {
 	for _, t := range o.faultSpans {
+		if slices.Contains(except, t.name) {
+			continue
+		}
 		if t.from.Before(to) && t.to.Add(contactSpan).After(from) {
 			return false
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -185,6 +185,12 @@
 			play(noticeFaults[notices.IntN(len(noticeFaults))], rand.New(rand.NewPCG(notices.Uint64(), 0)))
 		}
 	})
+	if !planned {
+		running.Go(func() {
+			sleep(ctx, time.Duration(notices.ExpFloat64()*float64(faultPeriod)/faultsPerWorld))
+			play(badPrompts, rand.New(rand.NewPCG(notices.Uint64(), 0)))
+		})
+	}
 	for range faultsPerWorld {
 		chosen := faults[random.IntN(len(faults))]
 		for planned && !chosen.planned {
@@ -201,7 +207,7 @@
 func (w *world) checkRecovery(from time.Time) {
 	sent, served := 0, 0
 	for _, s := range w.callers.snapshot() {
-		if s.began.Before(from) || strings.HasPrefix(s.id, "p-") {
+		if s.began.Before(from) || strings.HasPrefix(s.id, "p-") || strings.HasPrefix(s.id, badPrefix) {
 			continue
 		}
 		sent++
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -41,6 +41,8 @@
 	callers  *callers
 	observed *observations
 	key      atomic.Pointer[string]
+	// crashPart is set while engines crash on a part of a prompt.
+	crashPart atomic.Bool
 
 	mu       sync.Mutex
 	engines  []*engineHost
