platform, edge: an odd entry of another writer harms no other

Reported by other operators: one entry that is very deeply nested, has a number too large or a port out of range ended the machines that read the list, or they stopped following it. Here no such entry ended a process; json bounds the nesting. But numbers such as 1e300 or -3 became slots and sequences by a conversion that differs between processors, port 0 and addresses of no host were taken for an engine's, a record of the nodes' topic with any address for a node, one value that is not base64 hid its whole page, and each such entry wrote a log line of any length each time it was read.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -267,3 +267,44 @@
 		return e.bounds.Load().RetryBurst == 40
 	}, eventually, 20*time.Millisecond)
 }
+
+// A node ends, or stops following the registry, at an entry of another writer.
+func TestOddRegistryEntryStopsTheReader(t *testing.T) {
+	store := newStore(t)
+	store.configure(1, "k")
+	odd := []string{
+		strings.Repeat("[", 20_000), `{"service":1e999}`, "\xff\xfe", "null", "[]",
+		`{"service":"s","address":"127.0.0.1:0","zone":"z","slots":4,"phase":"ready","sequence":1}`,
+		`{"service":"s","address":"127.0.0.1:70000","zone":"z","slots":4,"phase":"ready","sequence":1}`,
+		`{"service":"s","address":"127.0.0.1:9","zone":"z","slots":1e300,"phase":"ready","sequence":-1e300}`,
+	}
+	for i, value := range odd {
+		store.Put(platform.TopicRegistry, fmt.Sprintf("a-odd-%d", i), []byte(value))
+		store.Put("keyed.persimmon-nodes", fmt.Sprintf("a-odd-%d", i), []byte(value))
+	}
+	e, _ := start(t, settings(t, "n1", store.address()))
+	store.register("i-1", upstream(t, 0))
+	require.Eventually(t, func() bool { return ready(e) && call(t, e, "k") == http.StatusOK }, eventually, 10*time.Millisecond, "an entry after the odd ones")
+	for i, value := range odd {
+		store.Put(platform.TopicRegistry, fmt.Sprintf("b-odd-%d", i), []byte(value))
+		store.Put("keyed.persimmon-nodes", fmt.Sprintf("b-odd-%d", i), []byte(value))
+	}
+	store.register("i-2", upstream(t, 0))
+	known := func() []string {
+		ids, _ := query(e.ctx, e.control, func(time.Time) (ids []string) {
+			for _, member := range e.control.registry.Upstreams() {
+				ids = append(ids, member.ID)
+			}
+			return ids
+		})
+		return ids
+	}
+	require.Eventually(t, func() bool { return len(known()) >= 2 }, eventually, 10*time.Millisecond)
+	require.Equal(t, []string{"i-1", "i-2"}, known())
+	query(e.ctx, e.control, func(time.Time) struct{} {
+		for name := range e.control.peers {
+			require.Contains(t, name, "-odd-7", "the only record with a host's address")
+		}
+		return struct{}{}
+	})
+}
--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -169,7 +169,9 @@
 func (e *Edge) decodeEntry(record platform.KeyedRecord) (fleet.Entry, bool) {
 	entry, err := platform.DecodeEntry(record.Key, record.Value)
 	if err != nil {
-		e.logger.Warn().Err(err).Msg("registry entry ignored: not decoded")
+		if e.control.allowNoticeLog() {
+			e.logger.Warn().Err(err).Int64("offset", record.Offset).Int("bytes", len(record.Value)).Msg("registry entry ignored: not decoded")
+		}
 		return entry, false
 	}
 	entry.Offset = record.Offset
@@ -182,8 +184,14 @@
 		e.control.post(ctx, func(now time.Time) {
 			for _, record := range records {
 				var node api.EdgeNode
-				if err := json.Unmarshal(record.Value, &node); err != nil {
-					e.logger.Warn().Err(err).Str("key", record.Key).Msg("node record ignored: not decoded")
+				err := json.Unmarshal(record.Value, &node)
+				if err == nil {
+					err = platform.CheckAddress(node.Address)
+				}
+				if err != nil {
+					if e.control.allowNoticeLog() {
+						e.logger.Warn().Err(err).Str("key", record.Key).Msg("node record ignored: not decoded")
+					}
 					continue
 				}
 				e.control.addPeer(record.Key, node.Address, node.DataCentre, now)
