serving: an error of the next upstream does not enter a stream, nor end it

Reported by other operators: a stream had begun and broke off, the next engine answered with an error, and callers found the error's text or its head in the middle of their stream, or the stream ended as if it were complete. It could happen here with an answer of status 200: text with an empty line in it was forwarded as an event, and an answer without any event, one that ended with its connection too, counted as the end of the stream. Other statuses were handled.

What continues a stream must have events with ids; comments pass. An answer without events ends it only if it is a framed event stream. Otherwise the attempt is broken, and the caller's connection is aborted if none follows.

--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"strings"
@@ -51,6 +52,7 @@
 	errTruncatedEvent = errors.New("stream ended within an event")
 	errUpstreamSilent = errors.New("upstream sent nothing within the timeout")
 	errEventOrder     = errors.New("stream event out of order")
+	errNoContinuation = errors.New("response does not continue the stream")
 )
 
 // exchange is a single attempt at an upstream.
@@ -63,6 +65,8 @@
 	eventCount int
 	// sentAt is when the request was sent, firstEventAt when the first event of a stream arrived.
 	sentAt, firstEventAt time.Time
+	// continues is set if the caller has a part of the stream from another upstream.
+	continues bool
 	// fetchFrom is the address of the engine from whose cache the prompt's prefix is copied.
 	fetchFrom string
 	// ctx is done with the request, or when another upstream takes over from a silent one.
@@ -357,6 +361,8 @@
 			return errEventOrder
 		}
 		r.lastEventID = id
+	} else if x.continues && !isComment(event) {
+		return errNoContinuation
 	}
 	if !r.headerSent {
 		r.recordFirstByte()
@@ -394,6 +400,8 @@
 func (x *exchange) classifyStreamEnd(rest []byte, err error) (outcome, error) {
 	r := x.run
 	switch {
+	case errors.Is(err, io.EOF) && len(rest) == 0 && x.continues && x.eventCount == 0 && !x.endsEmpty():
+		err = errNoContinuation
 	case errors.Is(err, io.EOF) && len(rest) == 0 && r.headerSent:
 		x.answer.Finish()
 		x.recordSuccess()
@@ -408,6 +416,23 @@
 	return outcomeBroken, fmt.Errorf("read event %d: %w", x.eventCount, x.breakCause(err))
 }
 
+// endsEmpty reports whether a response without events is the end of a stream of which the caller has all
+// events. An upstream's error, or a connection that ended early, is not.
+func (x *exchange) endsEmpty() bool {
+	mediaType, _, err := mime.ParseMediaType(x.answer.Response.Header.Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream" && x.answer.Framed()
+}
+
+// isComment reports whether an event consists of comment lines only.
+func isComment(event []byte) bool {
+	for _, line := range bytes.Split(bytes.TrimSpace(event), []byte("\n")) {
+		if !bytes.HasPrefix(line, []byte(":")) {
+			return false
+		}
+	}
+	return true
+}
+
 // readEvent returns the bytes of one event including the empty line that terminates it. With an
 // error it returns the received part of an incomplete event.
 func readEvent(reader *bufio.Reader) ([]byte, error) {
--- a/serving/run.go
+++ b/serving/run.go
@@ -361,7 +361,7 @@
 		r.handler.Events.PromptPlaced(upstream, r.shared, uncached)
 	}
 	r.excluded[upstream.ID] = true
-	exchange := &exchange{run: r, upstream: upstream, tracked: tracked}
+	exchange := &exchange{run: r, upstream: upstream, tracked: tracked, continues: r.headerSent}
 	if choice.Source != nil {
 		exchange.fetchFrom = choice.Source.Address
 	}
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -333,6 +333,53 @@
 	require.EqualValues(t, 1, d.runs.Load())
 }
 
+// The caller of a stream that broke off finds the next upstream's error in it, or the stream complete.
+func TestErrorOfTheNextUpstreamIsInTheStream(t *testing.T) {
+	raw := func(text string) behaviour {
+		return func(_ *deployment, _ int64, w http.ResponseWriter, _ *http.Request) { hijack(w, text) }
+	}
+	const id = "X-Request-Id: id-1\r\nX-Response-Signature: second\r\n"
+	cases := []struct {
+		name  string
+		next  behaviour
+		whole bool
+	}{
+		{"continues", continuesStream, true},
+		{"continues without a length", raw("HTTP/1.1 200 OK\r\n" + id + "\r\n" + stream(4, 6)), true},
+		{"nothing is left, event stream", raw("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 0\r\n" + id + "\r\n"), false},
+		{"200 without events", raw("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + id + "\r\n"), false},
+		{"200 that ends at once, without a length", raw("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + id + "\r\n"), false},
+		{"200 with a plain body", raw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n" + id + "\r\nan error\n"), false},
+		{"200 with paragraphs", raw("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n" + id + "\r\nan\n\nerror\n"), false},
+		{"200 with a head as its body", raw("HTTP/1.1 200 OK\r\nContent-Length: 34\r\n" + id + "\r\nHTTP/1.1 500 Failed\r\nX-A: b\r\n\r\nend"), false},
+		{"200 within an event, without a length", raw("HTTP/1.1 200 OK\r\n" + id + "\r\n" + stream(4, 5) + "id: 6\nda"), false},
+		{"400", status(400), false},
+		{"404", status(404), false},
+		{"500", status(500), false},
+		{"503", status(503), false},
+		{"503, not run", shed, false},
+		{"500 without a length", raw("HTTP/1.1 500 Failed\r\n" + id + "\r\n" + stream(4, 6)), false},
+		{"no answer", raw("\x00\x01\x02\n\n"), false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := deploy(t, 2, firstThen(breaksMidStream, c.next))
+			got := d.call(context.Background(), "resume", nil)
+			if c.name == "nothing is left, event stream" {
+				require.NoError(t, got.err)
+				require.Equal(t, stream(1, 3), got.body)
+				return
+			}
+			require.Equal(t, c.whole, got.err == nil, "%v", got.err)
+			if c.whole {
+				require.Equal(t, stream(1, 6), got.body)
+			} else {
+				require.True(t, strings.HasPrefix(stream(1, 6), got.body), "%q", got.body)
+			}
+		})
+	}
+}
+
 // A refusal that an upstream writes once more on a kept connection is taken for that of the next
 // request, which the upstream runs.
 func TestEarlierRefusalAnswersTheNextRequest(t *testing.T) {
