quarantine: trials of a refused part cost at most a request or two

Each node that started took the trials of others for its own first one and, where it was the one to make them, made a second 10 s later; and a part that few prompts have was tried as soon as one that all have. Three requests at most may reach engines after the fifth crash, over all nodes and restarts.

A node that learns of a trial leaves the next to the node that made it. The first trial comes 30 s after the refusal, and after 3 s for the first part of prompts and for parts with which requests have completed, where a wrong refusal is dear. Tests of both in TestTrialsOfARefusedPart and TestCommonPartIsTriedSoon.

--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -18,10 +18,12 @@
 	crashSpacing = 200 * time.Millisecond
 	// maxSuspectUpstreams bounds the upstreams that are kept of one suspect.
 	maxSuspectUpstreams = 16
-	// firstTrialDelay is how long after its refusal a trait is tried again, nextTrialDelay how long
-	// after a trial without a result, and failedTrialDelay after one that crashed its upstream and
-	// after maxTrials.
-	firstTrialDelay  = 3 * time.Second
+	// firstTrialDelay is how long after its refusal a trait is tried again; commonTrialDelay is that for
+	// parts that many prompts have. nextTrialDelay is how long after a trial without a result it is
+	// tried again, and failedTrialDelay after one that crashed its upstream, after maxTrials and after
+	// another node's trial.
+	firstTrialDelay  = 30 * time.Second
+	commonTrialDelay = 3 * time.Second
 	nextTrialDelay   = 10 * time.Second
 	failedTrialDelay = 10 * time.Minute
 	maxTrials        = 2
@@ -152,6 +154,7 @@
 	}
 	if received.Trials > suspect.Trials {
 		suspect.recordTrials(received.Trials, now)
+		suspect.nextTrialAt = now.Add(failedTrialDelay)
 	}
 	return suspect.changedAt.Equal(now)
 }
@@ -210,6 +213,9 @@
 // refuse refuses a trait from now on.
 func (a *Attribution) refuse(suspect *Suspect, now time.Time) {
 	suspect.RefusedAt, suspect.changedAt, suspect.nextTrialAt = now, now, now.Add(firstTrialDelay)
+	if suspect.Position == 1 || !suspect.ClearedAt.IsZero() {
+		suspect.nextTrialAt = now.Add(commonTrialDelay)
+	}
 }
 
 // requiredCrashes returns the number of crashes after which the trait is refused.
--- a/quarantine/attribution_test.go
+++ b/quarantine/attribution_test.go
@@ -161,19 +161,37 @@
 		suspect := a.Refused()[0]
 		return suspect.TrialDue(now.Add(after))
 	}
-	require.False(t, due(2*time.Second))
-	require.True(t, due(4*time.Second))
-	a.RecordTrial(bad, now.Add(4*time.Second))
-	require.False(t, due(13*time.Second))
-	require.True(t, due(15*time.Second), "the trial had no result")
-	a.RecordTrial(bad, now.Add(15*time.Second))
+	require.False(t, due(29*time.Second))
+	require.True(t, due(30*time.Second))
+	a.RecordTrial(bad, now.Add(31*time.Second))
+	require.False(t, due(40*time.Second))
+	require.True(t, due(42*time.Second), "the trial had no result")
+	a.RecordTrial(bad, now.Add(42*time.Second))
 	require.False(t, due(5*time.Minute), "no third one soon")
 
 	a, now = crashed(t)
-	a.RecordTrial(bad, now.Add(4*time.Second))
-	a.RecordCrash("again", badPrompt(9), now.Add(5*time.Second))
+	a.RecordTrial(bad, now.Add(31*time.Second))
+	a.RecordCrash("again", badPrompt(9), now.Add(32*time.Second))
 	require.False(t, due(5*time.Minute), "the trial crashed its upstream")
 	require.Equal(t, []uint64{bad}, refusedHashes(a))
+
+	fresh := quarantine.NewAttribution(quarantine.NewSuccesses())
+	fresh.Merge(a.Outgoing(now.Add(33*time.Second)), now.Add(33*time.Second))
+	suspect := fresh.Refused()[0]
+	require.False(t, suspect.TrialDue(now.Add(5*time.Minute)), "a node that has just started leaves trials to the one that made the first")
+}
+
+// A part that many prompts have stays refused for long.
+func TestCommonPartIsTriedSoon(t *testing.T) {
+	a := quarantine.NewAttribution(quarantine.NewSuccesses())
+	now := start
+	for i := range 3 {
+		now = now.Add(time.Second)
+		a.RecordCrash(fmt.Sprintf("u%d", i), []quarantine.Trait{part(system, 1)}, now)
+	}
+	suspect := a.Refused()[0]
+	require.False(t, suspect.TrialDue(now.Add(2*time.Second)))
+	require.True(t, suspect.TrialDue(now.Add(3*time.Second)))
 }
 
 // A part of every prompt is refused when all upstreams crash at nearly the same time, since nothing
