--- a/api/edge_gen.go
+++ b/api/edge_gen.go
@@ -267,18 +267,18 @@
 	// Fingerprint of the request or the part.
 	Fingerprint uint64 `json:"fingerprint"`
 
-	// Upstreams that crashed while they ran it, by id and incarnation; empty if it
-	// has completed since.
-	Upstreams []string `json:"upstreams"`
+	// Position of the part in the prompt, from 1; 0 for a whole request.
+	Position int `json:"position"`
 
-	// Waivers is the number of requests that ran although it was withheld.
-	Waivers int `json:"waivers"`
+	// Refused is set if requests with it are refused.
+	Refused bool `json:"refused"`
 
-	// Where is the position of the part in the prompt, from 1; 0 for a whole request.
-	Where int `json:"where"`
+	// Trials is the number of requests that ran although it was refused.
+	Trials int `json:"trials"`
 
-	// Withheld is set if requests with it are refused.
-	Withheld bool `json:"withheld"`
+	// Upstreams that crashed while they ran it, by id and incarnation; empty if it
+	// has completed since.
+	Upstreams []string `json:"upstreams"`
 }
 
 // EdgeUpstream is an upstream of the registry.
--- a/edge/crashes.go
+++ b/edge/crashes.go
@@ -128,8 +128,8 @@
 	shared := []api.EdgeSuspicion{}
 	for _, suspect := range c.attribution.Outgoing(now) {
 		suspicion := api.EdgeSuspicion{
-			Fingerprint: suspect.Hash, Where: suspect.Position, Upstreams: suspect.Upstreams,
-			AgeMS: ageMS(suspect.CrashedAt, now), Waivers: suspect.Trials, Withheld: !suspect.RefusedAt.IsZero(),
+			Fingerprint: suspect.Hash, Position: suspect.Position, Upstreams: suspect.Upstreams,
+			AgeMS: ageMS(suspect.CrashedAt, now), Trials: suspect.Trials, Refused: !suspect.RefusedAt.IsZero(),
 		}
 		if suspect.Cleared() {
 			suspicion.Upstreams, suspicion.AgeMS = []string{}, ageMS(suspect.ClearedAt, now)
@@ -147,14 +147,14 @@
 	suspects := make([]quarantine.Suspect, 0, len(received))
 	for _, suspicion := range received {
 		suspect := quarantine.Suspect{
-			Trait: quarantine.Trait{Hash: suspicion.Fingerprint, Position: suspicion.Where}, Upstreams: suspicion.Upstreams, Trials: suspicion.Waivers,
+			Trait: quarantine.Trait{Hash: suspicion.Fingerprint, Position: suspicion.Position}, Upstreams: suspicion.Upstreams, Trials: suspicion.Trials,
 		}
 		if at := timeOfAge(suspicion.AgeMS, now); len(suspicion.Upstreams) == 0 {
 			suspect.ClearedAt = at
 		} else {
 			suspect.CrashedAt = at
 		}
-		if suspicion.Withheld {
+		if suspicion.Refused {
 			suspect.RefusedAt = now
 		}
 		suspects = append(suspects, suspect)
