edge: refused traits are recorded in the store

After a restart of all nodes none knew which part crashes engines, and it cost three more crashes and a trial; no more than three requests may reach engines after the fifth, for as long as they come. The node that makes the trials of a trait records it in the topic of nodes, a second after its refusal, and deletes the record when the refusal ends; nodes read that topic as they start. Records that could not be written are tried again.

--- a/api/edge_gen.go
+++ b/api/edge_gen.go
@@ -236,6 +236,16 @@
 	Lease *EdgeLease `json:"lease,omitempty,omitzero"`
 }
 
+// EdgeRefusedTrait is a record of requests, or a part of prompts, that crash
+// upstreams, in the topic of nodes.
+type EdgeRefusedTrait struct {
+	// RefusedAtMS is when it was recorded, in Unix milliseconds.
+	RefusedAtMS int64 `json:"refused_at_ms"`
+
+	// Suspicion as of RefusedAtMS.
+	Suspicion EdgeSuspicion `json:"suspicion"`
+}
+
 // EdgeRegistry holds the changes of the registry of upstreams, as the sender sees
 // it.
 type EdgeRegistry struct {
--- a/edge/control.go
+++ b/edge/control.go
@@ -129,7 +129,9 @@
 	duties            *duties
 	attribution       *quarantine.Attribution
 	// refusedTraits are the traits whose requests are refused, trials the offers to run one of them.
-	refusedTraits    map[uint64]bool
+	refusedTraits map[uint64]bool
+	// recordedTraits are the traits with a record in the topic of nodes; false while it is being deleted.
+	recordedTraits   map[uint64]bool
 	trials           map[uint64]*atomic.Bool
 	draining         bool
 	refusingRequests bool
@@ -146,7 +148,7 @@
 		gates: map[string]*pacing.Gate{}, removedGates: map[string]removedGate{}, gateClock: time.Now,
 		noticeLogLimiter: rate.NewLimiter(noticeLogRate, noticeLogBurst),
 		prefixes:         routing.NewPrefixIndex(maxPrefixBlocks), publishNow: true,
-		attribution: quarantine.NewAttribution(e.successes), refusedTraits: map[uint64]bool{}, trials: map[uint64]*atomic.Bool{},
+		attribution: quarantine.NewAttribution(e.successes), refusedTraits: map[uint64]bool{}, recordedTraits: map[uint64]bool{}, trials: map[uint64]*atomic.Bool{},
 		configFetches: map[string]time.Time{},
 	}
 	c.duties = newDuties(e, c)
--- a/edge/crashes.go
+++ b/edge/crashes.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -11,13 +15,22 @@
 
 	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/internal/netopt"
+	"github.com/persimmonline/persimmonline/platform"
 	"github.com/persimmonline/persimmonline/quarantine"
 	"github.com/persimmonline/persimmonline/routing"
 )
 
-// deathProbeTimeout bounds the connection attempt that checks whether an upstream is still alive
-// after it broke off an exchange.
-const deathProbeTimeout = 300 * time.Millisecond
+const (
+	// deathProbeTimeout bounds the connection attempt that checks whether an upstream is still alive
+	// after it broke off an exchange.
+	deathProbeTimeout = 300 * time.Millisecond
+	// recordDelay is how long a trait must have been refused before that is recorded in the store.
+	recordDelay = time.Second
+	// refusedKeyPrefix begins the keys of refused traits in the topic of nodes; the hash follows in
+	// base hashBase.
+	refusedKeyPrefix = "refused/"
+	hashBase         = 16
+)
 
 // ExchangeBroken implements serving.Events. A broken exchange counts against its request only if the
 // upstream's process has ended without notice: a connection that the network reset, an upstream that
@@ -116,29 +129,99 @@
 	})
 }
 
-// tickAttribution applies successes and offers trials.
+// tickAttribution applies successes, offers trials and records refusals.
 func (c *control) tickAttribution(now time.Time) {
 	c.attribution.Tick(now)
 	c.refreshRefusals()
 	c.updateTrials(now)
+	c.recordRefusals(now)
+}
+
+// recordRefusals writes what is refused to the topic of nodes, so that it outlives a restart of all
+// nodes, and deletes the records of what is no longer refused. One node of all does so for each trait.
+func (c *control) recordRefusals(now time.Time) {
+	for _, suspect := range c.attribution.Refused() {
+		if _, known := c.recordedTraits[suspect.Hash]; known || now.Sub(suspect.RefusedAt) < recordDelay || !c.makesTrials(suspect.Hash, now) {
+			continue
+		}
+		value, err := json.Marshal(api.EdgeRefusedTrait{Suspicion: suspicionOf(&suspect, now), RefusedAtMS: c.edge.clock.now().UnixMilli()})
+		if err != nil {
+			c.edge.logger.Error().Err(err).Uint64("trait", suspect.Hash).Msg("refused trait not encoded")
+			continue
+		}
+		c.recordTrait(suspect.Hash, value)
+	}
+	for hash, recorded := range c.recordedTraits {
+		if recorded && !c.refusedTraits[hash] && c.makesTrials(hash, now) {
+			c.recordTrait(hash, nil)
+		}
+	}
+}
+
+// recordTrait writes the record of a trait, or deletes it without a value. A record that could not be
+// written is written again by a later tick.
+func (c *control) recordTrait(hash uint64, value []byte) {
+	written := value != nil
+	c.recordedTraits[hash] = written
+	go func() {
+		record := platform.EncodeKeyed(refusedKeyPrefix+strconv.FormatUint(hash, hashBase), value)
+		_, err := c.edge.store.Append(c.edge.ctx, topicNodes, [][]byte{record}, -1)
+		if err != nil {
+			c.edge.logger.Warn().Err(err).Uint64("trait", hash).Msg("record of a refused trait not written, retrying")
+			sleep(c.edge.ctx, longRetryDelay)
+		}
+		c.post(c.edge.ctx, func(time.Time) {
+			switch {
+			case err != nil && written, err == nil && !written:
+				delete(c.recordedTraits, hash)
+			case err != nil:
+				c.recordedTraits[hash] = true
+			}
+		})
+	}()
+}
+
+// applyRefusedTrait applies a record of the topic of nodes; one without a value was deleted.
+func (c *control) applyRefusedTrait(record platform.KeyedRecord, now time.Time) error {
+	hash, err := strconv.ParseUint(strings.TrimPrefix(record.Key, refusedKeyPrefix), hashBase, 64)
+	if err != nil {
+		return fmt.Errorf("decode key: %w", err)
+	}
+	if len(record.Value) == 0 {
+		delete(c.recordedTraits, hash)
+		return nil
+	}
+	var recorded api.EdgeRefusedTrait
+	if err := json.Unmarshal(record.Value, &recorded); err != nil {
+		return fmt.Errorf("decode refused trait: %w", err)
+	}
+	c.recordedTraits[hash] = true
+	recorded.Suspicion.AgeMS += max(0, c.edge.clock.now().UnixMilli()-recorded.RefusedAtMS)
+	c.applySuspicions([]api.EdgeSuspicion{recorded.Suspicion}, now)
+	c.publishNow = true
+	return nil
 }
 
 // outgoingSuspicions returns the suspects for a message to peers.
 func (c *control) outgoingSuspicions(now time.Time) []api.EdgeSuspicion {
 	shared := []api.EdgeSuspicion{}
 	for _, suspect := range c.attribution.Outgoing(now) {
-		suspicion := api.EdgeSuspicion{
-			Fingerprint: suspect.Hash, Position: suspect.Position, Upstreams: suspect.Upstreams,
-			AgeMS: ageMS(suspect.CrashedAt, now), Trials: suspect.Trials, Refused: !suspect.RefusedAt.IsZero(),
-		}
-		if suspect.Cleared() {
-			suspicion.Upstreams, suspicion.AgeMS = []string{}, ageMS(suspect.ClearedAt, now)
-		}
-		shared = append(shared, suspicion)
+		shared = append(shared, suspicionOf(&suspect, now))
 	}
 	return shared
 }
 
+func suspicionOf(suspect *quarantine.Suspect, now time.Time) api.EdgeSuspicion {
+	suspicion := api.EdgeSuspicion{
+		Fingerprint: suspect.Hash, Position: suspect.Position, Upstreams: suspect.Upstreams,
+		AgeMS: ageMS(suspect.CrashedAt, now), Trials: suspect.Trials, Refused: !suspect.RefusedAt.IsZero(),
+	}
+	if suspect.Cleared() {
+		suspicion.Upstreams, suspicion.AgeMS = []string{}, ageMS(suspect.ClearedAt, now)
+	}
+	return suspicion
+}
+
 // applySuspicions merges a peer's suspects.
 func (c *control) applySuspicions(received []api.EdgeSuspicion, now time.Time) {
 	if len(received) == 0 {
--- a/edge/crashes_test.go
+++ b/edge/crashes_test.go
@@ -35,9 +35,10 @@
 type crashFleet struct {
 	t     *testing.T
 	store storeServer
-	nodes []*Edge
 
 	mu       sync.Mutex
+	nodes    []*Edge
+	stops    []func()
 	started  int
 	crashes  []time.Time
 	arrivals []crashArrival
@@ -64,14 +65,47 @@
 	for range engines {
 		f.startEngine()
 	}
-	for i := range nodes {
-		e, _ := start(t, settings(t, fmt.Sprintf("n%d", i), f.store.address()))
-		f.nodes = append(f.nodes, e)
+	f.startNodes(nodes)
+	return f
+}
+
+// startNodes starts nodes in place of those that ran before, and waits until they are ready.
+func (f *crashFleet) startNodes(count int) {
+	var nodes []*Edge
+	var stops []func()
+	for i := range count {
+		e, stop := start(f.t, settings(f.t, fmt.Sprintf("n%d", i), f.store.address()))
+		nodes, stops = append(nodes, e), append(stops, stop)
 	}
-	for _, e := range f.nodes {
-		require.Eventually(t, func() bool { return ready(e) }, eventually, 10*time.Millisecond)
+	for _, e := range nodes {
+		require.Eventually(f.t, func() bool { return ready(e) }, eventually, 10*time.Millisecond)
 	}
-	return f
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes, f.stops = nodes, stops
+}
+
+// stopNodes stops all nodes at the same time.
+func (f *crashFleet) stopNodes() {
+	f.mu.Lock()
+	stops := f.stops
+	f.nodes, f.stops = nil, nil
+	f.mu.Unlock()
+	var stopping sync.WaitGroup
+	for _, stop := range stops {
+		stopping.Go(stop)
+	}
+	stopping.Wait()
+}
+
+// anyNode returns a random node; nil while all are stopped.
+func (f *crashFleet) anyNode() *Edge {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.nodes) == 0 {
+		return nil
+	}
+	return f.nodes[rand.IntN(len(f.nodes))]
 }
 
 // startEngine starts an engine, and another one some time after it has crashed.
@@ -146,7 +180,9 @@
 				return
 			case <-ticker.C:
 			}
-			requests.Go(func() { f.request(f.nodes[rand.IntN(len(f.nodes))], kind, parts()...) })
+			if node := f.anyNode(); node != nil {
+				requests.Go(func() { f.request(node, kind, parts()...) })
+			}
 		}
 	})
 	f.t.Cleanup(requests.Wait)
@@ -210,3 +246,21 @@
 	require.LessOrEqual(t, f.badAfter(last.Add(contactBound)), maxFurtherRuns, "requests with the part are still sent to engines")
 	require.Greater(t, f.servedShare(last.Add(contactBound)), 0.98, "sound requests with the same key and first parts")
 }
+
+// All nodes restart and forget which part crashes engines.
+func TestRestartOfAllNodesForgetsThePart(t *testing.T) {
+	t.Parallel()
+	f := newCrashFleet(t, 3, 6)
+	sound := func() []string { return []string{"system", fmt.Sprintf("subject%d", rand.IntN(3))} }
+	f.load("sound", 40, sound)
+	time.Sleep(time.Second)
+	f.load("bad", 6, func() []string { return append(sound(), badPart) })
+	require.Eventually(t, func() bool { return f.crashedAt(3) != (time.Time{}) }, eventually, 10*time.Millisecond)
+	time.Sleep(contactBound)
+	f.stopNodes()
+	f.startNodes(3)
+	restarted := time.Now()
+	time.Sleep(contactBound)
+	require.LessOrEqual(t, f.badAfter(restarted), 1, "requests with the part reach engines again")
+	require.Greater(t, f.servedShare(restarted), 0.98)
+}
--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"fmt"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -183,18 +185,9 @@
 	apply := func(records []platform.KeyedRecord) {
 		e.control.post(ctx, func(now time.Time) {
 			for _, record := range records {
-				var node api.EdgeNode
-				err := json.Unmarshal(record.Value, &node)
-				if err == nil {
-					err = platform.CheckAddress(node.Address)
+				if err := e.control.applyNodeRecord(record, now); err != nil && e.control.allowNoticeLog() {
+					e.logger.Warn().Err(err).Str("key", record.Key).Msg("node record ignored: not decoded")
 				}
-				if err != nil {
-					if e.control.allowNoticeLog() {
-						e.logger.Warn().Err(err).Str("key", record.Key).Msg("node record ignored: not decoded")
-					}
-					continue
-				}
-				e.control.addPeer(record.Key, node.Address, node.DataCentre, now)
 			}
 			e.peers.wake()
 		})
@@ -208,6 +201,22 @@
 	}
 }
 
+// applyNodeRecord applies a record of the topic of nodes.
+func (c *control) applyNodeRecord(record platform.KeyedRecord, now time.Time) error {
+	if strings.HasPrefix(record.Key, refusedKeyPrefix) {
+		return c.applyRefusedTrait(record, now)
+	}
+	var node api.EdgeNode
+	if err := json.Unmarshal(record.Value, &node); err != nil {
+		return fmt.Errorf("decode node: %w", err)
+	}
+	if err := platform.CheckAddress(node.Address); err != nil {
+		return err
+	}
+	c.addPeer(record.Key, node.Address, node.DataCentre, now)
+	return nil
+}
+
 // announce writes this node's address to the topic of nodes, and retries until that succeeds.
 func (e *Edge) announce(ctx context.Context) {
 	value, err := json.Marshal(api.EdgeNode{Address: e.peerAddress(), DataCentre: e.settings.DataCentre})
