quarantine: a test that sound parts stay served when upstreams end by themselves

Thirty seeds of a minute, one upstream a second and now and then most at once: no trait is refused. The two fleet tests of crashing engines share their setup.

--- a/edge/crashes_test.go
+++ b/edge/crashes_test.go
@@ -188,6 +188,16 @@
 	f.t.Cleanup(requests.Wait)
 }
 
+// crashEngines sends sound requests, and then beside them others with the bad part until three engines
+// have crashed and on.
+func (f *crashFleet) crashEngines() {
+	sound := func() []string { return []string{"system", fmt.Sprintf("subject%d", rand.IntN(3))} }
+	f.load("sound", 40, sound)
+	time.Sleep(time.Second)
+	f.load("bad", 6, func() []string { return append(sound(), badPart) })
+	require.Eventually(f.t, func() bool { return f.crashedAt(3) != (time.Time{}) }, eventually, 10*time.Millisecond)
+}
+
 // badAfter returns how many requests with the bad part reached engines after a time.
 func (f *crashFleet) badAfter(from time.Time) (count int) {
 	f.mu.Lock()
@@ -232,11 +242,7 @@
 func TestPromptPartCrashesEngineAfterEngine(t *testing.T) {
 	t.Parallel()
 	f := newCrashFleet(t, 3, 6)
-	sound := func() []string { return []string{"system", fmt.Sprintf("subject%d", rand.IntN(3))} }
-	f.load("sound", 40, sound)
-	time.Sleep(time.Second)
-	f.load("bad", 6, func() []string { return append(sound(), badPart) })
-	require.Eventually(t, func() bool { return f.crashedAt(3) != (time.Time{}) }, eventually, 10*time.Millisecond)
+	f.crashEngines()
 	time.Sleep(contactBound + 2*time.Second)
 	last := f.crashedAt(maxCrashes)
 	if last.IsZero() {
@@ -251,11 +257,7 @@
 func TestRestartOfAllNodesForgetsThePart(t *testing.T) {
 	t.Parallel()
 	f := newCrashFleet(t, 3, 6)
-	sound := func() []string { return []string{"system", fmt.Sprintf("subject%d", rand.IntN(3))} }
-	f.load("sound", 40, sound)
-	time.Sleep(time.Second)
-	f.load("bad", 6, func() []string { return append(sound(), badPart) })
-	require.Eventually(t, func() bool { return f.crashedAt(3) != (time.Time{}) }, eventually, 10*time.Millisecond)
+	f.crashEngines()
 	time.Sleep(contactBound)
 	f.stopNodes()
 	f.startNodes(3)
--- a/quarantine/attribution_test.go
+++ b/quarantine/attribution_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -227,3 +228,54 @@
 	proven.Merge(fresh.Outgoing(now), now)
 	require.Empty(t, proven.Refused())
 }
+
+// Sound parts are refused because upstreams end again and again for another reason.
+func TestSoundPartIsRefusedWhenUpstreamsEndByThemselves(t *testing.T) {
+	const (
+		upstreams, tick, perSecond, streamTime = 12, 50 * time.Millisecond, 40, 1500 * time.Millisecond
+		subjects                               = 20
+	)
+	for seed := range uint64(30) {
+		random := rand.New(rand.NewPCG(seed, seed))
+		successes := quarantine.NewSuccesses()
+		a := quarantine.NewAttribution(successes)
+		type run struct {
+			traits   []quarantine.Trait
+			upstream int
+			ends     time.Time
+		}
+		var running []run
+		lives, own, now := 0, uint64(100_000), start
+		for range int(time.Minute / tick) {
+			now = now.Add(tick)
+			for range perSecond * int(tick) / int(time.Second) {
+				own++
+				traits := []quarantine.Trait{request(own), part(system, 1), part(100+random.Uint64N(subjects), 2)}
+				running = append(running, run{traits, random.IntN(upstreams), now.Add(time.Duration(random.Int64N(int64(streamTime))))})
+			}
+			ended := map[int]bool{}
+			switch {
+			case random.IntN(20) == 0: // One ends each second.
+				ended[random.IntN(upstreams)] = true
+			case random.IntN(200) == 0: // Most end at once.
+				for range 2 * upstreams {
+					ended[random.IntN(upstreams)] = true
+				}
+			}
+			remaining := running[:0]
+			for _, r := range running {
+				switch {
+				case ended[r.upstream]:
+					a.RecordCrash(fmt.Sprintf("u%d-%d", r.upstream, lives), r.traits, now)
+				case now.After(r.ends):
+					successes.Record(r.traits, now)
+				default:
+					remaining = append(remaining, r)
+				}
+			}
+			running, lives = remaining, lives+1
+			a.Tick(now)
+			require.Empty(t, a.Refused(), "seed %d, after %s", seed, now.Sub(start))
+		}
+	}
+}
