soak: every engine of streams crashes on the part, also those that start later

Traced: engines that other faults had started meanwhile, and one whose faults were replaced, did not crash on the part and completed 4 and 6 such requests, so that the part was taken for sound again and again. The bound and the check are as they were.

--- a/soak/crashes_test.go
+++ b/soak/crashes_test.go
@@ -35,11 +35,7 @@
 // badPrompts sends requests with a part on which engines crash. It counts as a fault for callers whose
 // requests were under way, but not for the checks of these requests.
 var badPrompts = fault{badPromptsName, false, func(ctx context.Context, w *world, random *rand.Rand) {
-	w.crashPart.Store(true)
-	defer w.crashPart.Store(false)
-	for _, engine := range w.serving() {
-		w.armEngine(ctx, engine)
-	}
+	w.crashOnPart(ctx)
 	until := time.Now().Add(2*contactSpan + 4*time.Second)
 	for ctx.Err() == nil && time.Now().Before(until) {
 		sleep(ctx, badInterval)
@@ -59,26 +55,42 @@
 	w.observed.badPromptsEndAt = time.Now()
 }}
 
-// armEngine makes an engine crash on the part while such requests are sent; another one takes its
-// place.
-func (w *world) armEngine(ctx context.Context, engine *engineHost) {
-	if engine.service != serviceStreams || !w.crashPart.Load() {
-		return
+// crashOnPart makes all engines of streams, and those that start later, crash on the part.
+func (w *world) crashOnPart(ctx context.Context) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.arm = func(engine *engineHost) {
+		if engine.service != serviceStreams {
+			return
+		}
+		engine.SetFaults(platformtest.EngineFaults{CrashPart: crashPart})
+		engine.OnCrash(func() {
+			w.observed.addCrash(time.Now())
+			go w.replaceCrashed(ctx, engine)
+		})
 	}
-	engine.SetFaults(platformtest.EngineFaults{CrashPart: crashPart})
-	engine.OnCrash(func() {
-		w.observed.addCrash(time.Now())
-		go func() {
-			w.endEngine(engine)
-			sleep(ctx, engineRestart)
-			w.addReplacement(engine.service)
-			for _, added := range w.serving() {
-				w.armEngine(ctx, added)
-			}
-			sleep(ctx, 2*heartbeatInterval)
-			w.removeEntry(engine)
-		}()
-	})
+	for _, engine := range w.engines {
+		w.arm(engine)
+	}
+}
+
+// replaceCrashed starts another engine some time after one has crashed.
+func (w *world) replaceCrashed(ctx context.Context, engine *engineHost) {
+	w.endEngine(engine)
+	sleep(ctx, engineRestart)
+	w.addReplacement(engine.service)
+	sleep(ctx, 2*heartbeatInterval)
+	w.removeEntry(engine)
+}
+
+// setFaults replaces the faults of an engine, which still crashes on the part if it did.
+func (w *world) setFaults(engine *engineHost, faults platformtest.EngineFaults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.arm != nil && engine.service == serviceStreams {
+		faults.CrashPart = crashPart
+	}
+	engine.SetFaults(faults)
 }
 
 func (o *observations) addCrash(at time.Time) {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -114,9 +114,9 @@
 	}},
 	{"engine faults", false, func(ctx context.Context, w *world, random *rand.Rand) {
 		engine := w.pickEngine(random)
-		engine.SetFaults(platformtest.EngineFaults{Fail: 0.2, LoseAnswers: 0.2, BreakStreams: 0.3, Unframed: 0.3})
+		w.setFaults(engine, platformtest.EngineFaults{Fail: 0.2, LoseAnswers: 0.2, BreakStreams: 0.3, Unframed: 0.3})
 		sleep(ctx, randomDuration(random))
-		engine.SetFaults(platformtest.EngineFaults{})
+		w.setFaults(engine, platformtest.EngineFaults{})
 	}},
 }
 
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -41,10 +41,10 @@
 	callers  *callers
 	observed *observations
 	key      atomic.Pointer[string]
-	// crashPart is set while engines crash on a part of a prompt.
-	crashPart atomic.Bool
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// arm makes an engine crash on a part of a prompt; nil until such prompts are sent.
+	arm      func(engine *engineHost)
 	engines  []*engineHost
 	version  int
 	keys     []string
@@ -128,6 +128,9 @@
 	}
 	host := &engineHost{Engine: engine, service: service, proxy: front}
 	w.engines = append(w.engines, host)
+	if w.arm != nil {
+		w.arm(host)
+	}
 	w.store.Put(platform.TopicRegistry, host.ID(), host.Entry(front.Address(), false))
 	return nil
 }
