--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -33,9 +33,11 @@
 	faultPeriod    = 9 * time.Second
 	faultsPerWorld = 9
 	// noticesPerWorld is the number of faults that engines announce in their responses, noticeStream
-	// the random stream of a seed that selects them.
+	// the random stream of a seed that selects them, and promptStream that of prompts that crash
+	// engines.
 	noticesPerWorld = 3
 	noticeStream    = 1 << 32
+	promptStream    = 1 << 33
 	// plannedOnlyEvery selects the seeds with planned work only: one in so many.
 	plannedOnlyEvery = 3
 	// recoveryTime is the time after the last fault after which requests must be served again, and
@@ -137,7 +139,7 @@
 	}
 	go w.probe(traffic, rand.New(rand.NewPCG(seed, workers)))
 	sleep(ctx, warmUp)
-	timeline := w.injectFaults(ctx, random, rand.New(rand.NewPCG(seed, noticeStream)), seed%plannedOnlyEvery == 0)
+	timeline := w.injectFaults(ctx, random, rand.New(rand.NewPCG(seed, noticeStream)), rand.New(rand.NewPCG(seed, promptStream)), seed%plannedOnlyEvery == 0)
 	sleep(ctx, recoveryTime)
 	measured := time.Now()
 	sleep(ctx, measureTime)
@@ -160,9 +162,9 @@
 	t.Logf("seed %d: %s", seed, w.summary())
 }
 
-// injectFaults injects a series of faults that may overlap, and faults that engines announce, which
-// are drawn from a separate random source, and returns the timeline.
-func (w *world) injectFaults(ctx context.Context, random, notices *rand.Rand, planned bool) []string {
+// injectFaults injects a series of faults that may overlap, faults that engines announce, and prompts
+// that crash engines, each drawn from a random source of its own, and returns the timeline.
+func (w *world) injectFaults(ctx context.Context, random, notices, prompts *rand.Rand, planned bool) []string {
 	var timeline []string
 	var mu sync.Mutex
 	var running sync.WaitGroup
@@ -187,8 +189,8 @@
 	})
 	if !planned {
 		running.Go(func() {
-			sleep(ctx, time.Duration(notices.ExpFloat64()*float64(faultPeriod)/faultsPerWorld))
-			play(badPrompts, rand.New(rand.NewPCG(notices.Uint64(), 0)))
+			sleep(ctx, time.Duration(prompts.ExpFloat64()*float64(faultPeriod)/faultsPerWorld))
+			play(badPrompts, prompts)
 		})
 	}
 	for range faultsPerWorld {
