--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,12 +51,25 @@
 		`{"service":"s","address":"%s","zone":"z","slots":4,"phase":"ready","sequence":1,"born":1700000000000}`, address))
 }
 
-// freePort returns a port that was free a moment ago.
+// Ports of the nodes lie below the range from which connections get theirs.
+const firstPort, lastPort = 20_000, 32_000
+
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 100) }
+
+// freePort returns a port that no other test of this process gets, and on which nothing listens.
 func freePort(t *testing.T) int {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).Port
+	for range lastPort - firstPort {
+		port := firstPort + int(nextPort.Add(1)%(lastPort-firstPort))
+		listener, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port))
+		if err == nil {
+			require.NoError(t, listener.Close())
+			return port
+		}
+	}
+	require.Fail(t, "no free port")
+	return 0
 }
 
 func settings(t *testing.T, name, store string) platform.Settings {
