--- a/edge/crashes.go
+++ b/edge/crashes.go
@@ -15,6 +15,7 @@
 
 	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/internal/netopt"
+	"github.com/persimmonline/persimmonline/pacing"
 	"github.com/persimmonline/persimmonline/platform"
 	"github.com/persimmonline/persimmonline/quarantine"
 	"github.com/persimmonline/persimmonline/routing"
@@ -55,7 +56,7 @@
 			c.attribution.RecordCrash(upstream.Key(), traits, now)
 			c.edge.logger.Warn().Err(err).Str("upstream", upstream.ID).Any("traits", traits).
 				Msg("upstream died while running a request")
-			c.refreshRefusals()
+			c.refreshRefusals(c.attribution.Refused())
 			c.publishNow = true
 			c.edge.peers.wake()
 		})
@@ -73,9 +74,9 @@
 }
 
 // refreshRefusals logs the traits that are refused from now on, or no longer, and keeps them for views.
-func (c *control) refreshRefusals() {
+func (c *control) refreshRefusals(suspects []quarantine.Suspect) {
 	refused := map[uint64]bool{}
-	for _, suspect := range c.attribution.Refused() {
+	for _, suspect := range suspects {
 		refused[suspect.Hash] = true
 		if !c.refusedTraits[suspect.Hash] {
 			c.edge.logger.Warn().Uint64("trait", suspect.Hash).Int("position", suspect.Position).
@@ -92,10 +93,10 @@
 }
 
 // updateTrials offers a trial of each refused trait that is due, if this node is the one to make it.
-func (c *control) updateTrials(now time.Time) {
-	for _, suspect := range c.attribution.Refused() {
+func (c *control) updateTrials(refused []quarantine.Suspect, now time.Time) {
+	for _, suspect := range refused {
 		_, offered := c.trials[suspect.Hash]
-		switch due := suspect.TrialDue(now) && c.makesTrials(suspect.Hash, now); {
+		switch due := suspect.TrialDue(now) && c.isResponsible(suspect.Hash, now); {
 		case due && !offered:
 			c.trials[suspect.Hash] = &atomic.Bool{}
 		case !due && offered:
@@ -104,18 +105,13 @@
 	}
 }
 
-// makesTrials reports whether this node, of all that may be sending, makes the trials of a trait.
-func (c *control) makesTrials(hash uint64, now time.Time) bool {
+// isResponsible reports whether this node, of all that may be sending, makes the trials of a trait and
+// keeps its record.
+func (c *control) isResponsible(hash uint64, now time.Time) bool {
 	if now.Sub(c.edge.startedMonotonic) < c.edge.bounds.Load().Contact || c.recentlyStalled(now) {
 		return false
 	}
-	own := xxhash.Sum64String(c.edge.settings.Name) ^ hash
-	for _, other := range c.sendingNodes(now) {
-		if other^hash < own {
-			return false
-		}
-	}
-	return true
+	return pacing.Rank(hash, xxhash.Sum64String(c.edge.settings.Name), c.sendingNodes(now)) == 0
 }
 
 // TrialStarted implements serving.Events.
@@ -132,16 +128,17 @@
 // tickAttribution applies successes, offers trials and records refusals.
 func (c *control) tickAttribution(now time.Time) {
 	c.attribution.Tick(now)
-	c.refreshRefusals()
-	c.updateTrials(now)
-	c.recordRefusals(now)
+	refused := c.attribution.Refused()
+	c.refreshRefusals(refused)
+	c.updateTrials(refused, now)
+	c.recordRefusals(refused, now)
 }
 
 // recordRefusals writes what is refused to the topic of nodes, so that it outlives a restart of all
 // nodes, and deletes the records of what is no longer refused. One node of all does so for each trait.
-func (c *control) recordRefusals(now time.Time) {
-	for _, suspect := range c.attribution.Refused() {
-		if _, known := c.recordedTraits[suspect.Hash]; known || now.Sub(suspect.RefusedAt) < recordDelay || !c.makesTrials(suspect.Hash, now) {
+func (c *control) recordRefusals(refused []quarantine.Suspect, now time.Time) {
+	for _, suspect := range refused {
+		if _, known := c.recordedTraits[suspect.Hash]; known || now.Sub(suspect.RefusedAt) < recordDelay || !c.isResponsible(suspect.Hash, now) {
 			continue
 		}
 		value, err := json.Marshal(api.EdgeRefusedTrait{Suspicion: suspicionOf(&suspect, now), RefusedAtMS: c.edge.clock.now().UnixMilli()})
@@ -152,7 +149,7 @@
 		c.recordTrait(suspect.Hash, value)
 	}
 	for hash, recorded := range c.recordedTraits {
-		if recorded && !c.refusedTraits[hash] && c.makesTrials(hash, now) {
+		if recorded && !c.refusedTraits[hash] && c.isResponsible(hash, now) {
 			c.recordTrait(hash, nil)
 		}
 	}
@@ -243,5 +240,5 @@
 		suspects = append(suspects, suspect)
 	}
 	c.attribution.Merge(suspects, now)
-	c.refreshRefusals()
+	c.refreshRefusals(c.attribution.Refused())
 }
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -21,7 +21,8 @@
 	// noticeRetention is how long an upstream's notices are retained after its entry was removed,
 	// since the entry may come back.
 	noticeRetention = time.Minute
-	// noticeLogRate and noticeLogBurst limit the log lines per second about upstreams' notices.
+	// noticeLogRate and noticeLogBurst limit the log lines per second about what upstreams and other
+	// writers of records say.
 	noticeLogRate  = 50
 	noticeLogBurst = 500
 )
@@ -77,7 +78,8 @@
 	})
 }
 
-// allowNoticeLog reports whether another log line about a notice may be written.
+// allowNoticeLog reports whether another log line about a notice, or a record that can't be decoded, may
+// be written.
 func (c *control) allowNoticeLog() bool {
 	if c.noticeLogLimiter.Allow() {
 		return true
--- a/pacing/share.go
+++ b/pacing/share.go
@@ -20,24 +20,25 @@
 	if rate < float64(nodes) {
 		holders = min(nodes, int(rate)+extraHolders)
 	}
-	if holders < nodes && rank(upstream, self, others) >= holders {
+	if holders < nodes && Rank(upstream, self, others) >= holders {
 		return 0
 	}
 	return 1 / float64(holders)
 }
 
-// rank returns the number of nodes that precede a node in the upstream's rendezvous order.
-func rank(upstream, self uint64, others []uint64) int {
-	ownWeight, preceding := weight(upstream, self), 0
+// Rank returns the number of nodes that precede a node in the rendezvous order of a subject. The
+// subject and the nodes are identified by hashes.
+func Rank(subject, self uint64, others []uint64) int {
+	ownWeight, preceding := weight(subject, self), 0
 	for _, other := range others {
-		if w := weight(upstream, other); w > ownWeight || (w == ownWeight && other > self) {
+		if w := weight(subject, other); w > ownWeight || (w == ownWeight && other > self) {
 			preceding++
 		}
 	}
 	return preceding
 }
 
-func weight(upstream, node uint64) uint64 {
-	x := (upstream ^ node) * mixStep
+func weight(subject, node uint64) uint64 {
+	x := (subject ^ node) * mixStep
 	return (x ^ x>>mixShift) * mixStep
 }
