--- a/review/standins/clients.go
+++ b/review/standins/clients.go
@@ -26,6 +26,8 @@
 	events, firstMS int
 	tokens, shared  int
 	body            int
+	// prefix returns the parts of the prompt but the last; nil for one part that few others share.
+	prefix func() string
 }
 
 // outcome is what the client of a request saw.
@@ -138,15 +140,18 @@
 	fmt.Fprintf(&request, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n",
 		k.method, k.path, c.host, o.id, k.limit.Milliseconds(), c.key)
 	if k.events > 0 {
-		subject := rand.IntN(100)
-		fmt.Fprintf(&request, "X-Model: m\r\nX-Token-Usage: %d,%d\r\nX-Prefix-Hash: a%d:%d,b%d:%d\r\nX-Review-Events: %d\r\nX-Review-First-Ms: %d\r\n",
-			k.shared+k.tokens, k.events*6, subject, k.shared, c.sequence.Load(), k.tokens, k.events, k.firstMS)
+		prefix := fmt.Sprintf("a%d:%d", rand.IntN(100), k.shared)
+		if k.prefix != nil {
+			prefix = k.prefix()
+		}
+		fmt.Fprintf(&request, "X-Model: m\r\nX-Token-Usage: %d,%d\r\nX-Prefix-Hash: %s,%x:%d\r\nX-Review-Events: %d\r\nX-Review-First-Ms: %d\r\n",
+			k.shared+k.tokens, k.events*6, prefix, rand.Uint64(), k.tokens, k.events, k.firstMS)
 	}
 	if k.method == http.MethodPost {
 		fmt.Fprintf(&request, "Content-Length: %d\r\n", k.body)
 	}
 	request.WriteString("\r\n")
-	if err := write(ch, request.String(), payload[:k.body]); err != nil {
+	if err := write(ch, request.String(), o.id, k.body); err != nil {
 		o.closed, o.err = !timedOut(err), err
 		_ = ch.Close()
 		return
@@ -187,16 +192,18 @@
 
 var payload = bytes.Repeat([]byte("b"), maxBody)
 
-// write sends the head and the body of a request.
-func write(ch *channel, head string, body []byte) error {
-	if len(body) < 64<<10 {
-		_, err := ch.Write(append([]byte(head), body...))
+// write sends the head and the body of a request. No two bodies are alike.
+func write(ch *channel, head, id string, size int) error {
+	text := head + id[:min(len(id), size)]
+	rest := payload[:max(0, size-len(id))]
+	if len(rest) < 64<<10 {
+		_, err := ch.Write(append([]byte(text), rest...))
 		return err
 	}
-	if _, err := io.WriteString(ch, head); err != nil {
+	if _, err := io.WriteString(ch, text); err != nil {
 		return err
 	}
-	_, err := ch.Write(body)
+	_, err := ch.Write(rest)
 	return err
 }
 
--- a/review/standins/engine.go
+++ b/review/standins/engine.go
@@ -36,12 +36,18 @@
 	// endless makes it answer a share of the requests with bytes that are no answer, without end; in percent.
 	endless atomic.Int64
 	active  atomic.Int64
-	places  chan struct{}
+	// onCrash is called once a request with crashPart has crashed the engine.
+	onCrash  func()
+	listener net.Listener
+	ended    chan struct{}
+	places   chan struct{}
 
 	mu  sync.Mutex
 	ran map[string]time.Time
 	// spoiled are the requests that it answered without end.
 	spoiled map[string]bool
+	// open are the channels, nil after a crash.
+	open map[net.Conn]bool
 }
 
 // endlessChunk is what an engine in trouble sends after the head, every endlessPause.
@@ -57,7 +63,7 @@
 		return nil, err
 	}
 	e.world = w
-	go w.report(e, nil)
+	go w.report(e, e.ended)
 	return e, nil
 }
 
@@ -71,7 +77,7 @@
 	e := &engine{
 		id: id, service: service, zone: zone, address: listener.Addr().String(), slots: slots, queue: queue,
 		born: time.Now().UnixMilli(), plain: plain, work: 15 * time.Millisecond, pause: 21 * time.Millisecond,
-		ran: map[string]time.Time{}, spoiled: map[string]bool{}, places: make(chan struct{}, slots), lane: make(chan struct{}, 1),
+		ran: map[string]time.Time{}, spoiled: map[string]bool{}, places: make(chan struct{}, slots), lane: make(chan struct{}, 1), listener: listener, ended: make(chan struct{}), open: map[net.Conn]bool{},
 	}
 	go func() {
 		for {
@@ -87,7 +93,20 @@
 
 // serve answers the requests on a channel, one after the other.
 func (e *engine) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
+	e.mu.Lock()
+	if e.open == nil {
+		e.mu.Unlock()
+		reset(conn)
+		return
+	}
+	e.open[conn] = true
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		delete(e.open, conn)
+		e.mu.Unlock()
+		_ = conn.Close()
+	}()
 	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
@@ -170,6 +189,10 @@
 	if !pause(ctx, time.Duration(first)*time.Millisecond) || !send(head(200, signature+"Content-Type: text/event-stream\r\n"+framing)) {
 		return false
 	}
+	if e.onCrash != nil && strings.Contains(request.Header.Get("X-Prefix-Hash"), crashPart+":") {
+		e.crash()
+		return false
+	}
 	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	for number := last + 1; number <= events; number++ {
 		text := fmt.Sprintf("id: %d\ndata: %s-%d\n\n", number, id, number)
@@ -224,6 +247,33 @@
 	return false
 }
 
+// crashPart is the part of a prompt on which engines crash.
+const crashPart = "c4a5"
+
+// crash ends the engine: it takes no channels any more and resets those that it has.
+func (e *engine) crash() {
+	e.mu.Lock()
+	open := e.open
+	e.open = nil
+	e.mu.Unlock()
+	if open == nil {
+		return
+	}
+	_ = e.listener.Close()
+	for conn := range open {
+		reset(conn)
+	}
+	close(e.ended)
+	e.onCrash()
+}
+
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // runs reports whether the engine began to run a request, and whether it answered it without end.
 func (e *engine) runs(id string) (ran, spoiled bool) {
 	e.mu.Lock()
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -21,7 +21,7 @@
 	if len(os.Args) == 4 && os.Args[1] == "engine" {
 		return runEngine(os.Args[2], os.Args[3])
 	}
-	cases := map[string]func(*world, bool) int{"endless": runEndless, "history": runHistory, "crash": runCrash, "bodies": runBodies, "large": runLarge}
+	cases := map[string]func(*world, bool) int{"endless": runEndless, "history": runHistory, "crash": runCrash, "bodies": runBodies, "large": runLarge, "part": runPart}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins CASE DIRECTORY")
 		return notRun
