--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target
-go build -tags review -o target/review-standins ./review/standins
+go build -tags review -o target/review-standins ./review/platform
