--- a/review/platform/crash.go
+++ b/review/platform/crash.go
@@ -21,7 +21,7 @@
 	crashEngines = 8
 	crashAtOnce  = 2
 	crashEvery   = 12 * time.Second
-	crashes      = 3
+	crashes      = 1
 	crashDown    = 2 * time.Second
 	maxCrashTime = 5 * time.Second
 )
