--- a/review/platform/endless.go
+++ b/review/platform/endless.go
@@ -13,7 +13,7 @@
 	quietTime = 12 * time.Second
 	// windows is how often the engines get into trouble, windowTime for how long, and windowEvery the time
 	// from one to the next. windowShare is the share of their requests, in percent.
-	windows     = 4
+	windows     = 1
 	windowTime  = 4 * time.Second
 	windowEvery = 18 * time.Second
 	windowShare = 45
