edge: a node that missed lease records does not claim the duties at once

Cause: after the store had deleted the records of a topic without keys, the feed went on at its end and told nobody. The gap was marked only with the first record that followed. Change: a feed of a topic without keys reports the deleted records before the read counts as answered, and the holder waits the life of a lease.

--- a/edge/duties.go
+++ b/edge/duties.go
@@ -99,13 +99,19 @@
 		applyPage: func(page platform.Page) {
 			d.control.post(ctx, func(now time.Time) { d.applyPage(page, now) })
 		},
+		onTrimmed: func(oldest int64) {
+			query(ctx, d.control, func(now time.Time) struct{} {
+				d.markGap(oldest, now)
+				return struct{}{}
+			})
+		},
 	}
 	return d.dutiesFeed
 }
 
 // applyPage applies lease records of the log.
 func (d *duties) applyPage(page platform.Page, now time.Time) {
-	d.holder.Table().MarkGap(page.First, now, leaseLife(d.edge.settings.Bounds.Lease))
+	d.markGap(page.First, now)
 	for i, raw := range page.Records {
 		offset := page.First + int64(i)
 		var record api.EdgeRecord
@@ -128,6 +134,12 @@
 	}
 }
 
+// markGap forbids claims for the life of a lease if records below an offset were deleted unread: one of
+// them may be the claim of a live holder.
+func (d *duties) markGap(below int64, now time.Time) {
+	d.holder.Table().MarkGap(below, now, leaseLife(d.edge.settings.Bounds.Lease))
+}
+
 // tick claims and renews the lease, and performs the duties while it is held.
 func (d *duties) tick(now time.Time) {
 	d.observeDemand(now)
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -39,6 +39,9 @@
 	// that follow. applyNewest is nil for a topic without keys.
 	applyNewest func(records []platform.KeyedRecord, upTo int64)
 	applyPage   func(page platform.Page)
+	// onTrimmed, if not nil, is called when the records before an offset were deleted unread, in a topic
+	// without keys. It returns once the gap is known, before the read counts as answered.
+	onTrimmed func(oldest int64)
 	// onRestart, if not nil, is called when the topic's records were renumbered.
 	onRestart func()
 	// onCurrent, if not nil, is called when all changes up to now have been read.
@@ -141,6 +144,9 @@
 			Msg("records deleted before they were read")
 		if f.applyNewest == nil {
 			f.cursor.skipTo(page.First)
+			if f.onTrimmed != nil {
+				f.onTrimmed(page.First)
+			}
 			return nil
 		}
 		f.cursor.applyTrimmed(page.First, time.Now())
