serving: an answer without framing is confirmed before it counts as complete

Cause: an answer with neither a length nor chunks ends with its connection, and the kernel closes the connections of a killed process in the same way. Change: after the end of such an answer a connection to the upstream is established, which the next call uses. If it is refused, and the upstream was not leaving, the answer was cut off; if it is accepted, the request has completed.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -220,6 +220,22 @@
 		}
 		_ = c.Close()
 	}
+	return p.dial(ctx, to)
+}
+
+// Connect establishes a connection for a later call.
+func (p *Pool) Connect(ctx context.Context, to Upstream) error {
+	c, err := p.dial(ctx, to)
+	if err != nil {
+		return &Error{Step: StepConnect, Peer: to.Address, Err: err}
+	}
+	c.lastUsed = time.Now()
+	c.expiresAt = c.lastUsed.Add(defaultIdleTimeout)
+	p.putIdle(c)
+	return nil
+}
+
+func (p *Pool) dial(ctx context.Context, to Upstream) (*conn, error) {
 	dialled, err := p.dialer.DialContext(ctx, "tcp", to.Address)
 	if err != nil {
 		return nil, err
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -67,6 +67,8 @@
 	sentAt, firstEventAt time.Time
 	// continues is set if the caller has a part of the stream from another upstream.
 	continues bool
+	// confirmed is set once the answer is known to have ended because it is complete.
+	confirmed bool
 	// fetchFrom is the address of the engine from whose cache the prompt's prefix is copied.
 	fetchFrom string
 	// ctx is done with the request, or when another upstream takes over from a silent one.
@@ -280,6 +282,9 @@
 		return outcomeFailed, fmt.Errorf("upstream answered %d", x.answer.Response.StatusCode)
 	}
 	if success {
+		if err := x.confirmEnd(); err != nil {
+			return outcomeBroken, err
+		}
 		x.recordSuccess()
 	}
 	r.deliver(buffered)
@@ -388,14 +393,6 @@
 	return x.eventCount > 0 && time.Since(x.firstEventAt) > maxCrashDelay
 }
 
-// recordSuccess records that the upstream has completed the request. An answer that ends with its
-// connection proves nothing: a crash ends it as well.
-func (x *exchange) recordSuccess() {
-	if x.answer.Framed() {
-		x.run.handler.Successes.Record(x.run.traits, x.run.handler.MonotonicNow())
-	}
-}
-
 // classifyStreamEnd distinguishes the regular end of a stream from a broken one.
 func (x *exchange) classifyStreamEnd(rest []byte, err error) (outcome, error) {
 	r := x.run
@@ -403,6 +400,9 @@
 	case errors.Is(err, io.EOF) && len(rest) == 0 && x.continues && x.eventCount == 0 && !x.endsEmpty():
 		err = errNoContinuation
 	case errors.Is(err, io.EOF) && len(rest) == 0 && r.headerSent:
+		if err = x.confirmEnd(); err != nil {
+			break
+		}
 		x.answer.Finish()
 		x.recordSuccess()
 		return outcomeAnswered, nil
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -64,6 +64,9 @@
 	url     string
 	events  *events
 	view    atomic.Pointer[serving.View]
+	servers []*httptest.Server
+	// successes are the completed requests by trait.
+	successes *quarantine.Successes
 	runs    atomic.Int64
 	stopped atomic.Int64
 	// clockOffset is added to the monotonic clock.
@@ -75,7 +78,7 @@
 
 func deploy(t *testing.T, upstreams int, behave behaviour) *deployment {
 	t.Helper()
-	d := &deployment{t: t, events: &events{}}
+	d := &deployment{t: t, events: &events{}, successes: quarantine.NewSuccesses()}
 	var members []*routing.Upstream
 	for i := range upstreams {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -83,6 +86,7 @@
 			behave(d, d.runs.Add(1), w, r)
 		}))
 		t.Cleanup(server.Close)
+		d.servers = append(d.servers, server)
 		members = append(members, &routing.Upstream{
 			ID: fmt.Sprintf("i-%d", i), Address: strings.TrimPrefix(server.URL, "http://"), Health: membership.StateLive,
 			Tracker: &routing.Tracker{}, Gate: &pacing.Gate{},
@@ -108,7 +112,7 @@
 	handler := serving.New(serving.Settings{
 		Adapter: platform.Protocol{}, CurrentView: d.view.Load, Pool: pool, Ledger: ledger, LedgerLock: &sync.Mutex{},
 		MonotonicNow: func() time.Time { return time.Now().Add(time.Duration(d.clockOffset.Load())) },
-		Events:       d.events, Successes: quarantine.NewSuccesses(), RetryRatio: 0.2, RetryWindow: 10 * time.Second, Logger: zerolog.Nop(),
+		Events:       d.events, Successes: d.successes, RetryRatio: 0.2, RetryWindow: 10 * time.Second, Logger: zerolog.Nop(),
 		Metrics: serving.NewMetrics(prometheus.NewRegistry()),
 	})
 	front := httptest.NewServer(handler)
--- /dev/null
+++ b/serving/unframed.go
@@ -0,0 +1,59 @@
+package serving
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/persimmonline/persimmonline/routing"
+)
+
+// The load that this answers: upstreams crash while they write answers with neither a length nor chunks,
+// which end with their connection. The kernel closes the connections of a process that was killed as it
+// closes those of one that has finished.
+
+// confirmTimeout bounds the connection attempt that confirms the end of an unframed answer.
+const confirmTimeout = 300 * time.Millisecond
+
+var errUpstreamDied = errors.New("upstream's process ended with its answer")
+
+// confirmEnd returns an error if the end of the answer is that of its upstream's process. An answer that
+// is framed needs no confirmation; one of an upstream that leaves can't be confirmed, and stands.
+func (x *exchange) confirmEnd() error {
+	if x.answer.Framed() {
+		x.confirmed = true
+		return nil
+	}
+	if !x.run.handler.CurrentView().serves(x.run.service, x.upstream) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, confirmTimeout)
+	defer cancel()
+	err := x.run.handler.Pool.Connect(ctx, relayUpstream(x.upstream))
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return errUpstreamDied
+	}
+	x.confirmed = err == nil
+	return nil
+}
+
+// recordSuccess records that the upstream has completed the request, if that is certain.
+func (x *exchange) recordSuccess() {
+	if x.confirmed {
+		x.run.handler.Successes.Record(x.run.traits, x.run.handler.MonotonicNow())
+	}
+}
+
+// serves reports whether an upstream is expected to go on serving a service.
+func (v *View) serves(service string, upstream *routing.Upstream) bool {
+	if upstream.Gate.Leaving() {
+		return false
+	}
+	for _, known := range v.Fleet.ByService[service] {
+		if known.Key() == upstream.Key() {
+			return !known.Leaving
+		}
+	}
+	return false
+}
