--- a/serving/unframed.go
+++ b/serving/unframed.go
@@ -13,8 +13,12 @@
 // which end with their connection. The kernel closes the connections of a process that was killed as it
 // closes those of one that has finished.
 
-// confirmTimeout bounds the connection attempt that confirms the end of an unframed answer.
-const confirmTimeout = 300 * time.Millisecond
+const (
+	// confirmTimeout bounds the connection attempt that confirms the end of an unframed answer.
+	confirmTimeout = 300 * time.Millisecond
+	// confirmSettle is how long the connection must stay open.
+	confirmSettle = 25 * time.Millisecond
+)
 
 var errUpstreamDied = errors.New("upstream's process ended with its answer")
 
@@ -30,7 +34,7 @@
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, confirmTimeout)
 	defer cancel()
-	err := x.run.handler.Pool.Connect(ctx, relayUpstream(x.upstream))
+	err := x.run.handler.Pool.Connect(ctx, relayUpstream(x.upstream), confirmSettle)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return errUpstreamDied
 	}
--- a/serving/unframed_test.go
+++ b/serving/unframed_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
@@ -13,21 +15,42 @@
 
 // dies ends the upstream that runs the request between two events of an unframed answer.
 func dies(d *deployment, _ int64, w http.ResponseWriter, r *http.Request) {
+	_ = d.listenerOf(r).Close()
+	hijack(w, unframedHead+stream(1, 3))
+}
+
+// diesSlowly does the same, but the kernel closes the connections before the address.
+func diesSlowly(d *deployment, _ int64, w http.ResponseWriter, r *http.Request) {
+	listener := d.listenerOf(r).(*net.TCPListener)
+	// Nobody accepts the connections that arrive until the address is closed.
+	_ = listener.SetDeadline(time.Now().Add(-time.Second))
+	hijack(w, unframedHead+stream(1, 3))
+	time.Sleep(5 * time.Millisecond)
+	_ = listener.Close()
+}
+
+// listenerOf returns the listener of the upstream that a request has reached.
+func (d *deployment) listenerOf(r *http.Request) net.Listener {
+	address := r.Context().Value(http.LocalAddrContextKey).(net.Addr).String()
 	for _, server := range d.servers {
-		if server.Listener.Addr().String() == r.Context().Value(http.LocalAddrContextKey).(interface{ String() string }).String() {
-			_ = server.Listener.Close()
+		if server.Listener.Addr().String() == address {
+			return server.Listener
 		}
 	}
-	hijack(w, unframedHead+stream(1, 3))
+	return nil
 }
 
 // Guards against a stream that looks complete although its upstream crashed between two events.
 func TestUnframedStreamOfACrashedUpstreamDoesNotLookComplete(t *testing.T) {
-	d := deploy(t, 2, dies)
-	got := d.call(context.Background(), "stream", nil)
-	require.Error(t, got.err)
-	require.Equal(t, stream(1, 3), got.body)
-	require.Equal(t, 1, d.events.count(func(e *events) int { return e.broken }))
+	for name, crash := range map[string]behaviour{"address first": dies, "connections first": diesSlowly} {
+		t.Run(name, func(t *testing.T) {
+			d := deploy(t, 2, crash)
+			got := d.call(context.Background(), "stream", nil)
+			require.Error(t, got.err)
+			require.Equal(t, stream(1, 3), got.body)
+			require.Equal(t, 1, d.events.count(func(e *events) int { return e.broken }))
+		})
+	}
 }
 
 // Guards against the same where the stream may continue at another upstream.
