quota: a configuration no longer empties the buckets of a root

Configure cut a bucket to this node's part of the burst as long as no levels of a peer were adopted, and a root never adopts any. Each version of the configuration, each change of the number of nodes and each reload of the settings thus left 1/n of the burst to the whole fleet. The cut now ends with the time for which a starting node waits for levels.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -159,7 +159,7 @@
 		l.refill(known, now)
 		known.limit = limit
 		known.level = min(known.level, limit.Burst)
-		if !l.levelsAdopted {
+		if !l.ready(now) {
 			// There may be more nodes than when the bucket was created.
 			known.level = min(known.level, l.initialLevel(limit))
 		}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -300,3 +300,14 @@
 	child.SetParent("", start.Add(time.Second))
 	require.InDelta(t, 100, child.Levels(start.Add(4 * time.Second))["a"], 1)
 }
+
+// A root never adopts levels. Another version of the configuration, or another number of nodes, leaves
+// its buckets as full as they are.
+func TestConfigurationDoesNotEmptyTheBucketsOfARoot(t *testing.T) {
+	limit := quota.Limit{Rate: 100, Burst: 3000}
+	root := ledger(2, limit)
+	filled := start.Add(time.Minute)
+	require.InDelta(t, 3000, root.Levels(filled)["a"], 1)
+	root.Configure(map[string]quota.Limit{"a": limit}, 3, 0, filled)
+	require.InDelta(t, 3000, root.Levels(filled)["a"], 1)
+}
