edge: a node that is cut off keeps to its share of the quotas

A node that had heard of no other for the bound on contact plus two seconds counted itself as the only one and admitted the whole rate beside the others; a root that was cut off kept the whole burst. The share of a node that vanished without a trace is now reserved for as long as the node is remembered, unless its host refuses connections. A node that hears of no other divides by the highest number of ten minutes, unless it holds the duties. A root holds only its tree's share of the burst.

--- a/edge/control.go
+++ b/edge/control.go
@@ -86,6 +86,10 @@
 	// cells is the division of the nodes into cells; nodesChanged is set while it is out of date.
 	cells        cell.Layout
 	nodesChanged bool
+	// configuredQuotaNodes is the number of nodes that the ledger divides the quotas by, quotaPeak the
+	// highest number of the last minutes.
+	configuredQuotaNodes int
+	quotaPeak            quotaPeak
 	// reportsTo is the hub to which this node reports; nil if it is the hub of its cell.
 	reportsTo *peerState
 	// otherHubsContactedAt is when the hubs of other cells were last sent a message, probedAt when
@@ -320,7 +324,7 @@
 
 // updateNodeCount reconfigures the ledger if the number of nodes has changed.
 func (c *control) updateNodeCount(now time.Time) {
-	if int64(c.nodeCount(now)) != c.fleetSize.Load() {
+	if int64(c.nodeCount(now)) != c.fleetSize.Load() || c.quotaNodes(now) != c.configuredQuotaNodes {
 		c.configureQuota(now)
 	}
 }
@@ -356,9 +360,9 @@
 	}
 	c.edge.ledgerLock.Lock()
 	defer c.edge.ledgerLock.Unlock()
-	nodes := c.nodeCount(now)
-	c.fleetSize.Store(int64(nodes))
-	c.edge.ledger.Configure(limits, nodes, maxMissedExchanges*exchangeInterval, now)
+	c.fleetSize.Store(int64(c.nodeCount(now)))
+	c.setQuotaNodes(c.quotaNodes(now))
+	c.edge.ledger.Configure(limits, c.configuredQuotaNodes, maxMissedExchanges*exchangeInterval, now)
 }
 
 // quotaLimit returns the limit of a workspace. A part of the tolerance is given to callers, so
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -27,11 +27,12 @@
 	// retryBurst is this node's share of the retry budget's burst.
 	retryBurst prometheus.Gauge
 	logDropped prometheus.Counter
+	room       roomMetrics
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
 	m := &metrics{
-		registry: registry,
+		registry: registry, room: newRoomMetrics(registry),
 		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "persimmonline_edge_config_version", Help: "Version of the configuration in force.",
 		}),
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/persimmonline/persimmonline/api"
@@ -98,7 +99,7 @@
 	p.edge.control.post(ctx, func(now time.Time) {
 		peer.callInFlight = false
 		if err != nil {
-			peer.failedAt = now
+			peer.callFailed(errors.Is(err, syscall.ECONNREFUSED), now)
 			return
 		}
 		p.edge.control.receiveReply(answer, sentAt, now)
--- a/edge/peerstate.go
+++ b/edge/peerstate.go
@@ -39,6 +39,8 @@
 	lastReceivedAt, lastReportedAt, addedAt time.Time
 	// calledAt is when this node last called it, failedAt when a call last failed.
 	calledAt, failedAt time.Time
+	// refusedAt is when its host last refused a connection: no process was running there.
+	refusedAt time.Time
 	// callInFlight is set while a call to it is under way.
 	callInFlight bool
 	lastMessage  *api.EdgeExchange
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -404,10 +404,11 @@
 // burstShare returns the share of the burst that this node's tree may hold: a node that was cut off
 // must not use the whole of it beside the others.
 func (l *Ledger) burstShare(now time.Time) float64 {
-	if l.session.parent != "" || now.Sub(l.session.grantedAt) < 2*l.silenceTimeout || l.session.grantedAt.IsZero() {
+	grace := 2 * l.silenceTimeout
+	if l.session.parent != "" || now.Sub(l.session.grantedAt) < grace || now.Sub(l.configuredAt) < adoptionTimeout+grace {
 		return 1
 	}
-	return min(1, float64(l.tree(now))/float64(l.nodes))
+	return min(1, float64(l.heardWithin(grace, now))/float64(l.nodes))
 }
 
 // rate returns the refill rate of a bucket: the rate of the limit less the shares of the nodes
@@ -425,10 +426,13 @@
 }
 
 // subtree returns the number of nodes that a report of this node covers.
-func (l *Ledger) subtree(now time.Time) int {
+func (l *Ledger) subtree(now time.Time) int { return l.heardWithin(l.silenceTimeout, now) }
+
+// heardWithin returns the number of nodes, this one included, that reported to it so recently.
+func (l *Ledger) heardWithin(age time.Duration, now time.Time) int {
 	nodes := 1
 	for _, known := range l.children {
-		if now.Sub(known.receivedAt) < l.silenceTimeout {
+		if now.Sub(known.receivedAt) < age {
 			nodes += known.nodes
 		}
 	}
