--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -300,3 +300,15 @@
 	child.SetParent("", start.Add(time.Second))
 	require.InDelta(t, 100, child.Levels(start.Add(4 * time.Second))["a"], 1)
 }
+
+// A root never adopts levels. Another version of the configuration, or another number of nodes, leaves
+// its buckets as full as they are.
+func TestConfigurationDoesNotEmptyTheBucketsOfARoot(t *testing.T) {
+	limit := quota.Limit{Rate: 100, Burst: 3000}
+	root := ledger(1, limit)
+	filled := start.Add(time.Minute)
+	require.InDelta(t, 3000, root.Levels(filled)["a"], 1)
+	root.Configure(map[string]quota.Limit{"a": limit}, 2, 0, filled)
+	root.ApplyReport(quota.Report{Node: "child", SentAt: filled}, nil, filled)
+	require.InDelta(t, 3000, root.Levels(filled)["a"], 1)
+}
