rollout: services move to new versions under watch

Cause: nothing read the operator's rollout orders, so new engines got traffic at once. Not measured yet.

--- a/api/edge_gen.go
+++ b/api/edge_gen.go
@@ -91,6 +91,13 @@
 	// received; 0 for none.
 	RegistrySeen int64 `json:"registry_seen"`
 
+	// RolloutCounts are the counters of rollouts, by node incarnation, order and
+	// route.
+	RolloutCounts map[string]map[string]map[string][]int64 `json:"rollout_counts,omitempty,omitzero"`
+
+	// Rollouts are the orders and decisions that the sender knows.
+	Rollouts []EdgeRollout `json:"rollouts,omitempty,omitzero"`
+
 	// SentMS is when the message was built, in milliseconds of a monotonic clock of
 	// the sender's incarnation.
 	SentMS int64 `json:"sent_ms"`
@@ -268,6 +275,56 @@
 	Whole bool `json:"whole"`
 }
 
+// EdgeRollout is an order to move a service to a new version, and the newest
+// decision about it.
+type EdgeRollout struct {
+	// AgeMS is the time since the first node read the order.
+	AgeMS int64 `json:"age_ms"`
+
+	// Avoid are the versions of earlier orders that were not completed.
+	Avoid []string `json:"avoid"`
+
+	// CompleteInMS is the time from the decision to the completion.
+	CompleteInMS int64 `json:"complete_in_ms"`
+
+	// DecidedMS is the time since the decision.
+	DecidedMS int64 `json:"decided_ms"`
+
+	// DurationMS is the time that the order allows.
+	DurationMS int64 `json:"duration_ms"`
+
+	// Fence of the node that decided.
+	Fence int64 `json:"fence"`
+
+	// Moving is set if requests that would run beyond the completion go to the new
+	// version.
+	Moving bool `json:"moving"`
+
+	// Order is the offset of the operator's record.
+	Order int64 `json:"order"`
+
+	// Phase in force; empty if unknown.
+	Phase string `json:"phase"`
+
+	// Sequence of the decision under that fence.
+	Sequence int64 `json:"sequence"`
+
+	// Service of the order.
+	Service string `json:"service"`
+
+	// Share of the requests that the new version gets on trial.
+	Share float64 `json:"share"`
+
+	// To is the new version.
+	To string `json:"to"`
+
+	// Withdrawn is set if the operator has taken the order back.
+	Withdrawn bool `json:"withdrawn"`
+
+	// Written is set if the store has the phase.
+	Written bool `json:"written"`
+}
+
 // EdgeSuspicion is a request, or a part of prompts, suspected of crashing
 // upstreams.
 type EdgeSuspicion struct {
@@ -325,6 +382,9 @@
 
 	// Slots is the number of requests that it runs concurrently.
 	Slots int `json:"slots"`
+
+	// Version of its software; empty if it names none.
+	Version string `json:"version"`
 }
 
 // FixedUsage holds the reports of the newest windows, oldest first, as they were
--- a/edge/control.go
+++ b/edge/control.go
@@ -127,6 +127,7 @@
 	cacheListCalls    int
 	placementSequence int64
 	duties            *duties
+	rollouts          *rollouts
 	attribution       *quarantine.Attribution
 	// refusedTraits are the traits whose requests are refused, trials the offers to run one of them.
 	refusedTraits map[uint64]bool
@@ -151,6 +152,7 @@
 		attribution: quarantine.NewAttribution(e.successes), refusedTraits: map[uint64]bool{}, recordedTraits: map[uint64]bool{}, trials: map[uint64]*atomic.Bool{},
 		configFetches: map[string]time.Time{},
 	}
+	c.rollouts = newRollouts(e, c)
 	c.duties = newDuties(e, c)
 	return c
 }
@@ -234,6 +236,7 @@
 	c.edge.clock.correct()
 	c.edge.pool.Sweep(c.isTracked)
 	c.duties.tick(now)
+	c.rollouts.decider.readUnknown(now)
 	c.publishNow = true
 }
 
@@ -390,6 +393,8 @@
 	peerLoads := c.peerLoad(now)
 	c.noticed.reset()
 	members := c.registry.Upstreams()
+	c.rollouts.observeVersions(members, now)
+	view.Rollouts, view.JudgesVersions = c.rollouts.view(now), c.rollouts.enabled()
 	live := make(map[string]bool, len(members))
 	for i := range members {
 		member, key := &members[i], members[i].Key
@@ -446,6 +451,7 @@
 	return &routing.Upstream{
 		FetchRate: c.fetchRate(member.Service), Leaving: member.Leaving(), ID: member.ID, Incarnation: incarnationOf(member.BornMS), Address: member.Address,
 		DataCentre: member.DataCentre, Health: health, Tracker: tracker, Gate: c.gates[key], Holder: c.holders[key],
+		Version: member.Version, Generation: c.rollouts.generation(member),
 		Load: &api.EngineLoad{
 			AtMS: time.Now().UnixMilli(), BatchSlots: member.Slots,
 			Running: ownRunning + load.Running, QueuedTokens: load.QueuedTokens + queued,
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -156,6 +156,7 @@
 		d.fetchUsage(now)
 		d.reports.tick(now)
 	}
+	d.control.rollouts.decider.tick(d.fence, now)
 	d.planEngines(now)
 }
 
@@ -264,7 +265,7 @@
 func (d *duties) enginesByDataCentre(service string) map[string]scaling.EngineCounts {
 	engines := map[string]scaling.EngineCounts{}
 	for _, member := range d.control.registry.Upstreams() {
-		if member.Service != service || member.Leaving() {
+		if member.Service != service || member.Leaving() || d.control.rollouts.onTrial(&member) {
 			continue
 		}
 		count := engines[member.DataCentre]
--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -83,6 +83,9 @@
 func (e *Edge) configFeed(ctx context.Context) *feed {
 	apply := func(records []platform.KeyedRecord) {
 		for _, record := range records {
+			if _, ok := platform.RolloutService(record.Key); ok {
+				e.control.post(ctx, func(now time.Time) { e.control.rollouts.applyRecord(record, now) })
+			}
 			if record.Key == platform.KeyConfig && len(record.Value) > 0 {
 				source := configSource{origin: "store", offset: record.Offset, readAt: e.clock.monotonic()}
 				e.control.post(ctx, func(now time.Time) { e.control.applyConfig(record.Value, source, now) })
--- a/edge/message.go
+++ b/edge/message.go
@@ -75,6 +75,7 @@
 		message.Registry = c.outgoingRegistry(to, now)
 		message.Clocks = e.clock.sampleEstimates(maxClocks)
 	}
+	message.Rollouts, message.RolloutCounts = c.rollouts.outgoing(now), c.rollouts.outgoingCounts(to, toReporter, now)
 	message.UsageWanted, message.Usage = c.duties.leaseHeld.Load(), c.outgoingUsage(to, toReporter, now)
 	members, version := c.outgoingMembers(toReporter, now)
 	message.MembersVersion = version
@@ -236,7 +237,7 @@
 		message.Upstreams = append(message.Upstreams, api.EdgeUpstream{
 			ID: member.ID, BornMS: member.BornMS, Service: member.Service, Address: member.Address, DataCentre: member.DataCentre,
 			Slots: member.Slots, Draining: member.Draining, Reclaimable: member.Reclaimable, LeavesMS: member.TimeLeft.Milliseconds(),
-			Sequence: member.Sequence, Offset: member.Offset,
+			Sequence: member.Sequence, Offset: member.Offset, Version: member.Version,
 		})
 	}
 	for _, removal := range changes.Removed {
@@ -254,7 +255,7 @@
 		entries = append(entries, fleet.Entry{
 			ID: u.ID, BornMS: u.BornMS, Service: u.Service, Address: u.Address, DataCentre: u.DataCentre, Slots: u.Slots,
 			Draining: u.Draining, Reclaimable: u.Reclaimable, TimeLeft: time.Duration(u.LeavesMS) * time.Millisecond,
-			Sequence: u.Sequence, Offset: u.Offset,
+			Sequence: u.Sequence, Offset: u.Offset, Version: u.Version,
 		})
 		upTo = max(upTo, u.Offset)
 	}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -27,6 +27,8 @@
 	// retryBurst is this node's share of the retry budget's burst.
 	retryBurst prometheus.Gauge
 	logDropped prometheus.Counter
+	// rolloutShare, rolloutPhase and rolloutAge describe the newest order of each service.
+	rolloutShare, rolloutPhase, rolloutAge *prometheus.GaugeVec
 }
 
 func newMetrics(registry *prometheus.Registry) *metrics {
@@ -63,6 +65,7 @@
 			Name: "persimmonline_edge_log_lines_dropped_total", Help: "Log lines that were left out, because the output was too slow or upstreams said too much.",
 		}),
 	}
+	m.addRolloutGauges()
 	registry.MustRegister(m.configVersion, m.storeFailures, m.storeCalls, m.eventWait, m.peerFailures, m.eventsDropped, m.limitedUpstreams, m.upstreamCrashes, m.retryBurst, m.logDropped)
 	return m
 }
--- a/edge/peerstate.go
+++ b/edge/peerstate.go
@@ -133,6 +133,8 @@
 	c.applyLimits(peer, message.Limits)
 	c.applySuspicions(message.Suspicions, now)
 	c.applyMembers(peer, message, now)
+	c.rollouts.apply(message.Rollouts, now)
+	c.rollouts.applyCounts(message.RolloutCounts)
 	c.publishPending = true
 	if message.ConfigVersion > c.configVersion() {
 		c.newerVersion, c.newerVersionAt = message.ConfigVersion, now
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -39,6 +39,8 @@
 	Address string
 	// DataCentre of the upstream.
 	DataCentre string
+	// Version of its software; empty if it names none.
+	Version string
 	// Slots is the number of requests that it runs concurrently.
 	Slots int
 	// Draining is set while the upstream is leaving.
@@ -224,7 +226,7 @@
 	}
 	leavingAt, lapsed := known.LeavingAt, !known.LapsedAt.IsZero()
 	if known.Slots != entry.Slots || known.Reclaimable != entry.Reclaimable || known.Service != entry.Service ||
-		known.DataCentre != entry.DataCentre || known.Draining != entry.Draining {
+		known.DataCentre != entry.DataCentre || known.Version != entry.Version || known.Draining != entry.Draining {
 		known.changedVersion = r.bumpVersion()
 	}
 	known.Entry, known.SeenAt, known.LapsedAt = entry, now, time.Time{}
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -74,6 +74,7 @@
 			}
 		}
 	}
+	fleet.indexGenerations()
 	estimateAll(all, nodes, now)
 	return fleet
 }
--- /dev/null
+++ b/routing/generation.go
@@ -0,0 +1,55 @@
+package routing
+
+// Load: a rollout, in which a part of a service's upstreams may get only a share of its requests.
+
+// Generation is the side of an upstream in a rollout.
+type Generation int
+
+// Generations. An upstream without one is used by requests of any.
+const (
+	AnyGeneration Generation = iota
+	OldGeneration
+	NewGeneration
+)
+
+// includes reports whether a request restricted to a generation may run at a candidate.
+func (g Generation) includes(candidate *Upstream) bool {
+	return g == AnyGeneration || candidate.Generation == AnyGeneration || candidate.Generation == g
+}
+
+type generationKey struct {
+	service    string
+	generation Generation
+}
+
+// indexGenerations splits the lists of services in a rollout, so that samples are drawn from one
+// generation.
+func (f *Fleet) indexGenerations() {
+	for service, upstreams := range f.ByService {
+		for _, upstream := range upstreams {
+			if upstream.Generation == AnyGeneration {
+				continue
+			}
+			if f.byGeneration == nil {
+				f.byGeneration = map[generationKey][]*Upstream{}
+			}
+			key := generationKey{service, upstream.Generation}
+			f.byGeneration[key] = append(f.byGeneration[key], upstream)
+		}
+	}
+}
+
+// candidates returns the upstreams among which a request's is chosen.
+func (f *Fleet) candidates(request *Request) []*Upstream {
+	if request.Generation != AnyGeneration && f.byGeneration != nil {
+		if split, known := f.byGeneration[generationKey{request.Service, request.Generation}]; known {
+			return split
+		}
+	}
+	return f.ByService[request.Service]
+}
+
+// Has reports whether a service has an upstream of a generation.
+func (f *Fleet) Has(service string, generation Generation) bool {
+	return len(f.byGeneration[generationKey{service, generation}]) > 0
+}
--- a/routing/route.go
+++ b/routing/route.go
@@ -58,6 +58,9 @@
 	Tracker *Tracker
 	// Gate applies the limits, pauses and departure that the upstream announces.
 	Gate *pacing.Gate
+	// Version of its software, Generation its side in a rollout of its service.
+	Version    string
+	Generation Generation
 
 	hash     uint64
 	estimate estimate
@@ -78,6 +81,8 @@
 	BlockTokens int
 
 	byHolder map[Holder]*Upstream
+	// byGeneration holds the upstreams of the services that are in a rollout.
+	byGeneration map[generationKey][]*Upstream
 }
 
 // Request describes an attempt to the scheduler.
@@ -105,6 +110,8 @@
 	Key uint64
 	// Seed selects the sample when there are many candidates.
 	Seed uint64
+	// Generation that may run the request; AnyGeneration for no restriction.
+	Generation Generation
 }
 
 // Weights are the deployment's prices.
@@ -144,7 +151,7 @@
 func PickWith(scorers []Scorer, fleet *Fleet, request *Request, weights Weights, now time.Time) (Choice, error) {
 	d := decision{scorers: scorers, request: request, weights: weights, now: now, blockTokens: fleet.BlockTokens}
 	d.matchPrefix(fleet)
-	candidates := fleet.ByService[request.Service]
+	candidates := fleet.candidates(request)
 	if len(candidates) <= exhaustiveLimit {
 		d.scoreList(candidates)
 		return d.result()
@@ -289,7 +296,7 @@
 // eligible implements the filter step. The fleet's index by service already guarantees
 // that the model and its version are loaded.
 func eligible(candidate *Upstream, request *Request) bool {
-	if candidate.Health == membership.StateLeaving || request.Excluded[candidate.ID] {
+	if candidate.Health == membership.StateLeaving || request.Excluded[candidate.ID] || !request.Generation.includes(candidate) {
 		return false
 	}
 	if len(request.AllowedDataCentres) == 0 {
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -72,6 +72,8 @@
 	// ctx is done with the request, or when another upstream takes over from a silent one.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
+	// sample counts the attempt for a rollout; nil if nothing is counted.
+	sample *sample
 	// silenceTimer ends the wait for a silent upstream; nil if the request can't be repeated.
 	silenceTimer *time.Timer
 }
@@ -343,6 +345,7 @@
 		x.firstEventAt = time.Now()
 		x.run.markStarted()
 		x.tracked.RecordFirstToken(time.Now())
+		x.sample.firstByte()
 	}
 	x.tracked.RecordToken(time.Now())
 	x.eventCount++
@@ -391,6 +394,7 @@
 // recordSuccess records that the upstream has completed the request. An answer that ends with its
 // connection proves nothing: a crash ends it as well.
 func (x *exchange) recordSuccess() {
+	x.sample.complete()
 	if x.answer.Framed() {
 		x.run.handler.Successes.Record(x.run.traits, x.run.handler.MonotonicNow())
 	}
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -82,6 +82,9 @@
 	// noticeErrorLogLimiter limits the log lines of notices that can't be parsed.
 	noticeErrorLogLimiter *rate.Limiter
 
+	// rollouts counts the answers of old and new versions.
+	rollouts *rolloutCounts
+
 	mu      sync.Mutex
 	budgets map[string]*retry.WindowBudget
 }
@@ -89,7 +92,7 @@
 // New returns a handler.
 func New(settings Settings) *Handler {
 	h := &Handler{
-		Settings: settings, budgets: map[string]*retry.WindowBudget{},
+		Settings: settings, budgets: map[string]*retry.WindowBudget{}, rollouts: newRolloutCounts(settings.Metrics),
 		successLogLimiter:     rate.NewLimiter(successLogRate, successLogRate),
 		noticeErrorLogLimiter: rate.NewLimiter(noticeErrorLogRate, 1),
 	}
--- a/serving/metrics.go
+++ b/serving/metrics.go
@@ -20,6 +20,7 @@
 	firstByte  *prometheus.HistogramVec
 	suppressed prometheus.Counter
 	viewAge    prometheus.Histogram
+	rollouts   *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics registered with registry.
@@ -50,10 +51,13 @@
 			Name: "persimmonline_edge_log_lines_suppressed_total", Help: "Lines of successful requests that were left out.",
 		}),
 	}
+	m.rollouts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "persimmonline_edge_rollout_requests_total", Help: "Requests of services in a rollout, by version and what became of them.",
+	}, []string{"service", "version", "result"})
 	m.viewAge = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "persimmonline_edge_view_age_seconds", Help: "Age of the view that a request was decided by.", Buckets: latencyBuckets,
 	})
-	registry.MustRegister(m.requests, m.refusals, m.attempts, m.retries, m.limited, m.throttled, m.firstByte, m.suppressed, m.viewAge)
+	registry.MustRegister(m.requests, m.refusals, m.attempts, m.retries, m.limited, m.throttled, m.firstByte, m.suppressed, m.viewAge, m.rollouts)
 	return m
 }
 
--- a/serving/run.go
+++ b/serving/run.go
@@ -255,9 +255,14 @@
 		Service: r.service, Blocks: r.blocks, PromptTokens: r.request.PromptTokens,
 		AnswerTokens: r.request.AnswerTokens, Priority: r.request.Priority, DataCentre: view.DataCentre,
 		FirstTokenTarget: r.request.Route.LatencyTarget - time.Since(r.request.ArrivedAt), GapTarget: r.request.Route.GapTarget,
-		Excluded: r.excluded, Key: r.shared.Chain, Seed: r.handler.nextRandom(),
+		Excluded: r.excluded, Key: r.shared.Chain, Seed: r.handler.nextRandom(), Generation: r.generation(view),
 	}
-	return routing.PickWith(routing.ContinuousScorers, view.Fleet, request, routing.Weights{Latency: latencyWeight}, time.Now())
+	choice, err := routing.PickWith(routing.ContinuousScorers, view.Fleet, request, routing.Weights{Latency: latencyWeight}, time.Now())
+	if err != nil && view.mayFallBack(r.service, request.Generation) {
+		request.Generation = routing.OldGeneration
+		return routing.PickWith(routing.ContinuousScorers, view.Fleet, request, routing.Weights{Latency: latencyWeight}, time.Now())
+	}
+	return choice, err
 }
 
 // shouldRetry reports whether another attempt is made after one without a response.
@@ -361,7 +366,7 @@
 		r.handler.Events.PromptPlaced(upstream, r.shared, uncached)
 	}
 	r.excluded[upstream.ID] = true
-	exchange := &exchange{run: r, upstream: upstream, tracked: tracked, continues: r.headerSent}
+	exchange := &exchange{run: r, upstream: upstream, tracked: tracked, continues: r.headerSent, sample: r.startSample(upstream, uncached)}
 	if choice.Source != nil {
 		exchange.fetchFrom = choice.Source.Address
 	}
@@ -371,6 +376,7 @@
 	}
 	result, err := exchange.execute()
 	tracked.End(time.Now(), exchange.eventCount)
+	exchange.sample.end(result, exchange.upstreamSilent())
 	r.attempts = append(r.attempts, attemptTrace{
 		upstream: upstream.ID, outcome: result, queue: choice.Queue, cached: choice.CachedTokens, fetched: choice.FetchTokens,
 		limit: limit, limitAge: started.Sub(limit.At), took: time.Since(started), err: err,
--- a/serving/view.go
+++ b/serving/view.go
@@ -33,6 +33,9 @@
 	// run them. Trials offers to run one request with such a trait, by hash; who sets it takes it.
 	RefusedTraits map[uint64]bool
 	Trials        map[uint64]*atomic.Bool
+	// Rollouts of services to new versions, by service. JudgesVersions is set if the deployment has any.
+	Rollouts       map[string]*Rollout
+	JudgesVersions bool
 	// Draining is set while this node is stopping; it closes the connections after each response.
 	Draining bool
 	// RefusingRequests is set once the load balancer has had time to stop sending connections, so
