rollout: completed early enough to be read; engines planned without the version out of service

Change: margin of 700 ms, planner counts the version in service only, old rates estimated at their upper end.

--- a/edge/duties.go
+++ b/edge/duties.go
@@ -265,7 +265,7 @@
 func (d *duties) enginesByDataCentre(service string) map[string]scaling.EngineCounts {
 	engines := map[string]scaling.EngineCounts{}
 	for _, member := range d.control.registry.Upstreams() {
-		if member.Service != service || member.Leaving() || d.control.rollouts.onTrial(&member) {
+		if member.Service != service || member.Leaving() || d.control.rollouts.outOfService(&member) {
 			continue
 		}
 		count := engines[member.DataCentre]
--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -368,9 +368,13 @@
 	return rollout.Bounds{CanaryShare: bounds.CanaryShare, CanarySlack: bounds.CanarySlack}
 }
 
-// onTrial reports whether an engine belongs to a version that is not in service yet, or no longer; the
-// numbers of engines are planned without it.
-func (r *rollouts) onTrial(member *fleet.Upstream) bool {
+// outOfService reports whether an engine belongs to a version that is not in service yet, or no longer;
+// the numbers of engines are planned without it. Entries of engines that stopped at the completion
+// stay for some seconds.
+func (r *rollouts) outOfService(member *fleet.Upstream) bool {
 	state := r.byService[member.Service]
-	return state != nil && state.phase != rollout.Complete && !state.isOld(member.Version)
+	if state == nil {
+		return false
+	}
+	return (state.phase == rollout.Complete) == state.isOld(member.Version)
 }
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -22,8 +22,9 @@
 	proofShare = 0.6
 	// moveTime is how long before the end the longest requests move to the new version.
 	moveTime = 8 * time.Second
-	// completeMargin is how long before the end of an order it is completed.
-	completeMargin = 400 * time.Millisecond
+	// completeMargin is how long before the end of an order it is completed; the operator reads the
+	// status some time after it was written.
+	completeMargin = 700 * time.Millisecond
 	// minEngineShare is the least number of new engines, as a share of the old ones, with which an
 	// order is completed.
 	minEngineShare = 0.5
--- a/rollout/monitor.go
+++ b/rollout/monitor.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -17,22 +18,26 @@
 	falseAlarmAnswers = 1000
 	// missedBad is the probability that a version which fails as often as is looked for is proven.
 	missedBad = 0.01
-	// failureEffect and slowEffect are the shares of additional bad answers that are looked for.
-	failureEffect = 0.1
-	slowEffect    = 0.2
 	// minFailureRate and minSlowRate are the least rates assumed of the old version, maxRate the highest.
 	minFailureRate = 0.01
 	minSlowRate    = 0.05
 	maxRate        = 0.6
-	// priorAnswers is the number of answers at the least rate that count in addition to those seen.
-	priorAnswers = 20
-	// recentTime is the time constant of the old version's recent rates.
-	recentTime = 3 * time.Second
+	// recentTime is the time constant of the old version's recent rates, which answers at its usual rate
+	// count towards as recentPrior.
+	recentTime  = 500 * time.Millisecond
+	recentPrior = 5
 	// loadedFactor multiplies the bound on slowness while the new version takes over all traffic with
 	// cold caches.
 	loadedFactor = 3
 )
 
+// failureEffects and slowEffects are the shares of additional bad answers that are looked for. A
+// version is proven by the least.
+var (
+	failureEffects = [...]float64{0.1, 0.3}
+	slowEffects    = [len(failureEffects)]float64{0.2, 0.4}
+)
+
 // Verdict on a version.
 type Verdict int
 
@@ -54,12 +59,16 @@
 
 // testState is the state of one test.
 type testState struct {
-	// sum is the cumulative sum of log likelihood ratios, restarted at 0; total the same without restarts.
-	sum, total float64
+	// sums are the cumulative sums of log likelihood ratios for each effect, restarted at 0; total is that
+	// of the least effect without restarts.
+	sums  [len(failureEffects)]float64
+	total float64
 	// recentBad and recentAnswers are the old version's counts, decayed.
 	recentBad, recentAnswers float64
 }
 
+func (s *testState) highest() float64 { return slices.Max(s.sums[:]) }
+
 // Monitor compares the answers of a new version with those of the old one at the same time.
 type Monitor struct {
 	seen       Routes
@@ -104,9 +113,9 @@
 		state = &testState{}
 		m.states[t] = state
 	}
-	answers, least, effect := Answered, minFailureRate, failureEffect
+	answers, least, effects := Answered, minFailureRate, failureEffects
 	if t.kind == Slow {
-		answers, least, effect = Timed, minSlowRate, slowEffect
+		answers, least, effects = Timed, minSlowRate, slowEffects
 	}
 	since := func(side Side, counter Counter) float64 {
 		return float64(max(0, Get(tally, side, counter)-Get(seen, side, counter)))
@@ -117,17 +126,23 @@
 	if count == 0 && bad == 0 {
 		return
 	}
-	ever := rate(float64(Get(tally, Old, t.kind)), float64(Get(tally, Old, answers)), least)
-	usual := min(maxRate, max(ever, rate(state.recentBad, state.recentAnswers, least)))
-	worse := usual + effect*(1-usual)
-	ratio := bad*math.Log(worse/usual) + max(0, count-bad)*math.Log((1-worse)/(1-usual))
-	state.sum = max(0, state.sum+ratio)
-	state.total += ratio
+	ever := max(least, upperRate(float64(Get(tally, Old, t.kind)), float64(Get(tally, Old, answers))))
+	recent := (state.recentBad + recentPrior*ever) / (state.recentAnswers + recentPrior)
+	usual := min(maxRate, max(ever, recent))
+	for i, effect := range effects {
+		worse := usual + effect*(1-usual)
+		ratio := bad*math.Log(worse/usual) + max(0, count-bad)*math.Log((1-worse)/(1-usual))
+		state.sums[i] = max(0, state.sums[i]+ratio)
+		if i == 0 {
+			state.total += ratio
+		}
+	}
 }
 
-// rate estimates a rate of bad answers.
-func rate(bad, answers, least float64) float64 {
-	return max(least, (bad+priorAnswers*least)/(answers+priorAnswers))
+// upperRate estimates a rate of bad answers, one standard error above the mean.
+func upperRate(bad, answers float64) float64 {
+	mean := (bad + 1) / (answers + 2)
+	return mean + math.Sqrt(mean*(1-mean)/(answers+2))
 }
 
 // Verdict returns the verdict and what it rests on. loaded is set while the new version takes over
@@ -135,22 +150,24 @@
 func (m *Monitor) Verdict(loaded bool) (Verdict, string) {
 	bound := math.Log(falseAlarmAnswers / falseAlarm)
 	tests := slices.SortedFunc(maps.Keys(m.states), func(a, b test) int {
-		if m.states[a].sum != m.states[b].sum {
-			return int(math.Copysign(1, m.states[b].sum-m.states[a].sum))
-		}
-		return 0
+		return cmp.Compare(m.states[b].highest(), m.states[a].highest())
 	})
 	for _, t := range tests {
 		limit := bound
 		if t.kind == Slow && loaded {
 			limit *= loadedFactor
 		}
-		if m.states[t].sum >= limit {
+		if m.states[t].highest() >= limit {
 			return Bad, m.describe(t)
 		}
 	}
-	whole := m.states[test{allRoutes, Failed}]
-	if whole != nil && whole.total <= math.Log(missedBad) {
+	total := 0.0
+	for t, state := range m.states {
+		if t.kind == Failed && t.route != allRoutes {
+			total += state.total
+		}
+	}
+	if total <= math.Log(missedBad) {
 		return Proven, m.describe(test{allRoutes, Failed})
 	}
 	return Unproven, "not enough answers"
