--- a/edge/rolloutdecider.go
+++ b/edge/rolloutdecider.go
@@ -30,7 +30,10 @@
 // control loop owns it.
 type rolloutDecider struct {
 	rollouts *rollouts
-	fence    int64
+	store    statusStore
+	// start runs a call to the store beside the control loop.
+	start func(call func())
+	fence int64
 	// loaded is set while end is that of the topic of statuses and every order knows its status.
 	loaded bool
 	end    int64
@@ -40,6 +43,12 @@
 	retryAt      time.Time
 }
 
+// statusStore is the part of the store that holds statuses.
+type statusStore interface {
+	Newest(ctx context.Context, topic string, timeout time.Duration) ([]platform.KeyedRecord, int64, error)
+	Append(ctx context.Context, topic string, records [][]byte, at int64) (int64, error)
+}
+
 // deciding is what the deciding node keeps of an order.
 type deciding struct {
 	monitor *rollout.Monitor
@@ -206,7 +215,7 @@
 	}
 	end := d.end
 	d.call("write", func(ctx context.Context) (func(now time.Time), error) {
-		offset, err := r.edge.store.Append(ctx, platform.TopicStatus, [][]byte{record}, end)
+		offset, err := d.store.Append(ctx, platform.TopicStatus, [][]byte{record}, end)
 		if err != nil {
 			return nil, err
 		}
@@ -236,9 +245,8 @@
 	if d.callInFlight || now.Before(d.retryAt) {
 		return
 	}
-	r := d.rollouts
 	d.call("read", func(ctx context.Context) (func(now time.Time), error) {
-		records, end, err := r.edge.store.Newest(ctx, platform.TopicStatus, maxStoreTimeout)
+		records, end, err := d.store.Newest(ctx, platform.TopicStatus, maxStoreTimeout)
 		if err != nil {
 			return nil, err
 		}
@@ -292,7 +300,7 @@
 	d.callInFlight = true
 	r := d.rollouts
 	ctx := r.edge.ctx
-	go func() {
+	d.start(func() {
 		done, err := call(ctx)
 		if err != nil && ctx.Err() == nil && !errors.Is(err, platform.ErrConflict) {
 			r.edge.logger.Warn().Err(err).Str("call", name).Msg("rollout status not read or written, retrying")
@@ -308,5 +316,5 @@
 				d.retryAt = now.Add(retryDelay)
 			}
 		})
-	}()
+	})
 }
--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -59,7 +59,7 @@
 	r := &rollouts{
 		edge: e, control: c, byService: map[string]*rolloutState{}, evidence: rollout.NewEvidence(), versionsSeenAt: map[string]map[string]time.Time{},
 	}
-	r.decider = &rolloutDecider{rollouts: r}
+	r.decider = &rolloutDecider{rollouts: r, store: e.store, start: func(call func()) { go call() }}
 	return r
 }
 
@@ -373,8 +373,11 @@
 // stay for some seconds.
 func (r *rollouts) outOfService(member *fleet.Upstream) bool {
 	state := r.byService[member.Service]
-	if state == nil {
+	switch {
+	case state == nil:
 		return false
+	case state.phase == rollout.Complete:
+		return member.Version != state.order.To
 	}
-	return (state.phase == rollout.Complete) == state.isOld(member.Version)
+	return !state.isOld(member.Version)
 }
--- /dev/null
+++ b/serving/rollout_test.go
@@ -0,0 +1,96 @@
+package serving_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonline/persimmonline/rollout"
+	"github.com/persimmonline/persimmonline/routing"
+	"github.com/persimmonline/persimmonline/serving"
+)
+
+// rolloutDeployment has one upstream of the old version, "old", and one of the new, "new".
+func rolloutDeployment(t *testing.T, move *serving.Rollout, behave func(version string, w http.ResponseWriter)) *deployment {
+	d := deploy(t, 2, func(d *deployment, _ int64, w http.ResponseWriter, r *http.Request) {
+		version := "old"
+		if r.Header.Get("X-Expect-Instance") == "i-1" {
+			version = "new"
+		}
+		behave(version, w)
+	})
+	view := *d.view.Load()
+	members := view.Fleet.ByService["s"]
+	members[0].Generation, members[1].Generation = routing.OldGeneration, routing.NewGeneration
+	view.Fleet = routing.NewFleet(map[string][]*routing.Upstream{"s": members}, routing.NewPrefixIndex(100), 1, time.Now())
+	view.JudgesVersions = true
+	view.Rollouts = map[string]*serving.Rollout{"s": move}
+	d.view.Store(&view)
+	return d
+}
+
+func onTrial(share float64) *serving.Rollout {
+	now := time.Now()
+	return &serving.Rollout{
+		Order: "s@1", Share: share, ExpiresAt: now.Add(time.Minute), EndsAt: now.Add(time.Minute), CountedFrom: now,
+		Bounds: rollout.Bounds{CanaryShare: 0.1, CanarySlack: 1000}, Nodes: 1,
+	}
+}
+
+func named(version string, w http.ResponseWriter) {
+	w.Header().Set("X-Response-Signature", "s")
+	_, _ = w.Write([]byte(version))
+}
+
+func TestSideOfARequest(t *testing.T) {
+	expired, moving, early := onTrial(1), onTrial(0), onTrial(0)
+	expired.ExpiresAt = time.Now().Add(-time.Second)
+	moving.Moving, moving.CompleteAt = true, time.Now()
+	early.Moving, early.CompleteAt = true, time.Now().Add(time.Minute)
+	exhausted := onTrial(1)
+	exhausted.Bounds.CanarySlack = 0
+	for name, c := range map[string]struct {
+		move *serving.Rollout
+		want string
+	}{
+		"on trial":                       {onTrial(1), "new"},
+		"without a share":                {onTrial(0), "old"},
+		"decision too old":               {expired, "old"},
+		"would run beyond completion":    {moving, "new"},
+		"ends before completion":         {early, "old"},
+		"the node's bound is exhausted":  {exhausted, "old"},
+		"complete":                       {&serving.Rollout{Settled: routing.NewGeneration}, "new"},
+		"reverted":                       {&serving.Rollout{Settled: routing.OldGeneration}, "old"},
+		"a version that is not in force": {&serving.Rollout{Settled: routing.OldGeneration}, "old"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := rolloutDeployment(t, c.move, named)
+			require.Equal(t, c.want, d.call(t.Context(), "safe", nil).body)
+		})
+	}
+}
+
+// A request that failed at the new version is repeated at the old one.
+func TestRepeatLeavesTheVersionOnTrial(t *testing.T) {
+	d := rolloutDeployment(t, onTrial(1), func(version string, w http.ResponseWriter) {
+		if version == "new" {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		named(version, w)
+	})
+	require.Equal(t, "old", d.call(t.Context(), "safe", nil).body)
+}
+
+// A node that has not heard of a completion finds only new engines.
+func TestOldEnginesAreGoneAndTheDecisionIsOld(t *testing.T) {
+	move := onTrial(0)
+	move.ExpiresAt = time.Now().Add(-time.Second)
+	d := rolloutDeployment(t, move, named)
+	view := *d.view.Load()
+	view.Fleet = routing.NewFleet(map[string][]*routing.Upstream{"s": view.Fleet.ByService["s"][1:]}, routing.NewPrefixIndex(100), 1, time.Now())
+	d.view.Store(&view)
+	require.Equal(t, "new", d.call(t.Context(), "safe", nil).body)
+}
