--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -74,6 +74,8 @@
 	// ctx is done with the request, or when another upstream takes over from a silent one.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
+	// sample counts the attempt for a rollout; nil if nothing is counted.
+	sample *sample
 	// silenceTimer ends the wait for a silent upstream; nil if the request can't be repeated.
 	silenceTimer *time.Timer
 }
@@ -348,6 +350,7 @@
 		x.firstEventAt = time.Now()
 		x.run.markStarted()
 		x.tracked.RecordFirstToken(time.Now())
+		x.sample.firstByte()
 	}
 	x.tracked.RecordToken(time.Now())
 	x.eventCount++
--- a/serving/unframed.go
+++ b/serving/unframed.go
@@ -42,8 +42,9 @@
 	return nil
 }
 
-// recordSuccess records that the upstream has completed the request, if that is certain.
+// recordSuccess records that the upstream has completed the request, for crashes only if that is certain.
 func (x *exchange) recordSuccess() {
+	x.sample.complete()
 	if x.confirmed {
 		x.run.handler.Successes.Record(x.run.traits, x.run.handler.MonotonicNow())
 	}
