--- a/hedge/account.go
+++ b/hedge/account.go
@@ -7,8 +7,10 @@
 	// accountSlices steps.
 	accountWindow = 30 * time.Second
 	accountSlices = 15
-	// surgeSlices is the number of newest slices in which a general slowness shows.
-	surgeSlices = 3
+	// surgeSlices is the number of newest slices in which a general slowness shows, and in which at most
+	// burstFactor times the allowed share of extra requests is used up.
+	surgeSlices = 2
+	burstFactor = 3
 	// maxDueShare is the share of requests that come to their delay above which an upstream is not
 	// slow but all are, minDueRequests the number up to which they may all be those of one upstream.
 	maxDueShare    = 0.2
@@ -73,9 +75,9 @@
 
 // exceeded names the limit that one more hedge with a number of tokens would exceed; empty for none.
 func (a *account) exceeded(share float64, tokens int, now time.Time) Denial {
-	total := a.sum(accountSlices, now)
+	total, recent := a.sum(accountSlices, now), a.sum(surgeSlices, now)
 	switch {
-	case total.extra.requests+1 > share*total.all.requests:
+	case total.extra.requests+1 > share*total.all.requests, recent.extra.requests > burstFactor*share*recent.all.requests:
 		return DeniedShare
 	case tokens > 0 && total.extra.tokens+float64(tokens) > share*total.all.tokens:
 		return DeniedTokens
--- a/hedge/policy.go
+++ b/hedge/policy.go
@@ -13,7 +13,7 @@
 	minQuantile = 0.9
 	// medianFactor is the multiple of the median before which a second attempt, which takes a median
 	// itself, can't be expected to come first.
-	medianFactor = 2.25
+	medianFactor = 2.5
 	// forecastFactor is the multiple of the first attempt's forecast until which it is on time.
 	forecastFactor = 1.5
 	// minDelay is the shortest delay.
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -66,6 +66,8 @@
 	view    atomic.Pointer[serving.View]
 	runs    atomic.Int64
 	stopped atomic.Int64
+	// registry holds the node's metrics.
+	registry *prometheus.Registry
 	// clockOffset is added to the monotonic clock.
 	clockOffset atomic.Int64
 }
@@ -75,7 +77,13 @@
 
 func deploy(t *testing.T, upstreams int, behave behaviour) *deployment {
 	t.Helper()
-	d := &deployment{t: t, events: &events{}}
+	return deployWith(t, upstreams, behave, func(*serving.Settings) {})
+}
+
+// deployWith is like deploy; edit changes the settings.
+func deployWith(t *testing.T, upstreams int, behave behaviour, edit func(settings *serving.Settings)) *deployment {
+	t.Helper()
+	d := &deployment{t: t, events: &events{}, registry: prometheus.NewRegistry()}
 	var members []*routing.Upstream
 	for i := range upstreams {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -105,13 +113,14 @@
 	ledger.Configure(map[string]quota.Limit{"w": {Rate: 20, Burst: 20}}, 1, 0, time.Now())
 	pool := relay.NewPool()
 	t.Cleanup(pool.Close)
-	handler := serving.New(serving.Settings{
+	settings := serving.Settings{
 		Adapter: platform.Protocol{}, CurrentView: d.view.Load, Pool: pool, Ledger: ledger, LedgerLock: &sync.Mutex{},
 		MonotonicNow: func() time.Time { return time.Now().Add(time.Duration(d.clockOffset.Load())) },
 		Events:       d.events, Successes: quarantine.NewSuccesses(), RetryRatio: 0.2, RetryWindow: 10 * time.Second, Logger: zerolog.Nop(),
-		Metrics: serving.NewMetrics(prometheus.NewRegistry()),
-	})
-	front := httptest.NewServer(handler)
+		Metrics: serving.NewMetrics(d.registry),
+	}
+	edit(&settings)
+	front := httptest.NewServer(serving.New(settings))
 	t.Cleanup(front.Close)
 	d.url = front.URL
 	return d
