hedging: the limit goes to the requests that may be sent twice, and to those past half of their target

Cause: with a delay by quantile over all answers most of the limit went to requests that were on time anyway. Change: the quantile follows the share of requests that may be sent twice, and the delay is at least half of the target.

--- a/hedge/account.go
+++ b/hedge/account.go
@@ -67,6 +67,15 @@
 	return work{requests: w.requests + other.requests, seconds: w.seconds + other.seconds, tokens: w.tokens + other.tokens}
 }
 
+// slowestShare returns which share of the requests that may be sent a second time is within the limit.
+func (a *account) slowestShare(share float64, now time.Time) float64 {
+	total := a.sum(accountSlices, now)
+	if total.armed == 0 {
+		return share
+	}
+	return share * total.all.requests / total.armed
+}
+
 // surging reports whether so many requests come to their delay that all upstreams are slow.
 func (a *account) surging(now time.Time) bool {
 	recent := a.sum(surgeSlices, now)
--- a/hedge/policy.go
+++ b/hedge/policy.go
@@ -16,6 +16,9 @@
 	medianFactor = 2.5
 	// forecastFactor is the multiple of the first attempt's forecast until which it is on time.
 	forecastFactor = 1.5
+	// targetFactor is the part of the target before which nobody gains by a second attempt: what is left
+	// suffices for it.
+	targetFactor = 0.5
 	// minDelay is the shortest delay.
 	minDelay = 5 * time.Millisecond
 	// soonerFactor is by how much sooner the second attempt has to be.
@@ -116,8 +119,9 @@
 }
 
 // Delay returns how long the first attempt of a request may take before a second one is considered;
-// ok is false if that can't be told. forecast is the first attempt's.
-func (p *Policy) Delay(class Class, forecast time.Duration, now time.Time) (delay time.Duration, ok bool) {
+// ok is false if that can't be told. forecast is the first attempt's, target the time in which the answer
+// is due; 0 for none.
+func (p *Policy) Delay(class Class, forecast, target time.Duration, now time.Time) (delay time.Duration, ok bool) {
 	known := p.latencies[class]
 	if known == nil {
 		return 0, false
@@ -126,8 +130,9 @@
 	if recent == nil {
 		return 0, false
 	}
-	return max(minDelay, quantile(recent, max(minQuantile, 1-p.share)), scale(quantile(recent, 0.5), medianFactor),
-		scale(forecast, forecastFactor)), true
+	slowest := quantile(recent, max(minQuantile, 1-p.account(class.Service).slowestShare(p.share, now)))
+	return max(minDelay, slowest, scale(quantile(recent, 0.5), medianFactor), scale(forecast, forecastFactor),
+		scale(target, targetFactor)), true
 }
 
 // RecordArmed counts a request that may be sent a second time after its delay.
--- a/hedge/policy_test.go
+++ b/hedge/policy_test.go
@@ -39,11 +39,11 @@
 
 func TestOnlyTheSlowestComeToTheirDelay(t *testing.T) {
 	p, now := busyNode(0.03, 10)
-	delay, ok := p.Delay(class, 0, now)
+	delay, ok := p.Delay(class, 0, 0, now)
 	require.True(t, ok)
 	require.InDelta(t, tail.Seconds(), delay.Seconds(), 0.05, "one in twenty is slow, more than the share allows")
 	p, now = busyNode(0.03, 2)
-	delay, ok = p.Delay(class, 0, now)
+	delay, ok = p.Delay(class, 0, 0, now)
 	require.True(t, ok)
 	require.InDelta(t, 2.5*usual.Seconds(), delay.Seconds(), 0.01)
 	require.Empty(t, p.Decide(class, delay, idle, now))
@@ -51,16 +51,23 @@
 
 func TestDelayGrowsWithTheForecastOfALongPrompt(t *testing.T) {
 	p, now := busyNode(0.03, 2)
-	delay, ok := p.Delay(class, time.Second, now)
+	delay, ok := p.Delay(class, time.Second, 0, now)
 	require.True(t, ok)
 	require.Equal(t, 1500*time.Millisecond, delay)
 }
 
+func TestNoSecondAttemptWhileHalfOfTheTargetIsLeft(t *testing.T) {
+	p, now := busyNode(0.03, 2)
+	delay, ok := p.Delay(class, 0, time.Second, now)
+	require.True(t, ok)
+	require.Equal(t, 500*time.Millisecond, delay)
+}
+
 func TestNoDelayBeforeEnoughAnswersAndAfterTheWindow(t *testing.T) {
 	p, now := busyNode(0.03, 2)
-	_, ok := p.Delay(hedge.ClassOf("s", false, 1000), 0, now)
+	_, ok := p.Delay(hedge.ClassOf("s", false, 1000), 0, 0, now)
 	require.False(t, ok)
-	_, ok = p.Delay(class, 0, now.Add(time.Minute))
+	_, ok = p.Delay(class, 0, 0, now.Add(time.Minute))
 	require.False(t, ok)
 }
 
--- a/serving/hedge.go
+++ b/serving/hedge.go
@@ -60,7 +60,7 @@
 		return 0, false
 	}
 	r.handler.hedges.with(func(p *hedge.Policy, now time.Time) {
-		if delay, ok = p.Delay(r.hedgeClass(), forecastOf(first.choice), now); ok {
+		if delay, ok = p.Delay(r.hedgeClass(), forecastOf(first.choice), r.request.Route.LatencyTarget, now); ok {
 			p.RecordArmed(r.service, now)
 		}
 	})
