explain: where a request would go now, and why, without sending it

The command asks a running node's metrics listener. The node runs the same choice as for a request, with a trace that records each candidate's verdict.

--- a/cmd/persimmon-edge/main.go
+++ b/cmd/persimmon-edge/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"sync/atomic"
 	"syscall"
 
@@ -34,6 +35,9 @@
 type cli struct {
 	LogLevel   string  `help:"Lowest level of log lines." enum:"debug,info,warn,error" default:"info" env:"PERSIMMON_LOG_LEVEL"`
 	HedgeShare float64 `help:"Extra work that second attempts at the slowest requests may cause, as a share of all work (0 to 1)." default:"0" env:"PERSIMMON_HEDGE_SHARE"`
+
+	Serve   struct{}       `cmd:"" default:"1" help:"Serve callers (without a command as well)."`
+	Explain explainCommand `cmd:"" help:"Say where a request would go now, and why, without sending it."`
 }
 
 // Validate is called once the flags are parsed.
@@ -48,7 +52,14 @@
 
 func run() int {
 	var flags cli
-	kong.Parse(&flags, kong.Name("persimmon-edge"), kong.Description("Serves callers on the Trust platform."))
+	command := kong.Parse(&flags, kong.Name("persimmon-edge"), kong.Description("Serves callers on the Trust platform."))
+	if strings.HasPrefix(command.Command(), "explain") {
+		return flags.Explain.run(os.Stdout, os.Stderr)
+	}
+	return serve(&flags)
+}
+
+func serve(flags *cli) int {
 	settings, err := platform.LoadSettings()
 	if err != nil {
 		_, _ = fmt.Fprintf(os.Stderr, "persimmon-edge: %v\n", err)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"net/netip"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,7 +18,6 @@
 	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 
 	"github.com/persimmonline/persimmonline/internal/netopt"
@@ -154,10 +152,7 @@
 			Handler: e.peers.routes(), ReadHeaderTimeout: headerTimeout, ReadTimeout: peerTimeout, WriteTimeout: peerTimeout,
 			IdleTimeout: peerIdleTimeout,
 		}},
-		{"metrics", e.metricsAddress(), &http.Server{
-			Handler:           promhttp.HandlerFor(e.metrics.registry, promhttp.HandlerOpts{}),
-			ReadHeaderTimeout: headerTimeout,
-		}},
+		{"metrics", e.metricsAddress(), &http.Server{Handler: e.metricsRoutes(), ReadHeaderTimeout: headerTimeout}},
 	}
 	e.task(e.control.run)
 	for _, s := range servers {
@@ -267,9 +262,7 @@
 	return netip.AddrPortFrom(e.settings.IP, uint16(e.settings.PeerPort)).String()
 }
 
-func (e *Edge) metricsAddress() string {
-	return net.JoinHostPort(e.settings.IP.String(), strconv.Itoa(e.settings.MetricsPort))
-}
+func (e *Edge) metricsAddress() string { return e.settings.MetricsAddress() }
 
 // withUsage runs use while holding the lock of the usage meter.
 func (e *Edge) withUsage(use func()) {
--- a/retry/window.go
+++ b/retry/window.go
@@ -46,6 +46,15 @@
 // TakeRetry takes a retry if the budget allows it; burst is this node's share of the retries
 // that are allowed regardless of the number of requests.
 func (b *WindowBudget) TakeRetry(now time.Time, burst float64) bool {
+	if b.Left(now, burst) < 1 {
+		return false
+	}
+	b.current(now).retries++
+	return true
+}
+
+// Left returns the number of retries that the budget allows now.
+func (b *WindowBudget) Left(now time.Time, burst float64) float64 {
 	current := b.current(now)
 	requests, retries := 0.0, 0.0
 	for i := range b.slices {
@@ -57,11 +66,7 @@
 			retries += b.slices[i].retries
 		}
 	}
-	if retries+1 > b.ratio*requests+burst {
-		return false
-	}
-	current.retries++
-	return true
+	return b.ratio*requests + burst - retries
 }
 
 // current returns the slice of the current time; it is reused after the retention time.
--- a/routing/route.go
+++ b/routing/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/persimmonline/persimmonline/api"
@@ -105,6 +106,8 @@
 	Key uint64
 	// Seed selects the sample when there are many candidates.
 	Seed uint64
+	// Trace records the decision; nil for none.
+	Trace *Trace
 }
 
 // Weights are the deployment's prices.
@@ -230,14 +233,17 @@
 
 // score filters and prices one candidate and records it if it is the cheapest.
 func (d *decision) score(candidate *Upstream) {
-	if !eligible(candidate, d.request) {
+	if why := removal(candidate, d.request); why != "" {
+		d.request.Trace.remove(candidate, why)
 		return
 	}
 	gate := candidate.Gate.State(d.now)
 	switch gate {
 	case pacing.Departed:
+		d.request.Trace.remove(candidate, RemovedDeparted)
 		return
 	case pacing.Throttled:
+		d.request.Trace.remove(candidate, RemovedThrottled)
 		d.recordThrottled(candidate)
 		return
 	}
@@ -246,10 +252,11 @@
 	for _, scorer := range d.scorers {
 		price += scorer.Price(candidate, d.request, forecast, d.weights)
 	}
-	lowest := &d.best
-	if candidate.Health == membership.StateSuspect || gate == pacing.LastResort || d.savesLimitForLongPrompts(candidate) {
+	lowest, lastResort := &d.best, candidate.Health == membership.StateSuspect || gate == pacing.LastResort || d.savesLimitForLongPrompts(candidate)
+	if lastResort {
 		lowest = &d.fallback
 	}
+	d.request.Trace.price(d.scorers, candidate, d.request, d.weights, Verdict{LastResort: lastResort, Forecast: forecast, Price: price})
 	if lowest.Upstream != nil && price >= lowest.Price {
 		return
 	}
@@ -293,19 +300,16 @@
 	return engine.Leaving || engine.Health == membership.StateLive
 }
 
-// eligible implements the filter step. The fleet's index by service already guarantees
+// removal implements the filter step. The fleet's index by service already guarantees
 // that the model and its version are loaded.
-func eligible(candidate *Upstream, request *Request) bool {
-	if candidate.Health == membership.StateLeaving || request.Excluded[candidate.ID] {
-		return false
-	}
-	if len(request.AllowedDataCentres) == 0 {
-		return true
-	}
-	for _, allowed := range request.AllowedDataCentres {
-		if allowed == candidate.DataCentre {
-			return true
-		}
+func removal(candidate *Upstream, request *Request) Removal {
+	switch {
+	case candidate.Health == membership.StateLeaving:
+		return RemovedLeaving
+	case request.Excluded[candidate.ID]:
+		return RemovedAttempted
+	case len(request.AllowedDataCentres) > 0 && !slices.Contains(request.AllowedDataCentres, candidate.DataCentre):
+		return RemovedDataCentre
 	}
-	return false
+	return ""
 }
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -173,8 +173,7 @@
 // admit decodes the request, looks up its route and workspace, and reads its body.
 func (h *Handler) admit(view *View, w http.ResponseWriter, r *http.Request, arrived time.Time) (*Request, *refusal.Refusal) {
 	if view.Table == nil {
-		return nil, refusal.New(http.StatusServiceUnavailable, refusal.CodeNoConfiguration,
-			"this node has no configuration yet").WithRetryAfter(retryAfterSoon)
+		return nil, noConfiguration()
 	}
 	limits := view.Table.Config.Limits
 	if limits.MaxHeaderBytes > 0 && headerBytes(r) > limits.MaxHeaderBytes {
@@ -197,6 +196,11 @@
 	return request, h.readBody(view.Table, request, w, r)
 }
 
+func noConfiguration() *refusal.Refusal {
+	return refusal.New(http.StatusServiceUnavailable, refusal.CodeNoConfiguration,
+		"this node has no configuration yet").WithRetryAfter(retryAfterSoon)
+}
+
 // unconfirmedRefusal replaces a permanent refusal by one that may be retried, since a configuration
 // that this node has not read yet may contain the route or the key.
 func unconfirmedRefusal(denial *refusal.Refusal) *refusal.Refusal {
--- a/serving/hedge.go
+++ b/serving/hedge.go
@@ -160,23 +160,31 @@
 	return second
 }
 
-// chooseHedge chooses the upstream of the second attempt, or says why there is none. One that is suspect,
-// leaves or names a limit gets none.
+// chooseHedge chooses the upstream of the second attempt, or says why there is none.
 func (r *requestRun) chooseHedge(first *exchange, view *View) (routing.Choice, hedge.Denial) {
 	choice, err := r.chooseUpstream(view)
-	if err != nil || choice.Upstream.Health != membership.StateLive || choice.Upstream.Gate.Restricted() {
+	if err != nil || !mayHedgeAt(choice.Upstream) {
 		return choice, deniedNoUpstream
 	}
-	candidate := hedge.Candidate{
-		Forecast: forecastOf(choice), Load: choice.Load, Tokens: choice.UncachedTokens(r.request.PromptTokens),
-	}
 	denial := deniedNoUpstream
 	r.handler.hedges.with(func(p *hedge.Policy, now time.Time) {
-		denial = p.Decide(r.hedgeClass(), time.Since(first.sentAt), candidate, now)
+		denial = p.Decide(r.hedgeClass(), time.Since(first.sentAt), r.hedgeCandidate(choice), now)
 	})
 	return choice, denial
 }
 
+// mayHedgeAt reports whether an upstream gets second attempts; one that is suspect, leaves or names a limit
+// gets none.
+func mayHedgeAt(upstream *routing.Upstream) bool {
+	return upstream.Health == membership.StateLive && !upstream.Gate.Restricted()
+}
+
+func (r *requestRun) hedgeCandidate(choice routing.Choice) hedge.Candidate {
+	return hedge.Candidate{
+		Forecast: forecastOf(choice), Load: choice.Load, Tokens: choice.UncachedTokens(r.request.PromptTokens),
+	}
+}
+
 // loseRace cancels an attempt whose answer is not needed, and waits until it has ended.
 func (r *requestRun) loseRace(loser *exchange, opened <-chan *exchange) {
 	loser.cancel(errLostRace)
--- a/serving/hedge_test.go
+++ b/serving/hedge_test.go
@@ -50,7 +50,8 @@
 		settings.Ledger.Configure(map[string]quota.Limit{"w": {Rate: 10_000, Burst: 10_000}}, 1, 0, time.Now())
 	})
 	for range warmUps {
-		require.Equal(t, 200, h.call(context.Background(), warmUpRoute, nil).status)
+		got := h.call(context.Background(), warmUpRoute, nil)
+		require.Equal(t, 200, got.status, got.body)
 	}
 	h.runs.Store(0)
 	h.pass(time.Second)
--- a/serving/request.go
+++ b/serving/request.go
@@ -13,9 +13,9 @@
 // PromptPart is one part of a prompt; requests share their first parts.
 type PromptPart struct {
 	// ID names the part's content.
-	ID string
+	ID string `json:"id"`
 	// Tokens of the part.
-	Tokens int
+	Tokens int `json:"tokens"`
 }
 
 // Request is a caller's request, independent of the protocol.
--- a/serving/run.go
+++ b/serving/run.go
@@ -116,6 +116,8 @@
 	// firstByte is when the first byte of the response was sent to the caller; zero if it was not.
 	firstByte time.Time
 	attempts  []attemptTrace
+	// trace records how upstreams are chosen for a request that is explained and not sent; else nil.
+	trace *routing.Trace
 }
 
 // attemptTrace is the log entry of an attempt.
@@ -260,6 +262,7 @@
 		AnswerTokens: r.request.AnswerTokens, Priority: r.request.Priority, DataCentre: view.DataCentre,
 		FirstTokenTarget: r.request.Route.LatencyTarget - time.Since(r.request.ArrivedAt), GapTarget: r.request.Route.GapTarget,
 		Excluded: r.excluded, Key: r.shared.Chain, Seed: r.handler.nextRandom(),
+		Trace: r.trace,
 	}
 	return routing.PickWith(routing.ContinuousScorers, view.Fleet, request, routing.Weights{Latency: latencyWeight}, time.Now())
 }
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -63,6 +63,7 @@
 	t       *testing.T
 	url     string
 	events  *events
+	handler *serving.Handler
 	view    atomic.Pointer[serving.View]
 	runs    atomic.Int64
 	stopped atomic.Int64
@@ -120,7 +121,8 @@
 		Metrics: serving.NewMetrics(d.registry),
 	}
 	edit(&settings)
-	front := httptest.NewServer(serving.New(settings))
+	d.handler = serving.New(settings)
+	front := httptest.NewServer(d.handler)
 	t.Cleanup(front.Close)
 	d.url = front.URL
 	return d
