--- a/routing/route.go
+++ b/routing/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/persimmonline/persimmonline/api"
@@ -112,6 +113,8 @@
 	Seed uint64
 	// Generation that may run the request; AnyGeneration for no restriction.
 	Generation Generation
+	// Trace records the decision; nil for none.
+	Trace *Trace
 }
 
 // Weights are the deployment's prices.
@@ -138,6 +141,13 @@
 	Source      *Upstream
 	// Price of the attempt.
 	Price float64
+	// Load is the expected share of the upstream's slots that are taken.
+	Load float64
+}
+
+// UncachedTokens returns the part of a prompt that the upstream has to compute.
+func (c Choice) UncachedTokens(promptTokens int) int {
+	return max(0, promptTokens-c.CachedTokens-c.FetchTokens)
 }
 
 // Pick returns the upstream with the lowest price for the attempt, or ErrNoUpstream. With
@@ -230,14 +240,17 @@
 
 // score filters and prices one candidate and records it if it is the cheapest.
 func (d *decision) score(candidate *Upstream) {
-	if !eligible(candidate, d.request) {
+	if why := removal(candidate, d.request); why != "" {
+		d.request.Trace.remove(candidate, why)
 		return
 	}
 	gate := candidate.Gate.State(d.now)
 	switch gate {
 	case pacing.Departed:
+		d.request.Trace.remove(candidate, RemovedDeparted)
 		return
 	case pacing.Throttled:
+		d.request.Trace.remove(candidate, RemovedThrottled)
 		d.recordThrottled(candidate)
 		return
 	}
@@ -246,16 +259,17 @@
 	for _, scorer := range d.scorers {
 		price += scorer.Price(candidate, d.request, forecast, d.weights)
 	}
-	lowest := &d.best
-	if candidate.Health == membership.StateSuspect || gate == pacing.LastResort || d.savesLimitForLongPrompts(candidate) {
+	lowest, lastResort := &d.best, candidate.Health == membership.StateSuspect || gate == pacing.LastResort || d.savesLimitForLongPrompts(candidate)
+	if lastResort {
 		lowest = &d.fallback
 	}
+	d.request.Trace.price(d.scorers, candidate, d.request, d.weights, Verdict{LastResort: lastResort, Forecast: forecast, Price: price})
 	if lowest.Upstream != nil && price >= lowest.Price {
 		return
 	}
 	*lowest = Choice{
 		Upstream: candidate, Price: price, CachedTokens: forecast.CachedTokens, FetchTokens: forecast.FetchTokens,
-		Queue: forecast.Queue, Prefill: forecast.Prefill,
+		Queue: forecast.Queue, Prefill: forecast.Prefill, Load: forecast.Running / candidate.estimate.slots,
 	}
 	if forecast.FetchTokens > 0 {
 		lowest.Source = d.source
@@ -293,19 +307,18 @@
 	return engine.Leaving || engine.Health == membership.StateLive
 }
 
-// eligible implements the filter step. The fleet's index by service already guarantees
+// removal implements the filter step. The fleet's index by service already guarantees
 // that the model and its version are loaded.
-func eligible(candidate *Upstream, request *Request) bool {
-	if candidate.Health == membership.StateLeaving || request.Excluded[candidate.ID] || !request.Generation.includes(candidate) {
-		return false
-	}
-	if len(request.AllowedDataCentres) == 0 {
-		return true
-	}
-	for _, allowed := range request.AllowedDataCentres {
-		if allowed == candidate.DataCentre {
-			return true
-		}
+func removal(candidate *Upstream, request *Request) Removal {
+	switch {
+	case candidate.Health == membership.StateLeaving:
+		return RemovedLeaving
+	case request.Excluded[candidate.ID]:
+		return RemovedAttempted
+	case !request.Generation.includes(candidate):
+		return RemovedGeneration
+	case len(request.AllowedDataCentres) > 0 && !slices.Contains(request.AllowedDataCentres, candidate.DataCentre):
+		return RemovedDataCentre
 	}
-	return false
+	return ""
 }
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -63,6 +63,8 @@
 	// RetryRatio and RetryWindow configure the retry budget.
 	RetryRatio  float64
 	RetryWindow time.Duration
+	// HedgeShare bounds the extra work of second attempts, as a share of all work; 0 means none.
+	HedgeShare float64
 	// Logger for decisions about requests.
 	Logger zerolog.Logger
 	// Metrics of requests and attempts.
@@ -73,6 +75,7 @@
 type Handler struct {
 	Settings
 
+	hedges        *hedges
 	bufferedBytes atomic.Int64
 	inFlight      atomic.Int64
 	random        atomic.Uint64
@@ -92,7 +95,7 @@
 // New returns a handler.
 func New(settings Settings) *Handler {
 	h := &Handler{
-		Settings: settings, budgets: map[string]*retry.WindowBudget{}, rollouts: newRolloutCounts(settings.Metrics),
+		Settings: settings, budgets: map[string]*retry.WindowBudget{}, rollouts: newRolloutCounts(settings.Metrics), hedges: newHedges(settings),
 		successLogLimiter:     rate.NewLimiter(successLogRate, successLogRate),
 		noticeErrorLogLimiter: rate.NewLimiter(noticeErrorLogRate, 1),
 	}
@@ -173,8 +176,7 @@
 // admit decodes the request, looks up its route and workspace, and reads its body.
 func (h *Handler) admit(view *View, w http.ResponseWriter, r *http.Request, arrived time.Time) (*Request, *refusal.Refusal) {
 	if view.Table == nil {
-		return nil, refusal.New(http.StatusServiceUnavailable, refusal.CodeNoConfiguration,
-			"this node has no configuration yet").WithRetryAfter(retryAfterSoon)
+		return nil, noConfiguration()
 	}
 	limits := view.Table.Config.Limits
 	if limits.MaxHeaderBytes > 0 && headerBytes(r) > limits.MaxHeaderBytes {
@@ -197,6 +199,11 @@
 	return request, h.readBody(view.Table, request, w, r)
 }
 
+func noConfiguration() *refusal.Refusal {
+	return refusal.New(http.StatusServiceUnavailable, refusal.CodeNoConfiguration,
+		"this node has no configuration yet").WithRetryAfter(retryAfterSoon)
+}
+
 // unconfirmedRefusal replaces a permanent refusal by one that may be retried, since a configuration
 // that this node has not read yet may contain the route or the key.
 func unconfirmedRefusal(denial *refusal.Refusal) *refusal.Refusal {
--- a/serving/metrics.go
+++ b/serving/metrics.go
@@ -21,6 +21,7 @@
 	suppressed prometheus.Counter
 	viewAge    prometheus.Histogram
 	rollouts   *prometheus.CounterVec
+	hedges     hedgeMetrics
 }
 
 // NewMetrics returns metrics registered with registry.
@@ -57,6 +58,7 @@
 	m.viewAge = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "persimmonline_edge_view_age_seconds", Help: "Age of the view that a request was decided by.", Buckets: latencyBuckets,
 	})
+	m.hedges = newHedgeMetrics(registry)
 	registry.MustRegister(m.requests, m.refusals, m.attempts, m.retries, m.limited, m.throttled, m.firstByte, m.suppressed, m.viewAge, m.rollouts)
 	return m
 }
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -63,12 +63,15 @@
 	t       *testing.T
 	url     string
 	events  *events
+	handler *serving.Handler
 	view    atomic.Pointer[serving.View]
 	servers []*httptest.Server
 	// successes are the completed requests by trait.
 	successes *quarantine.Successes
 	runs    atomic.Int64
 	stopped atomic.Int64
+	// registry holds the node's metrics.
+	registry *prometheus.Registry
 	// clockOffset is added to the monotonic clock.
 	clockOffset atomic.Int64
 }
@@ -78,7 +81,13 @@
 
 func deploy(t *testing.T, upstreams int, behave behaviour) *deployment {
 	t.Helper()
-	d := &deployment{t: t, events: &events{}, successes: quarantine.NewSuccesses()}
+	return deployWith(t, upstreams, behave, func(*serving.Settings) {})
+}
+
+// deployWith is like deploy; edit changes the settings.
+func deployWith(t *testing.T, upstreams int, behave behaviour, edit func(settings *serving.Settings)) *deployment {
+	t.Helper()
+	d := &deployment{t: t, events: &events{}, registry: prometheus.NewRegistry(), successes: quarantine.NewSuccesses()}
 	var members []*routing.Upstream
 	for i := range upstreams {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -109,13 +118,15 @@
 	ledger.Configure(map[string]quota.Limit{"w": {Rate: 20, Burst: 20}}, 1, 0, time.Now())
 	pool := relay.NewPool()
 	t.Cleanup(pool.Close)
-	handler := serving.New(serving.Settings{
+	settings := serving.Settings{
 		Adapter: platform.Protocol{}, CurrentView: d.view.Load, Pool: pool, Ledger: ledger, LedgerLock: &sync.Mutex{},
 		MonotonicNow: func() time.Time { return time.Now().Add(time.Duration(d.clockOffset.Load())) },
 		Events:       d.events, Successes: d.successes, RetryRatio: 0.2, RetryWindow: 10 * time.Second, Logger: zerolog.Nop(),
-		Metrics: serving.NewMetrics(prometheus.NewRegistry()),
-	})
-	front := httptest.NewServer(handler)
+		Metrics: serving.NewMetrics(d.registry),
+	}
+	edit(&settings)
+	d.handler = serving.New(settings)
+	front := httptest.NewServer(d.handler)
 	t.Cleanup(front.Close)
 	d.url = front.URL
 	return d
