--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -68,8 +68,8 @@
 	servers []*httptest.Server
 	// successes are the completed requests by trait.
 	successes *quarantine.Successes
-	runs    atomic.Int64
-	stopped atomic.Int64
+	runs      atomic.Int64
+	stopped   atomic.Int64
 	// registry holds the node's metrics.
 	registry *prometheus.Registry
 	// clockOffset is added to the monotonic clock.
