--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -13,12 +13,12 @@
 	// covers requests that nodes have not told of yet.
 	budgetShare = 0.85
 	slackShare  = 0.6
-	// canaryPart is the part of the budget for the trial, maxCanaryPart the same if the test needs more.
+	// canaryPart is the part of the budget for the trial of a proven version, proofPart the same until it
+	// is proven, but for no more than proofRequests.
 	canaryPart    = 0.2
-	maxCanaryPart = 0.6
-	// proofRequests is the number of requests with which a good version is usually proven.
-	proofRequests = 60
-	// proofShare is the part of the permitted share at which these requests are sent.
+	proofPart     = 0.6
+	proofRequests = 300
+	// proofShare is the part of the permitted share at which an unproven version gets requests.
 	proofShare = 0.6
 	// moveTime is how long before the end the longest requests move to the new version.
 	moveTime = 8 * time.Second
@@ -127,14 +127,18 @@
 	return sent+after+1 <= budget(bounds, asked, rate, left)
 }
 
-// trialShare spends the trial's part of the budget: first what the test needs, then the rest evenly.
+// trialShare spends the trial's part of the budget: first what the test needs, quickly, then the rest
+// evenly.
 func trialShare(bounds Bounds, state State, left time.Duration) float64 {
 	whole := budget(bounds, state.Asked, state.Rate, left)
-	trial := max(canaryPart*whole, min(2*proofRequests, maxCanaryPart*whole))
-	if state.Rate <= 0 || state.Sent >= trial {
-		return 0
+	trial := canaryPart * whole
+	if state.Verdict != Proven {
+		trial = max(trial, min(proofRequests, proofPart*whole))
 	}
-	if state.Verdict != Proven && state.Sent < min(proofRequests, trial) {
+	switch {
+	case state.Rate <= 0 || state.Sent >= trial:
+		return 0
+	case state.Verdict != Proven:
 		return proofShare * bounds.CanaryShare
 	}
 	spread := max(minSpreadTime, left-completeMargin)
