--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -30,11 +30,11 @@
 // Tally holds the counters of a route: those of the old version, then those of the new one.
 type Tally = []int64
 
-// Routes are tallies by route, Report those by order.
-type (
-	Routes = map[string]Tally
-	Report = map[string]Routes
-)
+// Routes are tallies by route.
+type Routes = map[string]Tally
+
+// Report holds tallies by order.
+type Report = map[string]Routes
 
 // NewTally returns a tally of zeros.
 func NewTally() Tally { return make(Tally, 2*countersPerSide) }
