serving: an attempt that lost to a second one counts as slow for a rollout

Cause: second attempts hid the slow answers of a new version. Change: the lost first attempt is judged slow, on both sides alike.

--- a/serving/rollout.go
+++ b/serving/rollout.go
@@ -279,15 +279,15 @@
 }
 
 // end records the outcome.
-func (s *sample) end(result outcome, silent bool) {
+func (s *sample) end(result outcome, slow bool) {
 	if s == nil {
 		return
 	}
 	if s.overdue != nil {
 		s.overdue.Stop()
 	}
-	failed := result == outcomeFailed || (result == outcomeBroken && !silent)
-	if silent {
+	failed := result == outcomeFailed || (result == outcomeBroken && !slow)
+	if slow {
 		s.judge(true)
 	}
 	if result != outcomeAnswered && !failed {
--- a/serving/run.go
+++ b/serving/run.go
@@ -415,7 +415,8 @@
 func (r *requestRun) record(x *exchange, result outcome, err error) {
 	now := time.Now()
 	x.tracked.End(now, x.eventCount)
-	x.sample.end(result, x.upstreamSilent())
+	// A first attempt that lost to a second one was slow.
+	x.sample.end(result, x.upstreamSilent() || (result == outcomeLost && !x.hedges))
 	r.recordLatency(x, result, now)
 	r.attempts = append(r.attempts, attemptTrace{
 		upstream: x.upstream.ID, outcome: result, queue: x.choice.Queue, cached: x.choice.CachedTokens, fetched: x.choice.FetchTokens,
