rollout: the trial goes on while the store is down

Cause: after a failed call nothing was decided until the statuses were read again (the new test failed before). Change: only the end of the topic is read again; statuses stay known under a fence.

--- a/edge/rollout_mesh_test.go
+++ b/edge/rollout_mesh_test.go
@@ -272,6 +272,19 @@
 	m.requireSettled("s", routing.NewGeneration)
 }
 
+// Evidence counts also while the store is down.
+func TestTrialGoesOnWithoutTheStore(t *testing.T) {
+	m := newRolloutMesh(t, 5)
+	m.order("n3", "s", "v2", 7, 60)
+	m.addEngines("v2", 4)
+	m.steps(30)
+	m.log.down = true
+	m.steps(60)
+	for name, c := range m.nodes {
+		require.True(t, follows(c.rollouts.view(m.now)["s"]), name)
+	}
+}
+
 func TestStoreThatIsDownAtTheEndDelaysTheCompletion(t *testing.T) {
 	m := newRolloutMesh(t, 5)
 	m.order("n3", "s", "v2", 7, 10)
--- a/edge/rolloutdecider.go
+++ b/edge/rolloutdecider.go
@@ -34,9 +34,10 @@
 	// start runs a call to the store beside the control loop.
 	start func(call func())
 	fence int64
-	// loaded is set while end is that of the topic of statuses and every order knows its status.
-	loaded bool
-	end    int64
+	// loaded is set once every order knows its status as of this fence, endKnown while end is that of the
+	// topic of statuses.
+	loaded, endKnown bool
+	end              int64
 	// callInFlight is set while a call to the store is under way, retryAt the time of the next after a
 	// failed one.
 	callInFlight bool
@@ -72,10 +73,12 @@
 		return
 	}
 	if fence != d.fence {
-		d.fence, d.loaded = fence, false
+		d.fence, d.loaded, d.endKnown = fence, false, false
 	}
-	if !d.loaded {
+	if !d.endKnown {
 		d.load(now)
+	}
+	if !d.loaded {
 		return
 	}
 	r.gather()
@@ -183,7 +186,7 @@
 		phase = rollout.Complete
 	}
 	switch {
-	case d.callInFlight || !d.loaded || now.Before(d.retryAt):
+	case d.callInFlight || !d.endKnown || now.Before(d.retryAt):
 		return
 	case phase.Final() && state.written && state.phase.Final():
 		return
@@ -254,7 +257,7 @@
 			return nil, fmt.Errorf("read rollout statuses, newest offset %d, end %d: %w", newest, end, errLagging)
 		}
 		return func(now time.Time) {
-			d.loaded, d.end = true, end
+			d.loaded, d.endKnown, d.end = true, true, end
 			for _, record := range records {
 				d.applyStatus(record, now)
 			}
@@ -311,7 +314,7 @@
 				done(now)
 				return
 			}
-			d.loaded = false
+			d.endKnown = false
 			if !errors.Is(err, platform.ErrConflict) {
 				d.retryAt = now.Add(retryDelay)
 			}
