--- a/edge/rolloutdecider.go
+++ b/edge/rolloutdecider.go
@@ -42,6 +42,8 @@
 	// failed one.
 	callInFlight bool
 	retryAt      time.Time
+	// failures is the number of consecutive failed calls, of which the first is logged.
+	failures int
 }
 
 // statusStore is the part of the store that holds statuses.
@@ -305,18 +307,20 @@
 	ctx := r.edge.ctx
 	d.start(func() {
 		done, err := call(ctx)
-		if err != nil && ctx.Err() == nil && !errors.Is(err, platform.ErrConflict) {
-			r.edge.logger.Warn().Err(err).Str("call", name).Msg("rollout status not read or written, retrying")
-		}
 		r.control.post(ctx, func(now time.Time) {
 			d.callInFlight = false
 			if err == nil {
+				d.failures = 0
 				done(now)
 				return
 			}
 			d.endKnown = false
-			if !errors.Is(err, platform.ErrConflict) {
-				d.retryAt = now.Add(retryDelay)
+			if errors.Is(err, platform.ErrConflict) {
+				return
+			}
+			d.retryAt = now.Add(retryDelay)
+			if d.failures++; d.failures == 1 {
+				r.edge.logger.Warn().Err(err).Str("call", name).Msg("rollout status not read or written, retrying")
 			}
 		})
 	})
