rollout: stopped engines are dropped at once; caches of a version on trial are not copied to the old one

Cause: entries of engines that stopped at the completion stay in the registry for seconds; what a bad version caches could have spread. Change: such engines get no work and are no source; a source must not be on trial for a request of the old version.

--- a/edge/control.go
+++ b/edge/control.go
@@ -404,6 +404,9 @@
 		member, key := &members[i], members[i].Key
 		live[key] = true
 		c.assignLimitShare(member, c.gate(key), now)
+		if c.rollouts.stopped(member) {
+			continue
+		}
 		if !member.UsableAt(now) {
 			sources = append(sources, c.routingUpstream(member, key, api.EdgeLoad{}))
 			continue
--- a/edge/rollout_mesh_test.go
+++ b/edge/rollout_mesh_test.go
@@ -433,6 +433,19 @@
 	require.Equal(t, 3, count())
 }
 
+// Entries of engines that stopped at the completion get no work and are no source of a cache; without
+// any new engine they are all that is left.
+func TestEnginesThatStoppedAtTheCompletionAreNotUsed(t *testing.T) {
+	m := newRolloutMesh(t, 1)
+	m.order("n0", "s", "v2", 7, 10)
+	m.holder.rollouts.settle(m.holder.rollouts.byService["s"], rollout.Complete, true, "test")
+	m.holder.publish(m.now)
+	require.Len(t, m.holder.edge.view.Load().Fleet.ByService["s"], 4)
+	m.addEngines("v2", 3)
+	m.holder.publish(m.now)
+	require.Len(t, m.holder.edge.view.Load().Fleet.ByService["s"], 3)
+}
+
 func TestOrdersWithoutRolloutsInTheSettingsChangeNothing(t *testing.T) {
 	m := newMesh(t, 1, 1)
 	c := m.nodes["n000"]
--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -31,7 +31,9 @@
 	evidence  *rollout.Evidence
 	// versionsSeenAt is when this node first saw an engine of a version, by service.
 	versionsSeenAt map[string]map[string]time.Time
-	decider        *rolloutDecider
+	// replaced holds the services whose old engines have stopped while new ones exist.
+	replaced map[string]bool
+	decider  *rolloutDecider
 }
 
 // rolloutState is an order and the newest decision about it.
@@ -289,13 +291,17 @@
 	return routing.NewGeneration
 }
 
-// observeVersions notes which versions exist, before a view is built.
+// observeVersions notes which versions exist and are in service, before a view is built.
 func (r *rollouts) observeVersions(members []fleet.Upstream, now time.Time) {
 	if !r.enabled() {
 		return
 	}
+	r.replaced = map[string]bool{}
 	for i := range members {
 		service, version := members[i].Service, members[i].Version
+		if state := r.byService[service]; state != nil && state.phase == rollout.Complete && version == state.order.To {
+			r.replaced[service] = true
+		}
 		seen := r.versionsSeenAt[service]
 		if seen == nil {
 			seen = map[string]time.Time{}
@@ -307,6 +313,12 @@
 	}
 }
 
+// stopped reports whether an engine stopped at the completion of a rollout, though its entry is still
+// in the registry.
+func (r *rollouts) stopped(member *fleet.Upstream) bool {
+	return r.replaced[member.Service] && member.Version != r.byService[member.Service].order.To
+}
+
 // unconfirmedVersion reports whether a version appeared beside others and the operator's records are
 // not confirmed since, so that there may be an order that this node has not read.
 func (r *rollouts) unconfirmedVersion(service, version string) bool {
--- a/routing/generation.go
+++ b/routing/generation.go
@@ -17,6 +17,12 @@
 	return g == AnyGeneration || candidate.Generation == AnyGeneration || candidate.Generation == g
 }
 
+// mayCopyFrom reports whether a request restricted to a generation may use a copy of an engine's cache:
+// what a new version on trial has written does not spread to the old one.
+func (g Generation) mayCopyFrom(source *Upstream) bool {
+	return g != OldGeneration || source.Generation != NewGeneration
+}
+
 type generationKey struct {
 	service    string
 	generation Generation
--- a/routing/route.go
+++ b/routing/route.go
@@ -206,7 +206,7 @@
 	}
 	for _, match := range d.matches[:d.matchCount] {
 		candidate := fleet.byHolder[match.Holder]
-		if candidate == nil || !canCopyFrom(candidate) || match.Blocks < d.sourceBlocks {
+		if candidate == nil || !canCopyFrom(candidate) || !d.request.Generation.mayCopyFrom(candidate) || match.Blocks < d.sourceBlocks {
 			continue
 		}
 		// Prefer the least busy of equal sources, since copies from one source are sequential.
