--- a/serving/run.go
+++ b/serving/run.go
@@ -415,7 +415,9 @@
 func (r *requestRun) record(x *exchange, result outcome, err error) {
 	now := time.Now()
 	x.tracked.End(now, x.eventCount)
-	x.sample.end(result, x.upstreamSilent())
+	// An attempt that a second one has overtaken counts as slow, lest hedges hide a slow version.
+	overtaken := result == outcomeLost && !x.hedges
+	x.sample.end(result, overtaken || x.upstreamSilent())
 	r.recordLatency(x, result, now)
 	r.attempts = append(r.attempts, attemptTrace{
 		upstream: x.upstream.ID, outcome: result, queue: x.choice.Queue, cached: x.choice.CachedTokens, fetched: x.choice.FetchTokens,
