--- a/serving/hedge_test.go
+++ b/serving/hedge_test.go
@@ -11,9 +11,13 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/persimmonline/persimmonline/catalog"
 	"github.com/persimmonline/persimmonline/quota"
+	"github.com/persimmonline/persimmonline/rollout"
+	"github.com/persimmonline/persimmonline/routing"
 	"github.com/persimmonline/persimmonline/serving"
 )
 
@@ -46,9 +50,11 @@
 	}, func(settings *serving.Settings) {
 		settings.HedgeShare = share
 		settings.RetryRatio = 1
+		settings.Logger = zerolog.New(zerolog.NewTestWriter(t))
 		settings.Ledger = quota.NewLedger()
 		settings.Ledger.Configure(map[string]quota.Limit{"w": {Rate: 10_000, Burst: 10_000}}, 1, 0, time.Now())
 	})
+	h.routes(func(route *catalog.Route) { route.Timeout = stopTimeout })
 	for range warmUps {
 		got := h.call(context.Background(), warmUpRoute, nil)
 		require.Equal(t, 200, got.status, got.body)
@@ -80,6 +86,14 @@
 	h.canceled.Add(1)
 }
 
+// routes edits the routes; no request may be under way.
+func (h *hedged) routes(edit func(route *catalog.Route)) {
+	config := h.view.Load().Table.Config
+	for i := range config.Routes {
+		edit(&config.Routes[i])
+	}
+}
+
 // pass lets time pass on the clock of budgets and windows.
 func (h *hedged) pass(time time.Duration) { h.clockOffset.Add(int64(time)) }
 
@@ -167,6 +181,7 @@
 func TestNoHedgeOfARequestThatMayRunOnce(t *testing.T) {
 	h := deployHedged(t, 3, 1, "safe")
 	h.become(h.hold)
+	h.routes(func(route *catalog.Route) { route.Timeout = 500 * time.Millisecond })
 	require.Equal(t, 504, h.call(context.Background(), "unsafe", nil).status)
 	require.EqualValues(t, 1, h.runs.Load())
 }
@@ -228,11 +243,7 @@
 
 func TestRetryAfterAHedge(t *testing.T) {
 	h := deployHedged(t, 4, 1, "safe")
-	view := *h.view.Load()
-	table := *view.Table
-	for i := range table.Config.Routes {
-		table.Config.Routes[i].MaxAttempts = 3
-	}
+	h.routes(func(route *catalog.Route) { route.MaxAttempts = 3 })
 	hedgeArrived := make(chan struct{})
 	h.become(func(d *deployment, run int64, w http.ResponseWriter, r *http.Request) {
 		switch run {
@@ -266,3 +277,33 @@
 	h.requireCanceled(1)
 	require.Equal(t, 1, h.hedges("won"))
 }
+
+// A version on trial is slow: the second attempt goes to the old one, and does not hide that.
+func TestHedgeAndTheVersionOnTrial(t *testing.T) {
+	h := deployHedged(t, 2, 1, "safe")
+	publish := func(share float64) {
+		view := *h.view.Load()
+		members := view.Fleet.ByService["s"]
+		members[0].Generation, members[1].Generation = routing.OldGeneration, routing.NewGeneration
+		view.Fleet = routing.NewFleet(map[string][]*routing.Upstream{"s": members}, routing.NewPrefixIndex(100), 1, time.Now())
+		view.JudgesVersions, view.Rollouts = true, map[string]*serving.Rollout{"s": onTrial(share)}
+		h.view.Store(&view)
+	}
+	publish(0)
+	for range warmUps {
+		require.Equal(t, "i-0", h.call(context.Background(), "safe", nil).header.Get("X-Response-Signature"))
+	}
+	publish(1)
+	h.become(func(d *deployment, run int64, w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Expect-Instance") == "i-1" {
+			h.hold(d, run, w, r)
+			return
+		}
+		answers(d, run, w, r)
+	})
+	require.Equal(t, "from i-0", h.call(context.Background(), "safe", nil).body)
+	require.Equal(t, 1, h.hedges("won"))
+	countersOfNew := h.handler.RolloutReport()["s@1"]["safe"][5:]
+	require.EqualValues(t, 1, countersOfNew[rollout.Sent])
+	require.EqualValues(t, 1, countersOfNew[rollout.Slow])
+}
