waiting: a place of waiting in the node, before an engine is chosen

The engines' queues decided who waits. limit.Queue is extended (turns of subjects, who can be on time, a floor for each rank) and holds the requests of services whose requests differ in rank while no engine has room.

--- a/api/edge_gen.go
+++ b/api/edge_gen.go
@@ -105,6 +105,10 @@
 	// UsageWanted requests the counts of all nodes, which the holder of the duties
 	// reports.
 	UsageWanted bool `json:"usage_wanted"`
+
+	// Waiting is the number of requests that wait in the nodes for a place at the
+	// engines of a service.
+	Waiting map[string]int `json:"waiting,omitempty,omitzero"`
 }
 
 // EdgeLease is a lease record with the usage counts that its writer has.
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -163,6 +163,9 @@
 	routesByHost   map[string]map[string]*Route
 	serviceByName  map[string]*Service
 	workspaceByKey map[string]*Workspace
+	// workspaceByName and ranks give requests their order; see Rank.
+	workspaceByName map[string]*Workspace
+	ranks           map[string][]rank
 }
 
 // NewTable indexes a configuration, which must not be modified afterwards.
@@ -172,6 +175,9 @@
 		routesByHost:   map[string]map[string]*Route{},
 		serviceByName:  map[string]*Service{},
 		workspaceByKey: map[string]*Workspace{},
+
+		workspaceByName: map[string]*Workspace{},
+		ranks:           map[string][]rank{},
 	}
 	for i := range config.Routes {
 		route := &config.Routes[i]
@@ -186,10 +192,12 @@
 	}
 	for i := range config.Workspaces {
 		workspace := &config.Workspaces[i]
+		t.workspaceByName[workspace.Name] = workspace
 		for _, key := range workspace.Keys {
 			t.workspaceByKey[key] = workspace
 		}
 	}
+	t.rankRequests()
 	return t
 }
 
--- a/edge/control.go
+++ b/edge/control.go
@@ -413,12 +413,16 @@
 	}
 	view.Fleet = routing.NewFleet(byService, c.prefixes, 1, time.Now())
 	view.Fleet.BlockTokens = serving.BlockTokens
+	view.Rooms = c.rooms(byService, now)
 	view.CacheLists = c.currentCacheLists(now)
 	for _, source := range sources {
 		view.Fleet.AddSource(source)
 	}
 	c.edge.metrics.limitedUpstreams.Set(float64(c.noticed.limitedCount))
 	c.edge.view.Store(view)
+	if c.edge.handler != nil {
+		c.edge.handler.ViewChanged(view)
+	}
 }
 
 // routingUpstream returns a member as the router sees it.
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -4,7 +4,7 @@
 package limit
 
 import (
-	"container/heap"
+	"slices"
 	"time"
 )
 
@@ -24,6 +24,8 @@
 	// sharedQueueFraction is the fraction of the free queue places that any workspace may
 	// use, even if that is more than its weighted part.
 	sharedQueueFraction = 0.5
+	// sharedFloorInterval is the floorInterval of a shared queue.
+	sharedFloorInterval = 7
 )
 
 // Verdict is the outcome for a new request.
@@ -64,6 +66,12 @@
 	Tokens float64
 	// Deadline after which the request need not start; zero means none.
 	Deadline time.Time
+	// OnTimeBefore is the last start with which the answer is expected within its target; zero means
+	// any.
+	OnTimeBefore time.Time
+	// Subject is the session or subject of the request, whose requests take turns with those of the
+	// workspace's other subjects; 0 means none.
+	Subject uint64
 }
 
 // Started lists the tickets that leave the queue when slots become free.
@@ -85,7 +93,7 @@
 	totalWeight float64
 
 	running            int
-	waiting            waitHeap
+	waiting            []*waiter
 	byID               map[uint64]*waiter
 	waitingByWorkspace map[string]int
 	nextStartByFlow    map[flowKey]float64
@@ -93,6 +101,10 @@
 	meanSlotSeconds    float64
 	serial             uint64
 	meanTokens         float64
+	reservedShare      float64
+	// floorInterval is the number of successive starts out of the fair order after which one follows
+	// it; 0 means that the first priority may keep the others waiting. overtaken counts the starts.
+	floorInterval, overtaken int
 	// refusedWork is the refused work that may still be retried, as of refusedWorkAt, in
 	// seconds of a slot by priority.
 	refusedWork   [priorities]float64
@@ -108,11 +120,19 @@
 // NewQueue returns a queue that runs up to slots requests and holds up to capacity waiting ones.
 func NewQueue(slots, capacity int) *Queue {
 	return &Queue{
-		slots: slots, capacity: capacity, meanSlotSeconds: initialSlotSeconds,
+		slots: slots, capacity: capacity, meanSlotSeconds: initialSlotSeconds, reservedShare: reservedShare,
 		byID: map[uint64]*waiter{}, waitingByWorkspace: map[string]int{}, nextStartByFlow: map[flowKey]float64{},
 	}
 }
 
+// NewSharedQueue returns a queue for slots that other nodes use as well: none is kept free for the
+// first priority, and the first priority keeps nobody waiting for good.
+func NewSharedQueue(slots, capacity int) *Queue {
+	q := NewQueue(slots, capacity)
+	q.reservedShare, q.floorInterval = 0, sharedFloorInterval
+	return q
+}
+
 // Resize changes the number of slots and the capacity for waiting requests.
 func (q *Queue) Resize(slots, capacity int) { q.slots, q.capacity = max(1, slots), max(1, capacity) }
 
@@ -130,28 +150,47 @@
 // Waiting returns the number of requests in the queue.
 func (q *Queue) Waiting() int { return len(q.waiting) }
 
+// TryStart starts a new request if it need not wait.
+func (q *Queue) TryStart(now time.Time, ticket Ticket) bool {
+	entry := q.newWaiter(ticket)
+	return q.start(entry, q.ahead(entry, now))
+}
+
 // Submit starts, queues or refuses a new request.
 func (q *Queue) Submit(now time.Time, ticket Ticket) Decision {
-	ticket.Priority = clampPriority(ticket.Priority)
-	key := flowKey{ticket.Workspace, ticket.Priority}
-	q.serial++
-	entry := &waiter{ticket: ticket, virtualStart: max(q.virtualTime, q.nextStartByFlow[key]), serial: q.serial}
-	ahead := q.ahead(entry)
-	if ahead == 0 && q.running < q.slotsFor(ticket.Priority) {
-		q.charge(key, entry)
-		q.running++
+	entry := q.newWaiter(ticket)
+	ahead := q.ahead(entry, now)
+	if q.start(entry, ahead) {
 		return Decision{Verdict: Run}
 	}
 	if refused := q.decideWait(now, entry, ahead); refused.Verdict != Wait {
 		return refused
 	}
-	q.charge(key, entry)
-	heap.Push(&q.waiting, entry)
+	q.charge(entry)
+	q.waiting = append(q.waiting, entry)
 	q.byID[ticket.ID] = entry
 	q.waitingByWorkspace[ticket.Workspace]++
 	return Decision{Verdict: Wait}
 }
 
+func (q *Queue) newWaiter(ticket Ticket) *waiter {
+	ticket.Priority = clampPriority(ticket.Priority)
+	q.serial++
+	entry := &waiter{ticket: ticket, serial: q.serial, round: q.roundOf(ticket)}
+	entry.virtualStart = max(q.virtualTime, q.nextStartByFlow[entry.flow()])
+	return entry
+}
+
+// start starts a new request if no other precedes it and a slot is free.
+func (q *Queue) start(entry *waiter, ahead int) bool {
+	if ahead > 0 || q.running >= q.slotsFor(entry.ticket.Priority) {
+		return false
+	}
+	q.charge(entry)
+	q.running++
+	return true
+}
+
 // decideWait returns the verdict Wait if a new request may be queued, else its refusal.
 func (q *Queue) decideWait(now time.Time, entry *waiter, ahead int) Decision {
 	if len(q.waiting) >= q.capacity || q.waitingByWorkspace[entry.ticket.Workspace] >= q.maxWaiting(entry.ticket.Workspace) {
@@ -173,18 +212,16 @@
 
 // StartWaiting fills free slots, for instance after a Resize.
 func (q *Queue) StartWaiting(now time.Time) Started {
-	var started Started
+	started := Started{Expired: q.removeExpired(now)}
 	for len(q.waiting) > 0 {
-		next := q.waiting[0]
-		expired := !next.ticket.Deadline.IsZero() && now.After(next.ticket.Deadline)
-		if !expired && q.running >= q.slotsFor(next.ticket.Priority) {
+		next, overtakes := q.next(now)
+		if q.running >= q.slotsFor(next.ticket.Priority) {
 			break
 		}
-		q.remove(next)
-		if expired {
-			started.Expired = append(started.Expired, next.ticket.ID)
-			continue
+		if q.overtaken++; !overtakes {
+			q.overtaken = 0
 		}
+		q.remove(next)
 		q.virtualTime = max(q.virtualTime, next.virtualStart)
 		q.running++
 		started.Run = append(started.Run, next.ticket.ID)
@@ -192,6 +229,17 @@
 	return started
 }
 
+// removeExpired removes the requests whose deadline has passed, and returns their ids.
+func (q *Queue) removeExpired(now time.Time) (ids []uint64) {
+	for _, w := range slices.Clone(q.waiting) {
+		if w.expired(now) {
+			q.remove(w)
+			ids = append(ids, w.ticket.ID)
+		}
+	}
+	return ids
+}
+
 // Cancel removes a waiting request. It reports whether the request was still waiting.
 func (q *Queue) Cancel(id uint64) bool {
 	entry, ok := q.byID[id]
@@ -202,7 +250,7 @@
 }
 
 func (q *Queue) remove(entry *waiter) {
-	heap.Remove(&q.waiting, entry.index)
+	q.waiting = slices.DeleteFunc(q.waiting, func(w *waiter) bool { return w == entry })
 	delete(q.byID, entry.ticket.ID)
 	workspace := entry.ticket.Workspace
 	if q.waitingByWorkspace[workspace]--; q.waitingByWorkspace[workspace] == 0 {
@@ -212,7 +260,8 @@
 
 // charge advances the virtual start time of the flow's next request by the weighted cost
 // of this one.
-func (q *Queue) charge(key flowKey, entry *waiter) {
+func (q *Queue) charge(entry *waiter) {
+	key := entry.flow()
 	if len(q.nextStartByFlow) >= maxFlows {
 		q.evictFlows()
 	}
@@ -238,10 +287,10 @@
 }
 
 // ahead returns the number of waiting requests that precede the entry.
-func (q *Queue) ahead(entry *waiter) int {
+func (q *Queue) ahead(entry *waiter, now time.Time) int {
 	count := 0
 	for _, other := range q.waiting {
-		if other.before(entry) {
+		if other.before(entry, now) {
 			count++
 		}
 	}
@@ -261,7 +310,7 @@
 	if priority <= reservedPriority {
 		return q.slots
 	}
-	return max(1, q.slots-int(reservedShare*float64(q.slots)))
+	return max(1, q.slots-int(q.reservedShare*float64(q.slots)))
 }
 
 // maxWaiting returns how many requests of a workspace may wait: its weighted part of the
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -84,12 +84,15 @@
 
 	mu      sync.Mutex
 	budgets map[string]*retry.WindowBudget
+
+	waiting waitingPlaces
 }
 
 // New returns a handler.
 func New(settings Settings) *Handler {
 	h := &Handler{
 		Settings: settings, budgets: map[string]*retry.WindowBudget{},
+		waiting:               waitingPlaces{byService: map[string]*waitingPlace{}},
 		successLogLimiter:     rate.NewLimiter(successLogRate, successLogRate),
 		noticeErrorLogLimiter: rate.NewLimiter(noticeErrorLogRate, 1),
 	}
--- a/serving/metrics.go
+++ b/serving/metrics.go
@@ -20,6 +20,10 @@
 	firstByte  *prometheus.HistogramVec
 	suppressed prometheus.Counter
 	viewAge    prometheus.Histogram
+
+	waiting    *prometheus.GaugeVec
+	wait       *prometheus.HistogramVec
+	turnedAway *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics registered with registry.
@@ -54,6 +58,7 @@
 		Name: "persimmonline_edge_view_age_seconds", Help: "Age of the view that a request was decided by.", Buckets: latencyBuckets,
 	})
 	registry.MustRegister(m.requests, m.refusals, m.attempts, m.retries, m.limited, m.throttled, m.firstByte, m.suppressed, m.viewAge)
+	m.newWaitingMetrics(registry)
 	return m
 }
 
--- a/serving/run.go
+++ b/serving/run.go
@@ -114,6 +114,10 @@
 	// firstByte is when the first byte of the response was sent to the caller; zero if it was not.
 	firstByte time.Time
 	attempts  []attemptTrace
+	// waited is how long the request waited for a place at an engine, turnedAway its refusal if it got
+	// none.
+	waited     time.Duration
+	turnedAway *refusal.Refusal
 }
 
 // attemptTrace is the log entry of an attempt.
@@ -134,6 +138,12 @@
 func (r *requestRun) serve() {
 	r.service = pickBackend(r.request.Route.Backends, r.handler.nextRandom())
 	r.handler.countRequest(r.service)
+	release, err := r.awaitPlace()
+	if err != nil {
+		r.finish()
+		return
+	}
+	defer release()
 	for {
 		if time.Until(r.deadline) < minRemaining {
 			r.finish()
@@ -181,7 +191,7 @@
 	// A newer view includes failures of upstreams in the meantime.
 	r.view = r.handler.CurrentView()
 	reserved := r.reserved.Swap(nil)
-	if len(r.attempts) > 0 && r.refusedMeanwhile() {
+	if (len(r.attempts) > 0 || r.waited > 0) && r.refusedMeanwhile() {
 		if reserved != nil {
 			reserved.Upstream.Gate.Refund()
 		}
@@ -331,6 +341,8 @@
 		r.refuse(refusal.New(http.StatusBadGateway, refusal.CodeUpstreamFailed, "the upstream broke off").WithUnknownOutcome())
 	case r.crashesUpstreams:
 		r.refuse(crashRefusal())
+	case r.turnedAway != nil:
+		r.refuse(r.turnedAway)
 	case time.Until(r.deadline) < minRemaining:
 		r.refuse(refusal.New(http.StatusServiceUnavailable, refusal.CodeDeadline, "the time ended before the request ran").
 			WithRetryAfter(retryAfterSoon))
@@ -426,6 +438,9 @@
 	if r.possibleRuns > 0 && r.result != "answered" {
 		event = event.Strs("parts", partIDs(r.request.Parts))
 	}
+	if r.waited > 0 {
+		event = event.Dur("waited_ms", r.waited)
+	}
 	if r.retryDenied.Load() {
 		event = event.Bool("retry_denied", true).Float64("retry_burst", r.view.RetryBurst)
 	}
--- a/serving/view.go
+++ b/serving/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/persimmonline/persimmonline/catalog"
+	"github.com/persimmonline/persimmonline/limit"
 	"github.com/persimmonline/persimmonline/pacing"
 	"github.com/persimmonline/persimmonline/quarantine"
 	"github.com/persimmonline/persimmonline/routing"
@@ -33,6 +34,8 @@
 	// run them. Trials offers to run one request with such a trait, by hash; who sets it takes it.
 	RefusedTraits map[uint64]bool
 	Trials        map[uint64]*atomic.Bool
+	// Rooms holds the places at the engines of the services whose requests differ in rank.
+	Rooms map[string]limit.Room
 	// Draining is set while this node is stopping; it closes the connections after each response.
 	Draining bool
 	// RefusingRequests is set once the load balancer has had time to stop sending connections, so
