--- a/limit/queue.go
+++ b/limit/queue.go
@@ -26,6 +26,9 @@
 	sharedQueueFraction = 0.5
 	// sharedFloorInterval is the floorInterval of a shared queue.
 	sharedFloorInterval = 7
+	// sharedMaxCost is the maxCost of a shared queue: the largest prompts are served half as often as
+	// all or more.
+	sharedMaxCost = 2
 )
 
 // Verdict is the outcome for a new request.
@@ -102,9 +105,11 @@
 	serial             uint64
 	meanTokens         float64
 	reservedShare      float64
-	// floorInterval is the number of successive starts out of the fair order after which one follows
-	// it; 0 means that the first priority may keep the others waiting. overtaken counts the starts.
+	// floorInterval is the number of successive starts before requests of a lower class after which one
+	// of those starts; 0 means that they may wait for good. overtaken counts the starts.
 	floorInterval, overtaken int
+	// maxCost bounds what a request counts for in the fair order, in mean requests; 0 means no bound.
+	maxCost float64
 	// refusedWork is the refused work that may still be retried, as of refusedWorkAt, in
 	// seconds of a slot by priority.
 	refusedWork   [priorities]float64
@@ -129,7 +134,7 @@
 // first priority, and the first priority keeps nobody waiting for good.
 func NewSharedQueue(slots, capacity int) *Queue {
 	q := NewQueue(slots, capacity)
-	q.reservedShare, q.floorInterval = 0, sharedFloorInterval
+	q.reservedShare, q.floorInterval, q.maxCost = 0, sharedFloorInterval, sharedMaxCost
 	return q
 }
 
@@ -265,12 +270,16 @@
 	if len(q.nextStartByFlow) >= maxFlows {
 		q.evictFlows()
 	}
-	weight := q.weightOf(key.workspace) * float64(priorities-key.priority)
-	q.nextStartByFlow[key] = entry.virtualStart + entry.ticket.Tokens/weight
 	if q.meanTokens == 0 {
 		q.meanTokens = entry.ticket.Tokens
 	}
 	q.meanTokens += averageSmoothing * (entry.ticket.Tokens - q.meanTokens)
+	cost := entry.ticket.Tokens
+	if q.maxCost > 0 {
+		cost = min(cost, q.maxCost*q.meanTokens)
+	}
+	weight := q.weightOf(key.workspace) * float64(priorities-key.priority)
+	q.nextStartByFlow[key] = entry.virtualStart + cost/weight
 }
 
 // evictFlows removes the flows whose next start is not ahead of the virtual time, and all
--- a/limit/waiter.go
+++ b/limit/waiter.go
@@ -23,46 +23,48 @@
 	return !w.ticket.OnTimeBefore.IsZero() && now.After(w.ticket.OnTimeBefore)
 }
 
-// before reports whether w precedes other: the first priority, then who can still be on time, then
-// the fair order.
-func (w *waiter) before(other *waiter, now time.Time) bool {
-	first, otherFirst := w.ticket.Priority <= reservedPriority, other.ticket.Priority <= reservedPriority
-	if first != otherFirst {
-		return first
+// class orders waiting requests: the first priority before the others, and in each those that can be on
+// time before the late ones.
+func (w *waiter) class(now time.Time) int {
+	class := 0
+	if w.ticket.Priority > reservedPriority {
+		class += 2
 	}
-	if late := w.late(now); late != other.late(now) {
-		return !late
+	if w.late(now) {
+		class++
 	}
-	return w.beforeFairly(other)
+	return class
 }
 
-// beforeFairly reports whether w precedes other by the shares of their flows alone.
-func (w *waiter) beforeFairly(other *waiter) bool {
+// before reports whether w precedes other: by class, then in the fair order.
+func (w *waiter) before(other *waiter, now time.Time) bool {
+	if class, otherClass := w.class(now), other.class(now); class != otherClass {
+		return class < otherClass
+	}
 	if w.virtualStart != other.virtualStart {
 		return w.virtualStart < other.virtualStart
 	}
 	return w.serial < other.serial
 }
 
-// next returns the waiting request that starts next, and whether the fair order would have started
-// another one.
+// next returns the waiting request that starts next, and whether it overtakes one of a lower class.
 func (q *Queue) next(now time.Time) (next *waiter, overtakes bool) {
-	var preferred, fair *waiter
+	first := q.firstOf(now, 0)
+	overtaken := q.firstOf(now, first.class(now)+1)
+	if overtaken != nil && q.floorInterval > 0 && q.overtaken >= q.floorInterval {
+		return q.dealBySubject(overtaken, now), false
+	}
+	return q.dealBySubject(first, now), overtaken != nil
+}
+
+// firstOf returns the first waiting request of a class or a lower one; nil if there is none.
+func (q *Queue) firstOf(now time.Time, class int) (first *waiter) {
 	for _, w := range q.waiting {
-		if preferred == nil || w.before(preferred, now) {
-			preferred = w
-		}
-		if fair == nil || w.beforeFairly(fair) {
-			fair = w
+		if w.class(now) >= class && (first == nil || w.before(first, now)) {
+			first = w
 		}
 	}
-	if preferred != fair && q.floorInterval > 0 && q.overtaken >= q.floorInterval {
-		preferred = fair
-	}
-	if preferred == nil {
-		return nil, false
-	}
-	return q.dealBySubject(preferred, now), preferred != fair
+	return first
 }
 
 // dealBySubject returns the request of a waiter's flow whose subject has had the fewest turns, in
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -66,6 +66,7 @@
 	view    atomic.Pointer[serving.View]
 	runs    atomic.Int64
 	stopped atomic.Int64
+	handler *serving.Handler
 	// clockOffset is added to the monotonic clock.
 	clockOffset atomic.Int64
 }
@@ -111,6 +112,7 @@
 		Events:       d.events, Successes: quarantine.NewSuccesses(), RetryRatio: 0.2, RetryWindow: 10 * time.Second, Logger: zerolog.Nop(),
 		Metrics: serving.NewMetrics(prometheus.NewRegistry()),
 	})
+	d.handler = handler
 	front := httptest.NewServer(handler)
 	t.Cleanup(front.Close)
 	d.url = front.URL
