serving: engines that are gone don't use up a request's sends

A crashed engine looks idle until the node has found it unreachable. A connection that is refused sends nothing, so that up to 16 are tried in the first quarter of the target; the bound of four sends that arrive stays.

--- a/serving/run.go
+++ b/serving/run.go
@@ -21,6 +21,10 @@
 	// maxSends bounds the number of upstreams to which one request is sent, including those that
 	// refuse it.
 	maxSends = 4
+	// maxConnects bounds the upstreams to which a connection is tried for one request, and
+	// unreachableTimeDivisor divides the latency target to give the time for more than maxSends.
+	maxConnects            = 16
+	unreachableTimeDivisor = 4
 	// retryAfterFull is sent to callers whose request was refused by every upstream.
 	retryAfterFull = 500 * time.Millisecond
 	// minRemaining is the minimum remaining time for which an attempt is made.
@@ -273,7 +277,7 @@
 // shouldRetry reports whether another attempt is made after one without a response.
 func (r *requestRun) shouldRetry(result outcome) bool {
 	repeatable := r.request.Route.Repeatable()
-	if len(r.attempts) >= maxSends || (r.trial && r.possibleRuns > 0) {
+	if !r.sendsLeft() || (r.trial && r.possibleRuns > 0) {
 		return false
 	}
 	if r.reserved.Load() != nil {
@@ -289,6 +293,16 @@
 	}
 }
 
+// sendsLeft reports whether the request may be sent to another upstream.
+func (r *requestRun) sendsLeft() bool {
+	if len(r.attempts) < maxSends {
+		return true
+	}
+	// Engines that have crashed look idle until this node has found each of them unreachable.
+	early := time.Since(r.request.ArrivedAt) < r.request.Route.LatencyTarget/unreachableTimeDivisor
+	return early && r.reachedAttempts < maxSends && len(r.attempts) < maxConnects
+}
+
 // takeRetry takes a retry from the budget of the request's service.
 func (r *requestRun) takeRetry(burst float64) bool {
 	granted := r.handler.takeRetry(r.service, burst)
