--- a/serving/metrics.go
+++ b/serving/metrics.go
@@ -22,6 +22,10 @@
 	viewAge    prometheus.Histogram
 	rollouts   *prometheus.CounterVec
 	hedges     hedgeMetrics
+
+	waiting    *prometheus.GaugeVec
+	wait       *prometheus.HistogramVec
+	turnedAway *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics registered with registry.
@@ -60,6 +64,7 @@
 	})
 	m.hedges = newHedgeMetrics(registry)
 	registry.MustRegister(m.requests, m.refusals, m.attempts, m.retries, m.limited, m.throttled, m.firstByte, m.suppressed, m.viewAge, m.rollouts)
+	m.newWaitingMetrics(registry)
 	return m
 }
 
--- a/serving/run.go
+++ b/serving/run.go
@@ -22,6 +22,10 @@
 	// maxSends bounds the number of upstreams to which one request is sent, including those that
 	// refuse it.
 	maxSends = 4
+	// maxConnects bounds the upstreams to which a connection is tried for one request, and
+	// unreachableTimeDivisor divides the latency target to give the time for more than maxSends.
+	maxConnects            = 16
+	unreachableTimeDivisor = 4
 	// retryAfterFull is sent to callers whose request was refused by every upstream.
 	retryAfterFull = 500 * time.Millisecond
 	// minRemaining is the minimum remaining time for which an attempt is made.
@@ -121,6 +125,10 @@
 	hedgeDenied hedge.Denial
 	// trace records how upstreams are chosen for a request that is explained and not sent; else nil.
 	trace *routing.Trace
+	// waited is how long the request waited for a place at an engine, turnedAway its refusal if it got
+	// none.
+	waited     time.Duration
+	turnedAway *refusal.Refusal
 }
 
 // attemptTrace is the log entry of an attempt.
@@ -143,6 +151,12 @@
 	r.service = pickBackend(r.request.Route.Backends, r.handler.nextRandom())
 	r.handler.countRequest(r.service)
 	r.handler.hedges.countRequest(r.service)
+	release, err := r.awaitPlace()
+	if err != nil {
+		r.finish()
+		return
+	}
+	defer release()
 	for {
 		if time.Until(r.deadline) < minRemaining {
 			r.finish()
@@ -190,7 +204,7 @@
 	// A newer view includes failures of upstreams in the meantime.
 	r.view = r.handler.CurrentView()
 	reserved := r.reserved.Swap(nil)
-	if len(r.attempts) > 0 && r.refusedMeanwhile() {
+	if (len(r.attempts) > 0 || r.waited > 0) && r.refusedMeanwhile() {
 		if reserved != nil {
 			reserved.Upstream.Gate.Refund()
 		}
@@ -278,7 +292,7 @@
 // shouldRetry reports whether another attempt is made after one without a response.
 func (r *requestRun) shouldRetry(result outcome) bool {
 	repeatable := r.request.Route.Repeatable()
-	if len(r.attempts) >= maxSends || (r.trial && r.possibleRuns > 0) {
+	if !r.sendsLeft() || (r.trial && r.possibleRuns > 0) {
 		return false
 	}
 	if r.reserved.Load() != nil {
@@ -294,6 +308,16 @@
 	}
 }
 
+// sendsLeft reports whether the request may be sent to another upstream.
+func (r *requestRun) sendsLeft() bool {
+	if len(r.attempts) < maxSends {
+		return true
+	}
+	// Engines that have crashed look idle until this node has found each of them unreachable.
+	early := time.Since(r.request.ArrivedAt) < r.request.Route.LatencyTarget/unreachableTimeDivisor
+	return early && r.reachedAttempts < maxSends && len(r.attempts) < maxConnects
+}
+
 // takeRetry takes a retry from the budget of the request's service.
 func (r *requestRun) takeRetry(burst float64) bool {
 	granted := r.handler.takeRetry(r.service, burst)
@@ -346,6 +370,8 @@
 		r.refuse(refusal.New(http.StatusBadGateway, refusal.CodeUpstreamFailed, "the upstream broke off").WithUnknownOutcome())
 	case r.crashesUpstreams:
 		r.refuse(crashRefusal())
+	case r.turnedAway != nil:
+		r.refuse(r.turnedAway)
 	case time.Until(r.deadline) < minRemaining:
 		r.refuse(refusal.New(http.StatusServiceUnavailable, refusal.CodeDeadline, "the time ended before the request ran").
 			WithRetryAfter(retryAfterSoon))
@@ -472,6 +498,9 @@
 	if r.hedgeDenied != "" {
 		event = event.Str("hedge_denied", string(r.hedgeDenied))
 	}
+	if r.waited > 0 {
+		event = event.Dur("waited_ms", r.waited)
+	}
 	if r.retryDenied.Load() {
 		event = event.Bool("retry_denied", true).Float64("retry_burst", r.view.RetryBurst)
 	}
--- a/serving/view.go
+++ b/serving/view.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/persimmonline/persimmonline/catalog"
+	"github.com/persimmonline/persimmonline/limit"
 	"github.com/persimmonline/persimmonline/pacing"
 	"github.com/persimmonline/persimmonline/quarantine"
 	"github.com/persimmonline/persimmonline/routing"
@@ -36,6 +37,8 @@
 	// Rollouts of services to new versions, by service. JudgesVersions is set if the deployment has any.
 	Rollouts       map[string]*Rollout
 	JudgesVersions bool
+	// Rooms holds the places at the engines of the services whose requests differ in rank.
+	Rooms map[string]limit.Room
 	// Draining is set while this node is stopping; it closes the connections after each response.
 	Draining bool
 	// RefusingRequests is set once the load balancer has had time to stop sending connections, so
