memory: one account of what callers, upstreams and nodes make a process hold

Cause: chunked bodies reserved nothing, reservations ended with the read, answers, events, heads and peers' messages had no common bound, connections none at all, and a stated number of tokens sized a loop.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -23,6 +23,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/persimmonline/persimmonline/internal/netopt"
+	"github.com/persimmonline/persimmonline/memory"
 	"github.com/persimmonline/persimmonline/platform"
 	"github.com/persimmonline/persimmonline/quarantine"
 	"github.com/persimmonline/persimmonline/quota"
@@ -34,9 +35,14 @@
 const (
 	// maxHeaderBytes is the hard limit on a request's headers; the configured limit is lower.
 	maxHeaderBytes = 256 << 10
-	// headerTimeout is the time a caller has to send a request's headers, as specified by
-	// the deployments' configuration.
-	headerTimeout = 3 * time.Second
+	// headerTimeout is the time that anyone has to send a request's headers if the configuration names none,
+	// and maxHeaderTimeout the longest that it can name.
+	headerTimeout    = 3 * time.Second
+	maxHeaderTimeout = 30 * time.Second
+	// peerConnectionDivisor and probeConnectionDivisor give the parts of the descriptors for the connections
+	// of other nodes, and for those of the balancer and of the metrics.
+	peerConnectionDivisor  = 8
+	probeConnectionDivisor = 32
 	// balancerDrainTime is how long after SIGTERM the load balancer may still send new
 	// connections: two failed health checks, one second apart, plus a margin.
 	balancerDrainTime = 2500 * time.Millisecond
@@ -88,6 +94,8 @@
 	servers      []*http.Server
 	callerServer *http.Server
 	idle         *idleConnections
+	account      *memory.Account
+	callers      *connections
 	reloads      chan struct{}
 }
 
@@ -114,6 +122,9 @@
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector())
 	e.metrics = newMetrics(registry)
+	e.account = memory.New(accountBudget(settings.MemoryBytes))
+	e.callers = newConnections(callerConnectionLimit(&settings), e.account, e.maxHeaderBytes)
+	registerMemory(registry, e.account, e.callers)
 	e.control = newControl(e)
 	e.peers = newPeers(e)
 	e.control.publish(e.startedMonotonic)
@@ -121,7 +132,7 @@
 		Adapter: platform.Protocol{}, CurrentView: e.view.Load, Pool: e.pool, Ledger: e.ledger, LedgerLock: &e.ledgerLock,
 		MonotonicNow: e.clock.monotonic, Successes: e.successes,
 		Events: e.control, RetryRatio: settings.Bounds.RetryRatio, RetryWindow: settings.Bounds.RetryWindow,
-		Logger: e.logger, Metrics: serving.NewMetrics(registry),
+		Logger: e.logger, Metrics: serving.NewMetrics(registry), Memory: e.account,
 	})
 	return e
 }
@@ -142,22 +153,17 @@
 
 func (e *Edge) start() error {
 	e.callerServer = &http.Server{
-		Handler: e.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: e.idle.connStateChanged,
+		Handler: e.handler, ReadHeaderTimeout: maxHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			e.callers.stateChanged(conn, state)
+			e.idle.connStateChanged(conn, state)
+		},
 	}
-	servers := []struct {
-		name, address string
-		server        *http.Server
-	}{
-		{"callers", e.settings.CallerAddress, e.callerServer},
-		{"readiness", e.settings.ReadinessAddress, &http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: headerTimeout}},
-		{"peers", e.peerAddress(), &http.Server{
-			Handler: e.peers.routes(), ReadHeaderTimeout: headerTimeout, ReadTimeout: peerTimeout, WriteTimeout: peerTimeout,
-			IdleTimeout: peerIdleTimeout,
-		}},
-		{"metrics", e.metricsAddress(), &http.Server{
-			Handler:           promhttp.HandlerFor(e.metrics.registry, promhttp.HandlerOpts{}),
-			ReadHeaderTimeout: headerTimeout,
-		}},
+	servers := []server{
+		{"callers", e.settings.CallerAddress, e.callerServer, e.callers},
+		e.internalServer("readiness", e.settings.ReadinessAddress, http.HandlerFunc(e.serveReadiness), probeConnectionDivisor),
+		e.internalServer("peers", e.peerAddress(), e.peers.routes(), peerConnectionDivisor),
+		e.internalServer("metrics", e.metricsAddress(), promhttp.HandlerFor(e.metrics.registry, promhttp.HandlerOpts{}), probeConnectionDivisor),
 	}
 	e.task(e.control.run)
 	for _, s := range servers {
@@ -165,8 +171,9 @@
 		if err != nil {
 			return fmt.Errorf("listen for %s on %s: %w", s.name, s.address, err)
 		}
+		s.connections.Listener = listener
 		e.servers = append(e.servers, s.server)
-		e.serve(s.name, s.server, listener)
+		e.serve(s.name, s.server, s.connections)
 	}
 	e.task(e.configFeed(e.ctx).follow)
 	e.task(e.registryFeed(e.ctx).follow)
@@ -181,6 +188,23 @@
 	return nil
 }
 
+// server is one of the node's servers with its connections.
+type server struct {
+	name, address string
+	server        *http.Server
+	connections   *connections
+}
+
+// internalServer returns a server for other nodes or the platform, whose connections get a part of the
+// process's descriptors.
+func (e *Edge) internalServer(name, address string, handler http.Handler, divisor int) server {
+	guarded := newConnections(internalConnectionLimit(&e.settings, divisor), e.account, func() int { return defaultMaxHeaderBytes })
+	return server{name, address, &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: peerTimeout, WriteTimeout: peerTimeout,
+		IdleTimeout: peerIdleTimeout, MaxHeaderBytes: 2 * defaultMaxHeaderBytes, ConnState: guarded.stateChanged,
+	}, guarded}
+}
+
 func (e *Edge) serve(name string, server *http.Server, listener net.Listener) {
 	e.tasks.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/edge/idle.go
+++ b/edge/idle.go
@@ -60,12 +60,28 @@
 	}
 }
 
-// closeIdle enforces the configured idle timeout on callers' connections.
+// closeIdle enforces the configured timeouts of callers' connections: how long they may be idle, and how
+// long a head may take.
 func (e *Edge) closeIdle(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, idleSweepInterval)
-		if table := e.view.Load().Table; table != nil && table.Config.Limits.IdleTimeout > 0 {
-			e.idle.expire(table.Config.Limits.IdleTimeout + idleSlack)
+		header := headerTimeout
+		if table := e.view.Load().Table; table != nil {
+			if table.Config.Limits.IdleTimeout > 0 {
+				e.idle.expire(table.Config.Limits.IdleTimeout + idleSlack)
+			}
+			if table.Config.Limits.HeaderTimeout > 0 {
+				header = table.Config.Limits.HeaderTimeout
+			}
 		}
+		e.callers.endSlowHeads(header+idleSlack, time.Now())
 	}
 }
+
+// maxHeaderBytes returns the limit on a request's head in bytes.
+func (e *Edge) maxHeaderBytes() int {
+	if table := e.view.Load().Table; table != nil && table.Config.Limits.MaxHeaderBytes > 0 {
+		return min(maxHeaderBytes, table.Config.Limits.MaxHeaderBytes)
+	}
+	return defaultMaxHeaderBytes
+}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -135,8 +135,11 @@
 
 // serveExchange applies a peer's message and replies with this node's.
 func (p *peers) serveExchange(w http.ResponseWriter, r *http.Request) {
-	raw, err := io.ReadAll(io.LimitReader(r.Body, maxExchangeBytes))
+	reservation := p.edge.account.OpenShared("peers")
+	defer reservation.Release()
+	raw, err := reservation.ReadAll(r.Context(), r.Body, r.ContentLength, maxExchangeBytes, exchangeTimeout)
 	if err != nil {
+		w.Header().Set("Connection", "close")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -40,6 +40,8 @@
 	// read; it fits any socket buffer.
 	maxInlineBodyBytes = 16 << 10
 	readBufferBytes    = 4 << 10
+	// headBufferBytes is the size in bytes of the head of most calls.
+	headBufferBytes = 1 << 10
 )
 
 // Upstream is the destination of a request.
@@ -62,6 +64,9 @@
 	Body []byte
 	// Repeatable calls may use connections that have been idle for longer.
 	Repeatable bool
+	// ReserveHead is called with the bytes of the answer's head beyond the first read; an error refuses the
+	// answer. It may be nil.
+	ReserveHead func(bytes int) error
 }
 
 // Step is the step at which a call failed.
@@ -154,6 +159,7 @@
 		return nil, &Error{Step: StepConnect, Peer: to.Address, Err: err}
 	}
 	answer := &Answer{pool: p, conn: c, method: call.Method, written: make(chan error, 1)}
+	c.head.reserve = call.ReserveHead
 	answer.stopContextWatch = context.AfterFunc(ctx, c.reset)
 	head := call.head()
 	if len(call.Body) <= maxInlineBodyBytes {
@@ -189,7 +195,7 @@
 // head returns the request line and the headers.
 func (c *Call) head() []byte {
 	var b bytes.Buffer
-	b.Grow(1024 + len(c.Body))
+	b.Grow(headBufferBytes)
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", c.Method, c.Target, c.Host)
 	for name, values := range c.Header {
 		for _, value := range values {
@@ -352,6 +358,8 @@
 type headLimiter struct {
 	reader    io.Reader
 	remaining int
+	// reserve is called for what exceeds the buffer; it may be nil.
+	reserve func(bytes int) error
 }
 
 func (l *headLimiter) Read(p []byte) (int, error) {
@@ -363,6 +371,11 @@
 	}
 	n, err := l.reader.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
+	if n > 0 && l.reserve != nil && maxHeadBytes-l.remaining > readBufferBytes {
+		if err := l.reserve(n); err != nil {
+			return 0, err
+		}
+	}
 	return n, err
 }
 
@@ -399,6 +412,7 @@
 		return
 	}
 	a.conn.lastUsed, a.conn.expiresAt = now, now.Add(idle)
+	a.conn.head.reserve = nil
 	a.pool.putIdle(a.conn)
 }
 
--- a/routing/prefix.go
+++ b/routing/prefix.go
@@ -203,6 +203,7 @@
 
 // add records the last block first, so that the end of a prompt is evicted before its start.
 func (p *PrefixIndex) add(holder Holder, cache *cacheModel, blocks []uint64) {
+	blocks = blocks[:min(len(blocks), cache.size)] // The rest would evict the start.
 	for i := len(blocks) - 1; i >= 0; i-- {
 		block := blocks[i]
 		entry := p.holdersByBlock[block]
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/persimmonline/persimmonline/catalog"
+	"github.com/persimmonline/persimmonline/memory"
 	"github.com/persimmonline/persimmonline/relay"
 	"github.com/persimmonline/persimmonline/routing"
 )
@@ -48,7 +49,6 @@
 	errOtherRequest   = errors.New("response belongs to another request")
 	errUnsigned       = errors.New("successful response without the upstream's signature")
 	errEncoded        = errors.New("response body is content-encoded")
-	errTooLarge       = errors.New("response or event too large")
 	errTruncatedEvent = errors.New("stream ended within an event")
 	errUpstreamSilent = errors.New("upstream sent nothing within the timeout")
 	errEventOrder     = errors.New("stream event out of order")
@@ -63,6 +63,8 @@
 	answer     *relay.Answer
 	info       ResponseInfo
 	eventCount int
+	// eventBytes is what is reserved for the current event.
+	eventBytes int64
 	// sentAt is when the request was sent, firstEventAt when the first event of a stream arrived.
 	sentAt, firstEventAt time.Time
 	// continues is set if the caller has a part of the stream from another upstream.
@@ -109,7 +111,7 @@
 	r := x.run
 	return &relay.Call{
 		Method: r.request.Method, Target: r.request.Target, Host: r.request.Host, Body: r.request.Body,
-		Repeatable: r.request.Route.Repeatable(),
+		Repeatable: r.request.Route.Repeatable(), ReserveHead: x.reserveHead,
 		Header: r.handler.Adapter.UpstreamHeader(r.request, Attempt{
 			UpstreamID: x.upstream.ID, Workspace: r.request.Workspace, Remaining: time.Until(r.deadline),
 			LastEventID: r.lastEventID, EnginePriority: r.enginePriority(), FetchFrom: x.fetchFrom,
@@ -261,14 +263,12 @@
 func (x *exchange) forwardComplete(success bool) (outcome, error) {
 	r := x.run
 	x.tracked.RecordFirstToken(time.Now())
-	body, err := io.ReadAll(io.LimitReader(x.answer.Body(), maxResponseBytes+1))
+	body, err := x.readAnswer(x.ctx, success)
 	switch {
 	case err != nil && r.ctx.Err() != nil:
 		return outcomeCanceled, err
 	case err != nil:
 		return outcomeBroken, fmt.Errorf("read response: %w", x.breakCause(err))
-	case len(body) > maxResponseBytes:
-		return outcomeBroken, errTooLarge
 	}
 	x.answer.Finish()
 	buffered := &bufferedResponse{response: x.answer.Response, body: body}
@@ -322,7 +322,7 @@
 	}
 	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
 	for {
-		event, err := readEvent(reader)
+		event, err := x.readEvent(reader)
 		if err != nil {
 			return x.classifyStreamEnd(event, err)
 		}
@@ -434,11 +434,20 @@
 }
 
 // readEvent returns the bytes of one event including the empty line that terminates it. With an
-// error it returns the received part of an incomplete event.
-func readEvent(reader *bufio.Reader) ([]byte, error) {
+// error it returns the received part of an incomplete event. What exceeds the buffer of a typical event is
+// reserved until the next one.
+func (x *exchange) readEvent(reader *bufio.Reader) ([]byte, error) {
 	var event []byte
+	x.run.request.memory.Shrink(x.eventBytes)
+	x.eventBytes = 0
 	for {
 		line, err := reader.ReadSlice('\n')
+		if size := len(event) + len(line); size > max(eventBuffer, cap(event)) {
+			if err := x.reserveEvent(2 * size); err != nil {
+				return event, err
+			}
+			event = append(make([]byte, 0, 2*size), event...)
+		}
 		event = append(event, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
@@ -448,11 +457,20 @@
 			return event, nil
 		}
 		if len(event) > maxEventBytes {
-			return event, errTooLarge
+			return event, memory.ErrTooLarge
 		}
 	}
 }
 
+// reserveEvent reserves the buffer of a long event, beside the smaller one from which it is copied.
+func (x *exchange) reserveEvent(bytes int) error {
+	if err := x.run.request.memory.Grow(x.ctx, int64(bytes), answerRoomWait); err != nil {
+		return err
+	}
+	x.eventBytes += int64(bytes)
+	return nil
+}
+
 // completeEventBuffered reports whether the next event can be read without blocking.
 func completeEventBuffered(reader *bufio.Reader) bool {
 	buffered, _ := reader.Peek(reader.Buffered())
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -14,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/persimmonline/persimmonline/catalog"
+	"github.com/persimmonline/persimmonline/memory"
 	"github.com/persimmonline/persimmonline/quarantine"
 	"github.com/persimmonline/persimmonline/quota"
 	"github.com/persimmonline/persimmonline/refusal"
@@ -35,11 +34,6 @@
 	successLogRate = 200
 	// noticeErrorLogRate limits the log lines per second of notices that can't be parsed.
 	noticeErrorLogRate = 1
-	// defaultMaxBody is the limit of the body size if the configuration names none.
-	defaultMaxBody = 4 << 20
-	// maxBufferedBytes bounds the total size of the bodies that a node buffers; it is a fraction
-	// of the memory of the smallest hosts.
-	maxBufferedBytes = 64 << 20
 )
 
 // Settings configures a Handler.
@@ -67,15 +61,16 @@
 	Logger zerolog.Logger
 	// Metrics of requests and attempts.
 	Metrics *Metrics
+	// Memory is the account of what callers and upstreams make the process hold; nil for one of its own.
+	Memory *memory.Account
 }
 
 // Handler serves callers' requests.
 type Handler struct {
 	Settings
 
-	bufferedBytes atomic.Int64
-	inFlight      atomic.Int64
-	random        atomic.Uint64
+	inFlight atomic.Int64
+	random   atomic.Uint64
 
 	// successLogLimiter limits the log lines of successful requests.
 	successLogLimiter *rate.Limiter
@@ -88,6 +83,9 @@
 
 // New returns a handler.
 func New(settings Settings) *Handler {
+	if settings.Memory == nil {
+		settings.Memory = memory.New(defaultMemory)
+	}
 	h := &Handler{
 		Settings: settings, budgets: map[string]*retry.WindowBudget{},
 		successLogLimiter:     rate.NewLimiter(successLogRate, successLogRate),
@@ -119,7 +117,11 @@
 		w.Header().Set("Connection", "close")
 	}
 	request, refused := h.admit(view, w, r, arrived)
+	if request != nil && request.memory != nil {
+		defer request.memory.Release()
+	}
 	if refused != nil {
+		closeUnread(w, r, request)
 		h.refuse(w, view, request, refused)
 		return
 	}
@@ -191,6 +193,9 @@
 		}
 		return request, refused
 	}
+	if refused := h.reserveRequest(request, r); refused != nil {
+		return request, refused
+	}
 	return request, h.readBody(view.Table, request, w, r)
 }
 
@@ -230,40 +235,6 @@
 	return size
 }
 
-// readBody reads the complete body, so that it can be sent again.
-func (h *Handler) readBody(table *catalog.Table, request *Request, w http.ResponseWriter, r *http.Request) *refusal.Refusal {
-	limit := table.Config.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	if r.ContentLength == 0 {
-		return nil
-	}
-	if r.ContentLength > limit {
-		w.Header().Set("Connection", "close")
-		return refusal.New(http.StatusRequestEntityTooLarge, refusal.CodeBodyTooLarge, "the body is over %d bytes", limit)
-	}
-	reserved := max(r.ContentLength, 0)
-	if h.bufferedBytes.Add(reserved) > maxBufferedBytes {
-		h.bufferedBytes.Add(-reserved)
-		w.Header().Set("Connection", "close")
-		return refusal.New(http.StatusServiceUnavailable, refusal.CodeOverloaded,
-			"bodies of other requests fill the memory").WithRetryAfter(retryAfterSoon)
-	}
-	defer h.bufferedBytes.Add(-reserved)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err == nil {
-		request.Body = body
-		return nil
-	}
-	w.Header().Set("Connection", "close")
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return refusal.New(http.StatusRequestEntityTooLarge, refusal.CodeBodyTooLarge, "the body is over %d bytes", limit)
-	}
-	return refusal.New(http.StatusBadRequest, refusal.CodeInvalidField, "the body ended early").WithCause("read the body", "", err)
-}
-
 // quotaCost returns the amount that a request consumes of its workspace's quota.
 func quotaCost(table *catalog.Table, request *Request) float64 {
 	workspace := table.WorkspaceByKey(request.Key)
@@ -338,6 +309,12 @@
 	h.Metrics.refusals.WithLabelValues(strconv.Itoa(refused.Status), string(refused.Code)).Inc()
 }
 
+// maxLogged bounds the bytes of a caller's text in a log line.
+const maxLogged = 128
+
+// logged returns the part of a caller's text that goes into a log line.
+func logged(text string) string { return text[:min(len(text), maxLogged)] }
+
 // refuse sends and logs the refusal of a request that is sent to no upstream.
 func (h *Handler) refuse(w http.ResponseWriter, view *View, request *Request, refused *refusal.Refusal) {
 	id := ""
@@ -348,7 +325,7 @@
 	if request != nil && request.Route != nil {
 		h.Metrics.requests.WithLabelValues(request.Route.Kind.String(), "refused").Inc()
 	}
-	event := h.Logger.Info().Str("request", id).Int("status", refused.Status).Str("code", string(refused.Code)).
+	event := h.Logger.Info().Str("request", logged(id)).Int("status", refused.Status).Str("code", string(refused.Code)).
 		Str("ran", string(refused.Ran)).Dur("retry_after", refused.RetryAfter)
 	if request != nil {
 		event = event.Str("workspace", request.Workspace).Int64("config_version", request.ConfigVersion).
--- a/serving/prompt.go
+++ b/serving/prompt.go
@@ -14,6 +14,10 @@
 // engine: the part that many requests share, and the part about their subject.
 const sharedParts = 2
 
+// maxSharedBlocks bounds the blocks of one prompt in the index, whatever its length is stated to be; they are
+// more than an engine's memory holds.
+const maxSharedBlocks = 8192
+
 // SharedPrefix is the start of a prompt that other requests may share.
 type SharedPrefix struct {
 	// Chain is the hash of its parts; 0 if nothing is shared.
@@ -25,7 +29,7 @@
 // Blocks returns the hashes of the prefix's blocks in the router's index; the last block is included
 // if it is at least half full.
 func (p SharedPrefix) Blocks() []uint64 {
-	count := (p.Tokens + BlockTokens/2) / BlockTokens
+	count := min(maxSharedBlocks, (p.Tokens+BlockTokens/2)/BlockTokens)
 	blocks := make([]uint64, 0, count)
 	for block := range count {
 		blocks = append(blocks, blockHash(p.Chain, block))
@@ -63,7 +67,7 @@
 func partIDs(parts []PromptPart) []string {
 	ids := make([]string, 0, len(parts))
 	for _, part := range parts {
-		ids = append(ids, part.ID)
+		ids = append(ids, logged(part.ID))
 	}
 	return ids
 }
--- a/serving/request.go
+++ b/serving/request.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/persimmonline/persimmonline/catalog"
+	"github.com/persimmonline/persimmonline/memory"
 	"github.com/persimmonline/persimmonline/pacing"
 )
 
@@ -53,6 +54,11 @@
 	Priority int
 	// ConfigVersion of the configuration that was applied.
 	ConfigVersion int64
+
+	// memory is what the request holds until it has ended.
+	memory *memory.Reservation
+	// bodyRead is set once the body was read to its end.
+	bodyRead bool
 }
 
 // Attempt is one send of a request to an upstream.
--- a/serving/run.go
+++ b/serving/run.go
@@ -32,6 +32,8 @@
 	throttleWaitDivisor = 2
 	// latencyWeight is the router's weight for a second of waiting; its other weights are zero here.
 	latencyWeight = 1.0
+	// maxLoggedParts bounds the parts of a prompt in a log line.
+	maxLoggedParts = 16
 	// shortPromptPriority is the engine priority of the shortest prompts; higher ones are reserved for
 	// requests that continue at another upstream.
 	shortPromptPriority = 2
@@ -381,7 +383,7 @@
 		upstream.Gate.Refund()
 		r.handler.Events.UpstreamUnreachable(upstream)
 	case outcomeBroken:
-		if !exchange.upstreamSilent() && !exchange.writingForLong() {
+		if !exchange.upstreamSilent() && !exchange.writingForLong() && !refusedForSize(err) {
 			r.handler.Events.ExchangeBroken(upstream, r.traits)
 		}
 	}
@@ -424,12 +426,12 @@
 		event = event.Dur("first_byte_ms", r.firstByte.Sub(r.request.ArrivedAt))
 	}
 	if r.possibleRuns > 0 && r.result != "answered" {
-		event = event.Strs("parts", partIDs(r.request.Parts))
+		event = event.Strs("parts", partIDs(r.request.Parts[:min(len(r.request.Parts), maxLoggedParts)]))
 	}
 	if r.retryDenied.Load() {
 		event = event.Bool("retry_denied", true).Float64("retry_burst", r.view.RetryBurst)
 	}
-	event.Str("request", r.request.ID).Int("prompt_tokens", r.request.PromptTokens).
+	event.Str("request", logged(r.request.ID)).Int("prompt_tokens", r.request.PromptTokens).
 		Uint64("prefix", r.shared.Chain).Int("shared_tokens", r.shared.Tokens).
 		Str("route", route.Name).Str("workspace", r.request.Workspace).
 		Str("service", r.service).Str("result", r.result).Int("status", r.status).
