--- a/serving/run.go
+++ b/serving/run.go
@@ -37,6 +37,8 @@
 	throttleWaitDivisor = 2
 	// latencyWeight is the router's weight for a second of waiting; its other weights are zero here.
 	latencyWeight = 1.0
+	// maxLoggedParts bounds the parts of a prompt in a log line.
+	maxLoggedParts = 16
 	// shortPromptPriority is the engine priority of the shortest prompts; higher ones are reserved for
 	// requests that continue at another upstream.
 	shortPromptPriority = 2
@@ -433,7 +435,7 @@
 		x.upstream.Gate.Refund()
 		r.handler.Events.UpstreamUnreachable(x.upstream)
 	case outcomeBroken:
-		if !x.upstreamSilent() && !x.writingForLong() {
+		if !x.upstreamSilent() && !x.writingForLong() && !refusedForSize(err) {
 			r.handler.Events.ExchangeBroken(x.upstream, r.traits)
 		}
 	}
@@ -493,7 +495,7 @@
 		event = event.Dur("first_byte_ms", r.firstByte.Sub(r.request.ArrivedAt))
 	}
 	if r.possibleRuns > 0 && r.result != "answered" {
-		event = event.Strs("parts", partIDs(r.request.Parts))
+		event = event.Strs("parts", partIDs(r.request.Parts[:min(len(r.request.Parts), maxLoggedParts)]))
 	}
 	if r.hedgeDenied != "" {
 		event = event.Str("hedge_denied", string(r.hedgeDenied))
@@ -504,7 +506,7 @@
 	if r.retryDenied.Load() {
 		event = event.Bool("retry_denied", true).Float64("retry_burst", r.view.RetryBurst)
 	}
-	event.Str("request", r.request.ID).Int("prompt_tokens", r.request.PromptTokens).
+	event.Str("request", logged(r.request.ID)).Int("prompt_tokens", r.request.PromptTokens).
 		Uint64("prefix", r.shared.Chain).Int("shared_tokens", r.shared.Tokens).
 		Str("route", route.Name).Str("workspace", r.request.Workspace).
 		Str("service", r.service).Str("result", r.result).Int("status", r.status).
