--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -361,7 +361,7 @@
 		move := &serving.Rollout{
 			Order: state.key(), Share: state.decision.Share, ExpiresAt: clock(state.decidedAt.Add(shareLife)), Moving: state.decision.Moving,
 			CompleteAt: clock(state.decidedAt.Add(state.decision.CompleteIn)), EndsAt: clock(state.orderedAt.Add(state.order.Duration)),
-			CountedFrom: clock(state.learnedAt), Bounds: bounds, Nodes: r.control.peakNodes,
+			CountedFrom: clock(state.learnedAt), Margin: rollout.CompleteMargin(state.order.Duration), Bounds: bounds, Nodes: r.control.peakNodes,
 		}
 		switch state.phase {
 		case rollout.Complete:
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -11,8 +11,8 @@
 const (
 	// budgetShare and slackShare are the parts of the permitted exposure that are used; the rest
 	// covers requests that nodes have not told of yet.
-	budgetShare = 0.85
-	slackShare  = 0.6
+	budgetShare = 0.88
+	slackShare  = 0.7
 	// canaryPart is the part of the budget for the trial of a proven version, proofPart the same until it
 	// is proven, but for no more than proofRequests.
 	canaryPart    = 0.2
@@ -22,9 +22,11 @@
 	proofShare = 0.6
 	// moveTime is how long before the end the longest requests move to the new version.
 	moveTime = 8 * time.Second
-	// completeMargin is how long before the end of an order it is completed; the operator reads the
-	// status some time after it was written.
-	completeMargin = 700 * time.Millisecond
+	// completePart is the part of an order's time that is left when it is completed, within bounds; the
+	// operator reads the status some time after it was written.
+	completePart      = 0.04
+	minCompleteMargin = 500 * time.Millisecond
+	maxCompleteMargin = 700 * time.Millisecond
 	// minEngineShare is the least number of new engines, as a share of the old ones, with which an
 	// order is completed.
 	minEngineShare = 0.5
@@ -84,9 +86,15 @@
 	Reason string
 }
 
+// CompleteMargin returns how long before the end an order of a duration is completed.
+func CompleteMargin(duration time.Duration) time.Duration {
+	return min(maxCompleteMargin, max(minCompleteMargin, time.Duration(completePart*float64(duration))))
+}
+
 // Decide returns the decision as of now.
 func Decide(bounds Bounds, state State, now time.Time) Decision {
 	left := state.OrderedAt.Add(state.Duration).Sub(now)
+	margin, proven := CompleteMargin(state.Duration), state.Verdict == Proven || state.Verdict == Likely
 	sound := state.NewEngines > 0 && float64(state.NewEngines) >= minEngineShare*float64(state.OldEngines)
 	switch {
 	case state.Withdrawn:
@@ -95,16 +103,16 @@
 		return Decision{Phase: Reverted, Reason: "version is bad"}
 	case left < -lateTime:
 		return Decision{Phase: Reverted, Reason: "time is over"}
-	case left < 0 && (!sound || state.Verdict != Proven):
+	case left < 0 && (!sound || !proven):
 		return Decision{Phase: Reverted, Reason: "not proven in time"}
-	case left <= completeMargin && sound && state.Verdict == Proven:
+	case left <= margin && sound && proven:
 		return Decision{Phase: Complete, Moving: true, Reason: "proven"}
 	case state.NewEngines == 0:
 		return Decision{Phase: Serving, Reason: "no engine of the new version"}
 	}
 	decision := Decision{Phase: Serving, Share: trialShare(bounds, state, left), Reason: "on trial"}
-	untilComplete := left - completeMargin
-	if untilComplete <= moveTime && sound && state.Verdict == Proven {
+	untilComplete := left - margin
+	if untilComplete <= moveTime && sound && proven {
 		decision.Moving, decision.CompleteIn, decision.Reason = true, max(0, untilComplete), "moving"
 	}
 	return decision
@@ -120,9 +128,9 @@
 // in elapsed, of which the new version got sent. Each node keeps the bound for its own requests, so
 // that the fleet does, however late its nodes hear of each other. The requests that arrive after the
 // completion are set aside.
-func HasRoom(bounds Bounds, nodes int, asked, sent float64, elapsed, left time.Duration) bool {
+func HasRoom(bounds Bounds, nodes int, asked, sent float64, elapsed, left, margin time.Duration) bool {
 	rate := asked / max(minElapsed, elapsed).Seconds()
-	after := rate * min(completeMargin, max(0, left)).Seconds()
+	after := rate * min(margin, max(0, left)).Seconds()
 	bounds.CanarySlack /= float64(max(1, nodes))
 	return sent+after+1 <= budget(bounds, asked, rate, left)
 }
@@ -141,6 +149,6 @@
 	case state.Verdict != Proven:
 		return proofShare * bounds.CanaryShare
 	}
-	spread := max(minSpreadTime, left-completeMargin)
+	spread := max(minSpreadTime, left-CompleteMargin(state.Duration))
 	return math.Min(bounds.CanaryShare, (trial-state.Sent)/(state.Rate*spread.Seconds()))
 }
--- a/rollout/monitor.go
+++ b/rollout/monitor.go
@@ -32,7 +32,7 @@
 )
 
 // failureEffects and slowEffects are the shares of additional bad answers that are looked for. A
-// version is proven by the least.
+// version is proven against the least, and likely good against the greatest.
 var (
 	failureEffects = [...]float64{0.1, 0.3}
 	slowEffects    = [len(failureEffects)]float64{0.2, 0.4}
@@ -41,9 +41,10 @@
 // Verdict on a version.
 type Verdict int
 
-// Verdicts.
+// Verdicts. A likely good version is completed if its requests are too few to prove more.
 const (
 	Unproven Verdict = iota
+	Likely
 	Proven
 	Bad
 )
@@ -59,10 +60,9 @@
 
 // testState is the state of one test.
 type testState struct {
-	// sums are the cumulative sums of log likelihood ratios for each effect, restarted at 0; total is that
-	// of the least effect without restarts.
-	sums  [len(failureEffects)]float64
-	total float64
+	// sums are the cumulative sums of log likelihood ratios for each effect, restarted at 0; totals the
+	// same without restarts.
+	sums, totals [len(failureEffects)]float64
 	// recentBad and recentAnswers are the old version's counts, decayed.
 	recentBad, recentAnswers float64
 }
@@ -133,9 +133,7 @@
 		worse := usual + effect*(1-usual)
 		ratio := bad*math.Log(worse/usual) + max(0, count-bad)*math.Log((1-worse)/(1-usual))
 		state.sums[i] = max(0, state.sums[i]+ratio)
-		if i == 0 {
-			state.total += ratio
-		}
+		state.totals[i] += ratio
 	}
 }
 
@@ -161,14 +159,16 @@
 			return Bad, m.describe(t)
 		}
 	}
-	total := 0.0
-	for t, state := range m.states {
-		if t.kind == Failed && t.route != allRoutes {
-			total += state.total
+	for i, verdict := range [len(failureEffects)]Verdict{Proven, Likely} {
+		total := 0.0
+		for t, state := range m.states {
+			if t.kind == Failed && t.route != allRoutes {
+				total += state.totals[i]
+			}
+		}
+		if total <= math.Log(missedBad) {
+			return verdict, m.describe(test{allRoutes, Failed})
 		}
-	}
-	if total <= math.Log(missedBad) {
-		return Proven, m.describe(test{allRoutes, Failed})
 	}
 	return Unproven, "not enough answers"
 }
--- a/serving/rollout.go
+++ b/serving/rollout.go
@@ -46,8 +46,10 @@
 	// Moving is set if requests that would run beyond CompleteAt go to the new version.
 	Moving     bool
 	CompleteAt time.Time
-	// EndsAt is the end of the order, CountedFrom when this node began to count.
+	// EndsAt is the end of the order, Margin how long before it is completed, CountedFrom when this
+	// node began to count.
 	EndsAt, CountedFrom time.Time
+	Margin              time.Duration
 	// Bounds on the exposure, which Nodes share.
 	Bounds rollout.Bounds
 	Nodes  int
@@ -152,7 +154,7 @@
 	routes := c.orders[move.Order]
 	sent := rollout.Sum(routes, rollout.New, rollout.Sent)
 	asked := sent + rollout.Sum(routes, rollout.Old, rollout.Sent)
-	return rollout.HasRoom(move.Bounds, move.Nodes, float64(asked), float64(sent), now.Sub(move.CountedFrom), move.EndsAt.Sub(now))
+	return rollout.HasRoom(move.Bounds, move.Nodes, float64(asked), float64(sent), now.Sub(move.CountedFrom), move.EndsAt.Sub(now), move.Margin)
 }
 
 // duration returns how long a long answer on a route takes; 0 if unknown.
