--- a/serving/explain.go
+++ b/serving/explain.go
@@ -43,18 +43,24 @@
 	}
 	choice, err := run.chooseUpstream(view)
 	explanation.Candidates = run.explainCandidates(choice.Upstream, now)
-	if err != nil {
+	if err == nil {
+		run.explainNext(explanation, choice)
+	} else {
 		explanation.Error = err.Error()
-		return explanation, nil
 	}
-	explanation.Choice = choice.Upstream.ID
-	run.trace, run.excluded[choice.Upstream.ID] = nil, true
-	fallback, err := run.chooseUpstream(view)
-	if err == nil {
+	return explanation, nil
+}
+
+// explainNext adds the choice and what would follow it.
+func (r *requestRun) explainNext(explanation *Explanation, choice routing.Choice) {
+	r.trace, r.excluded[choice.Upstream.ID] = nil, true
+	fallback, err := r.chooseUpstream(r.view)
+	if err != nil {
+		fallback = routing.Choice{}
+	} else {
 		explanation.Fallback = fallback.Upstream.ID
 	}
-	explanation.Hedge = run.explainHedge(choice, fallback)
-	return explanation, nil
+	explanation.Choice, explanation.Hedge = choice.Upstream.ID, r.explainHedge(choice, fallback)
 }
 
 // requestOf returns the request that a question describes, or why it would be refused for good.
--- a/serving/hedge.go
+++ b/serving/hedge.go
@@ -140,15 +140,15 @@
 	}
 	choice, denial := r.chooseHedge(first, view)
 	if denial != "" {
-		r.handler.Metrics.hedges.result.WithLabelValues(r.service, "denied_"+string(denial)).Inc()
+		r.countDenial(denial)
 		return nil
 	}
 	first.silence.stop()
 	if r.reserved.Load() != nil {
 		return nil
 	}
-	if !choice.Upstream.Gate.Take(time.Now()) || !r.takeRetry(view.RetryBurst) {
-		r.handler.Metrics.hedges.result.WithLabelValues(r.service, "denied_"+string(deniedRetryBudget)).Inc()
+	if denial = r.takeHedge(choice.Upstream); denial != "" {
+		r.countDenial(denial)
 		first.watchSilence()
 		return nil
 	}
@@ -160,6 +160,22 @@
 	return second
 }
 
+// takeHedge takes a request from the upstream's limit and a retry from the budget, or says what is lacking.
+func (r *requestRun) takeHedge(upstream *routing.Upstream) hedge.Denial {
+	if !upstream.Gate.Take(time.Now()) {
+		return deniedNoUpstream
+	}
+	if !r.takeRetry(r.view.RetryBurst) {
+		upstream.Gate.Refund()
+		return deniedRetryBudget
+	}
+	return ""
+}
+
+func (r *requestRun) countDenial(denial hedge.Denial) {
+	r.handler.Metrics.hedges.result.WithLabelValues(r.service, "denied_"+string(denial)).Inc()
+}
+
 // chooseHedge chooses the upstream of the second attempt, or says why there is none.
 func (r *requestRun) chooseHedge(first *exchange, view *View) (routing.Choice, hedge.Denial) {
 	choice, err := r.chooseUpstream(view)
