--- a/serving/hedge_test.go
+++ b/serving/hedge_test.go
@@ -11,9 +11,12 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/persimmonline/persimmonline/quota"
+	"github.com/persimmonline/persimmonline/rollout"
+	"github.com/persimmonline/persimmonline/routing"
 	"github.com/persimmonline/persimmonline/serving"
 )
 
@@ -46,6 +49,7 @@
 	}, func(settings *serving.Settings) {
 		settings.HedgeShare = share
 		settings.RetryRatio = 1
+		settings.Logger = zerolog.New(zerolog.NewTestWriter(t))
 		settings.Ledger = quota.NewLedger()
 		settings.Ledger.Configure(map[string]quota.Limit{"w": {Rate: 10_000, Burst: 10_000}}, 1, 0, time.Now())
 	})
@@ -266,3 +270,33 @@
 	h.requireCanceled(1)
 	require.Equal(t, 1, h.hedges("won"))
 }
+
+// A version on trial is slow: the second attempt goes to the old one, and does not hide that.
+func TestHedgeAndTheVersionOnTrial(t *testing.T) {
+	h := deployHedged(t, 2, 1, "safe")
+	publish := func(share float64) {
+		view := *h.view.Load()
+		members := view.Fleet.ByService["s"]
+		members[0].Generation, members[1].Generation = routing.OldGeneration, routing.NewGeneration
+		view.Fleet = routing.NewFleet(map[string][]*routing.Upstream{"s": members}, routing.NewPrefixIndex(100), 1, time.Now())
+		view.JudgesVersions, view.Rollouts = true, map[string]*serving.Rollout{"s": onTrial(share)}
+		h.view.Store(&view)
+	}
+	publish(0)
+	for range warmUps {
+		require.Equal(t, "i-0", h.call(context.Background(), "safe", nil).header.Get("X-Response-Signature"))
+	}
+	publish(1)
+	h.become(func(d *deployment, run int64, w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Expect-Instance") == "i-1" {
+			h.hold(d, run, w, r)
+			return
+		}
+		answers(d, run, w, r)
+	})
+	require.Equal(t, "from i-0", h.call(context.Background(), "safe", nil).body)
+	require.Equal(t, 1, h.hedges("won"))
+	countersOfNew := h.handler.RolloutReport()["s@1"]["safe"][5:]
+	require.EqualValues(t, 1, countersOfNew[rollout.Sent])
+	require.EqualValues(t, 1, countersOfNew[rollout.Slow])
+}
