--- a/serving/hedge.go
+++ b/serving/hedge.go
@@ -173,6 +173,7 @@
 }
 
 func (r *requestRun) countDenial(denial hedge.Denial) {
+	r.hedgeDenied = denial
 	r.handler.Metrics.hedges.result.WithLabelValues(r.service, "denied_"+string(denial)).Inc()
 }
 
--- a/serving/run.go
+++ b/serving/run.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/persimmonline/persimmonline/catalog"
+	"github.com/persimmonline/persimmonline/hedge"
 	"github.com/persimmonline/persimmonline/pacing"
 	"github.com/persimmonline/persimmonline/quarantine"
 	"github.com/persimmonline/persimmonline/refusal"
@@ -116,6 +117,8 @@
 	// firstByte is when the first byte of the response was sent to the caller; zero if it was not.
 	firstByte time.Time
 	attempts  []attemptTrace
+	// hedgeDenied is why a slow request was not sent a second time; empty if it was, or was not slow.
+	hedgeDenied hedge.Denial
 	// trace records how upstreams are chosen for a request that is explained and not sent; else nil.
 	trace *routing.Trace
 }
@@ -465,6 +468,9 @@
 	if r.possibleRuns > 0 && r.result != "answered" {
 		event = event.Strs("parts", partIDs(r.request.Parts))
 	}
+	if r.hedgeDenied != "" {
+		event = event.Str("hedge_denied", string(r.hedgeDenied))
+	}
 	if r.retryDenied.Load() {
 		event = event.Bool("retry_denied", true).Float64("retry_burst", r.view.RetryBurst)
 	}
