--- a/hedge/latency.go
+++ b/hedge/latency.go
@@ -13,7 +13,7 @@
 	latencyWindow = 30 * time.Second
 	latencySlices = 5
 	// minSamples is the number of recent answers from which their slowest share can be told.
-	minSamples = 40
+	minSamples = 30
 	// minLatency and maxLatency bound the times that are told apart, latencyDigits their resolution.
 	minLatency    = 100 * time.Microsecond
 	maxLatency    = time.Minute
--- a/hedge/policy.go
+++ b/hedge/policy.go
@@ -3,6 +3,8 @@
 import (
 	"math/bits"
 	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 // The load that this file answers: a few upstreams of many are slow or hang, while the others have
@@ -55,6 +57,9 @@
 	Size int
 }
 
+// anySize is the class of all prompts of a service, by which a node goes that has few answers of one size.
+const anySize = -1
+
 // ClassOf returns the class of a request.
 func ClassOf(service string, streaming bool, promptTokens int) Class {
 	size := max(0, bits.Len(uint(max(0, promptTokens)))-shortPromptBits)
@@ -99,12 +104,31 @@
 
 // RecordAnswer records the time to the first answer of a request.
 func (p *Policy) RecordAnswer(class Class, took time.Duration, now time.Time) {
-	known := p.latencies[class]
-	if known == nil {
-		known = newLatencies(now)
-		p.latencies[class] = known
+	for _, class := range []Class{class, class.ofAnySize()} {
+		known := p.latencies[class]
+		if known == nil {
+			known = newLatencies(now)
+			p.latencies[class] = known
+		}
+		known.record(took, now)
+	}
+}
+
+func (c Class) ofAnySize() Class {
+	c.Size = anySize
+	return c
+}
+
+// recent returns the recent answers to requests of a class, or to those of any size; nil if both are too few.
+func (p *Policy) recent(class Class, now time.Time) *hdrhistogram.Histogram {
+	for _, class := range []Class{class, class.ofAnySize()} {
+		if known := p.latencies[class]; known != nil {
+			if recent := known.recent(now); recent != nil {
+				return recent
+			}
+		}
 	}
-	known.record(took, now)
+	return nil
 }
 
 // RecordHedge counts a second attempt that is sent now.
@@ -122,11 +146,7 @@
 // ok is false if that can't be told. forecast is the first attempt's, target the time in which the answer
 // is due; 0 for none.
 func (p *Policy) Delay(class Class, forecast, target time.Duration, now time.Time) (delay time.Duration, ok bool) {
-	known := p.latencies[class]
-	if known == nil {
-		return 0, false
-	}
-	recent := known.recent(now)
+	recent := p.recent(class, now)
 	if recent == nil {
 		return 0, false
 	}
@@ -143,8 +163,8 @@
 
 // Decide returns why a request is not sent a second time; empty if it is.
 func (p *Policy) Decide(class Class, waited time.Duration, candidate Candidate, now time.Time) Denial {
-	known := p.latencies[class]
-	if known == nil || known.recent(now) == nil {
+	recent := p.recent(class, now)
+	if recent == nil {
 		return DeniedFewSamples
 	}
 	account := p.account(class.Service)
@@ -157,7 +177,6 @@
 	if candidate.Load > maxLoad {
 		return DeniedBusy
 	}
-	recent := known.recent(now)
 	typical := quantile(recent, 0.5)
 	left := max(meanExcess(recent, waited), waited-typical)
 	if scale(max(typical, candidate.Forecast), soonerFactor) > left {
--- a/hedge/policy_test.go
+++ b/hedge/policy_test.go
@@ -56,6 +56,12 @@
 	require.Equal(t, 1500*time.Millisecond, delay)
 }
 
+func TestANodeWithFewAnswersOfOneSizeGoesByAll(t *testing.T) {
+	p, now := busyNode(0.03, 2)
+	_, ok := p.Delay(hedge.ClassOf("s", true, 100_000), 0, 0, now)
+	require.True(t, ok)
+}
+
 func TestNoSecondAttemptWhileHalfOfTheTargetIsLeft(t *testing.T) {
 	p, now := busyNode(0.03, 2)
 	delay, ok := p.Delay(class, 0, time.Second, now)
