--- a/soak/node_test.go
+++ b/soak/node_test.go
@@ -63,6 +63,8 @@
 	name, ip, zone string
 	dir            string
 	store, cloud   *platformtest.Proxy
+	// hedgeShare is the operator's limit of second attempts.
+	hedgeShare float64
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -101,7 +103,7 @@
 		return err
 	}
 	process := exec.Command(daemon)
-	process.Env = append(os.Environ(), "PERSIMMONLINE_CONFIG="+n.settingsPath())
+	process.Env = append(os.Environ(), "PERSIMMONLINE_CONFIG="+n.settingsPath(), fmt.Sprintf("PERSIMMON_HEDGE_SHARE=%v", n.hedgeShare))
 	process.Stdout, process.Stderr = log, log
 	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := process.Start(); err != nil {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,6 +22,7 @@
 	firstSeed = flag.Uint64("soak.first", 0, "first seed; 0 draws one")
 	// nodesPerWorld is the number of the daemon's processes in a world.
 	nodesPerWorld = flag.Int("soak.nodes", 3, "nodes of a world, at most 250")
+	hedgeShare    = flag.Float64("soak.hedge", 0, "limit of second attempts, as a share of all work")
 	parallel      = flag.Int("soak.parallel", 4, "worlds that run at the same time")
 	keepLogs      = flag.String("soak.logs", "", "directory for the logs of the nodes; they are deleted if it is empty")
 )
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -79,7 +79,7 @@
 	store, cloud := httptest.NewServer(w.store), httptest.NewServer(w.cloud)
 	t.Cleanup(func() { store.CloseClientConnections(); cloud.CloseClientConnections() })
 	for i := range *nodesPerWorld {
-		n := &node{name: fmt.Sprintf("edge-%d", i), ip: fmt.Sprintf("127.0.%d.%d", 10+slot, i+1), zone: string("ab"[i%2]), dir: dir}
+		n := &node{name: fmt.Sprintf("edge-%d", i), ip: fmt.Sprintf("127.0.%d.%d", 10+slot, i+1), zone: string("ab"[i%2]), dir: dir, hedgeShare: *hedgeShare}
 		var err error
 		n.store, err = platformtest.StartProxy(strings.TrimPrefix(store.URL, "http://"))
 		require.NoError(t, err)
