hedging: what is known of services that are gone is forgotten

Cause: histograms and accounts of services that no longer exist stayed for good. Change: those without recent requests are dropped when a new class appears. Not measured.

--- a/hedge/policy.go
+++ b/hedge/policy.go
@@ -1,6 +1,7 @@
 package hedge
 
 import (
+	"maps"
 	"math/bits"
 	"time"
 
@@ -107,6 +108,7 @@
 	for _, class := range []Class{class, class.ofAnySize()} {
 		known := p.latencies[class]
 		if known == nil {
+			p.forget(now)
 			known = newLatencies(now)
 			p.latencies[class] = known
 		}
@@ -114,6 +116,14 @@
 	}
 }
 
+// forget drops the classes and services without recent requests, lest they add up as services come and go.
+func (p *Policy) forget(now time.Time) {
+	maps.DeleteFunc(p.latencies, func(_ Class, known *latencies) bool { return now.Sub(known.rotatedAt) > 2*latencyWindow })
+	maps.DeleteFunc(p.accounts, func(_ string, known *account) bool {
+		return known.sum(accountSlices, now).all.requests == 0
+	})
+}
+
 func (c Class) ofAnySize() Class {
 	c.Size = anySize
 	return c
