hedging: the winner of a race is watched by its next event, not by the time since it was sent

A first attempt that answered after its silence timeout, beside a second one, could be cancelled as silent where the route allows three attempts: the watch started with no time left, and only the first event's reset came in before it. Found by reading; the added test passed before as well, since the reset nearly always came first.

--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -192,6 +192,11 @@
 	return max(minSilenceTimeout, time.Duration(factor*float64(route.LatencyTarget)))
 }
 
+// gapTimeout returns how long a stream that may be resumed waits for its next event.
+func gapTimeout(route *catalog.Route) time.Duration {
+	return max(minSilenceTimeout, gapTimeoutFactor*route.GapTarget)
+}
+
 // classifySendError returns the outcome of a failure before the response headers.
 func (x *exchange) classifySendError(err error) (outcome, error) {
 	r := x.run
@@ -383,7 +388,7 @@
 		if err != nil {
 			return x.classifyStreamEnd(event, err)
 		}
-		x.silence.reset(max(minSilenceTimeout, gapTimeoutFactor*r.request.Route.GapTarget))
+		x.silence.reset(gapTimeout(r.request.Route))
 		if err := x.forwardEvent(event, reader, controller); err != nil {
 			return outcomeBroken, err
 		}
--- a/serving/hedge.go
+++ b/serving/hedge.go
@@ -102,11 +102,11 @@
 	if leader.promising() {
 		r.loseRace(other, opened)
 		r.countHedge(leader)
-		leader.watchSilence()
+		leader.watchSilence(gapTimeout(r.request.Route))
 		return r.conclude(leader)
 	}
 	r.conclude(leader)
-	other.watchSilence()
+	other.watchSilence(other.silenceLeft())
 	<-opened
 	r.countHedge(other)
 	return r.conclude(other)
@@ -149,7 +149,7 @@
 	}
 	if denial = r.takeHedge(choice.Upstream); denial != "" {
 		r.countDenial(denial)
-		first.watchSilence()
+		first.watchSilence(first.silenceLeft())
 		return nil
 	}
 	tokens := choice.UncachedTokens(r.request.PromptTokens)
--- a/serving/hedge_test.go
+++ b/serving/hedge_test.go
@@ -101,15 +101,17 @@
 
 // hedges returns the count of hedges with a result.
 func (h *hedged) hedges(result string) int {
+	return h.counter("persimmonline_edge_hedges_total", result)
+}
+
+// counter returns the value of a counter with a label value.
+func (h *hedged) counter(name, label string) int {
 	families, err := h.registry.Gather()
 	require.NoError(h.t, err)
 	for _, family := range families {
-		if family.GetName() != "persimmonline_edge_hedges_total" {
-			continue
-		}
 		for _, metric := range family.GetMetric() {
-			for _, label := range metric.GetLabel() {
-				if label.GetValue() == result {
+			for _, pair := range metric.GetLabel() {
+				if family.GetName() == name && pair.GetValue() == label {
 					return int(metric.GetCounter().GetValue())
 				}
 			}
@@ -307,3 +309,24 @@
 	require.EqualValues(t, 1, countersOfNew[rollout.Sent])
 	require.EqualValues(t, 1, countersOfNew[rollout.Slow])
 }
+
+// The first attempt answers when it would long have been given up without a second one.
+func TestFirstAttemptWinsLateAndItsStreamGoesOn(t *testing.T) {
+	h := deployHedged(t, 4, 1, "resume")
+	retries := h.counter("persimmonline_edge_retries_total", "granted")
+	h.routes(func(route *catalog.Route) { route.MaxAttempts = 3 })
+	h.become(func(d *deployment, run int64, w http.ResponseWriter, r *http.Request) {
+		if run > 1 {
+			h.hold(d, run, w, r)
+			return
+		}
+		time.Sleep(400 * time.Millisecond)
+		answers(d, run, w, r)
+	})
+	got := h.call(context.Background(), "resume", nil)
+	winner := got.header.Get("X-Response-Signature")
+	require.Equal(t, fmt.Sprintf("id: 1\ndata: %s\n\nid: 2\ndata: %s\n\n", winner, winner), got.body)
+	require.EqualValues(t, 2, h.runs.Load())
+	require.Equal(t, 1, h.hedges("lost"))
+	require.Equal(t, retries+1, h.counter("persimmonline_edge_retries_total", "granted"))
+}
--- a/serving/run.go
+++ b/serving/run.go
@@ -397,7 +397,7 @@
 // attempt sends the request to one upstream, or to a second one as well, and forwards its response.
 func (r *requestRun) attempt(choice routing.Choice) outcome {
 	x := r.begin(choice)
-	x.watchSilence()
+	x.watchSilence(x.silenceLeft())
 	if delay, ok := r.hedgeDelay(x); ok {
 		return r.race(x, delay)
 	}
--- a/serving/silence.go
+++ b/serving/silence.go
@@ -53,14 +53,18 @@
 // watchSilence bounds the wait for a silent upstream if the request may be repeated. The exchange is
 // canceled only once an attempt at another upstream is reserved: silence alone is no reason to abort a
 // response.
-func (x *exchange) watchSilence() {
+func (x *exchange) watchSilence(timeout time.Duration) {
 	if !x.run.repeatAllowed() {
 		return
 	}
-	left := silenceTimeout(x.run.request.Route) - time.Since(x.sentAt)
-	x.silence.start(max(0, left), func() {
+	x.silence.start(max(0, timeout), func() {
 		if x.run.reserveNextAttempt() {
 			x.cancel(errUpstreamSilent)
 		}
 	})
 }
+
+// silenceLeft returns how long an upstream that has not answered may go on being silent.
+func (x *exchange) silenceLeft() time.Duration {
+	return silenceTimeout(x.run.request.Route) - time.Since(x.sentAt)
+}
