memory: a body longer than stated does not stop the read

The fuzz test showed that the buffer no longer grew once it was full at the stated size and a byte. net/http ends a body at its stated length, so that no caller reached it.

--- a/memory/read.go
+++ b/memory/read.go
@@ -43,22 +43,16 @@
 	if stated > limit {
 		return nil, ErrTooLarge
 	}
-	buffer, size := []byte(nil), int64(firstBuffer)
-	if stated >= 0 {
-		size = min(stated, wholeBuffer) + 1 // The last byte lets a read find the end.
-	}
+	var buffer []byte
 	for {
 		if len(buffer) == cap(buffer) {
 			held := int64(cap(buffer))
+			size := nextBuffer(held, stated, limit)
 			if err := r.Grow(ctx, size, wait); err != nil {
 				return nil, err
 			}
 			buffer = append(make([]byte, 0, size), buffer...)
 			r.Shrink(held)
-			size = min(2*size, limit+1)
-			if stated > int64(len(buffer)) {
-				size = min(size, stated+1)
-			}
 		}
 		n, err := body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
@@ -72,3 +66,17 @@
 		}
 	}
 }
+
+// nextBuffer returns the size of the buffer that follows a full one of held bytes; it is larger. A byte more than
+// the body lets a read find its end.
+func nextBuffer(held, stated, limit int64) int64 {
+	switch {
+	case held == 0 && stated >= 0:
+		return min(stated, wholeBuffer) + 1
+	case held == 0:
+		return firstBuffer
+	case stated > held:
+		return min(2*held, stated+1)
+	}
+	return min(2*held, limit+1)
+}
