--- a/soak/rollouts_test.go
+++ b/soak/rollouts_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -132,8 +133,8 @@
 // checkExposure checks how many requests a bad version got.
 func (w *world) checkExposure(fresh map[string]bool, ordered time.Time) {
 	w.observed.mu.Lock()
-	asked, exposed, bad := 0, 0, 0
-	var bound time.Time
+	asked, exposed := 0, 0
+	var bad []time.Time
 	for _, a := range w.observed.arrivals {
 		if a.service != serviceStreams || a.at.Before(ordered) || a.at.After(ordered.Add(rolloutTime)) {
 			continue
@@ -146,15 +147,14 @@
 	for _, runs := range w.observed.runs {
 		for _, run := range runs {
 			if fresh[run.Engine] && !run.Answered {
-				if bad++; run.Ended.After(bound) {
-					bound = run.Ended
-				}
+				bad = append(bad, run.Ended)
 			}
 		}
 	}
+	slices.SortFunc(bad, time.Time.Compare)
 	after := 0
 	for _, a := range w.observed.arrivals {
-		if bad >= badAnswersBound && fresh[a.engine] && a.at.After(bound.Add(rollbackBound)) {
+		if len(bad) >= badAnswersBound && fresh[a.engine] && a.at.After(bad[badAnswersBound-1].Add(rollbackBound)) {
 			after++
 		}
 	}
@@ -163,7 +163,7 @@
 		w.observed.violation("exposure: a bad version got %d of %d requests, at most %.0f", exposed, asked, limit)
 	}
 	if after > 0 {
-		w.observed.violation("exposure: a bad version got %d requests over %s after it had failed %d", after, rollbackBound, bad)
+		w.observed.violation("exposure: a bad version got %d requests over %s after it had failed %d times", after, rollbackBound, badAnswersBound)
 	}
 	if exposed == 0 {
 		w.observed.violation("a version was reverted that got no request")
