--- a/memory/account.go
+++ b/memory/account.go
@@ -61,7 +61,8 @@
 	return a.stats
 }
 
-// Reservation is what one request, connection or message holds. One goroutine at a time uses it.
+// Reservation is what one request, connection or message holds. Two attempts of a request may use it at the same
+// time; an upload belongs to one goroutine.
 type Reservation struct {
 	account *Account
 	owner   string
