gateway: announce a successor to peers that are still starting

Cause: a node that stops told its successor only to peers whose last heartbeat said "ready". A log of a failing play shows the state "starting" for the peer that answered so.

Change: the announcement goes to all peers with a recent heartbeat; only ready ones are candidates for the succession.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -231,3 +231,14 @@
 	t.Cleanup(server.Close)
 	return server
 }
+
+// A peer that is still starting may serve calls of operations once the node that held them is gone.
+func TestSuccessorIsAnnouncedToPeersThatStart(t *testing.T) {
+	now := time.Now()
+	recent := recentPeers(map[string]control.Peer{
+		"starting": {Heartbeat: api.Heartbeat{NodeID: "starting", State: api.HeartbeatStateStarting}, LastSeen: now.Add(-time.Second)},
+		"lost":     {Heartbeat: api.Heartbeat{NodeID: "lost", State: api.HeartbeatStateReady}, LastSeen: now.Add(-time.Hour)},
+	}, now)
+	require.Len(t, recent, 1)
+	require.Equal(t, "starting", recent[0].NodeID)
+}
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -112,12 +112,9 @@
 // successors returns the ready peers, those of other data centres first, since a reclaim
 // often affects a whole data centre.
 func (g *Gateway) successors() []control.Peer {
-	var peers []control.Peer
-	for _, candidate := range g.Control.Snapshot().Peers {
-		if candidate.State == api.HeartbeatStateReady && time.Since(candidate.LastSeen) < peerFreshness {
-			peers = append(peers, candidate)
-		}
-	}
+	peers := slices.DeleteFunc(recentPeers(g.Control.Snapshot().Peers, time.Now()), func(p control.Peer) bool {
+		return p.State != api.HeartbeatStateReady
+	})
 	slices.SortFunc(peers, func(a, b control.Peer) int {
 		return cmp.Or(
 			cmp.Compare(g.dataCentreRank(a), g.dataCentreRank(b)),
@@ -127,6 +124,17 @@
 	return peers
 }
 
+// recentPeers returns the peers whose last heartbeat is recent, in whatever state it was.
+func recentPeers(peers map[string]control.Peer, now time.Time) []control.Peer {
+	var recent []control.Peer
+	for _, candidate := range peers {
+		if now.Sub(candidate.LastSeen) < peerFreshness {
+			recent = append(recent, candidate)
+		}
+	}
+	return recent
+}
+
 func (g *Gateway) dataCentreRank(candidate control.Peer) int {
 	if candidate.DataCentre == g.Settings.DataCentre {
 		return 1
@@ -134,13 +142,14 @@
 	return 0
 }
 
-// announceSuccessor announces the successor to the other peers. A peer that misses the
-// announcement reports the outcome of the operations as unknown.
+// announceSuccessor announces the successor to the other peers, also to those that are not ready
+// yet: they may serve calls by the time this node is gone. A peer that misses the announcement
+// reports the outcome of the operations as unknown.
 func (g *Gateway) announceSuccessor(ctx context.Context, handovers []api.OperationHandover, successor control.Peer) {
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	var group sync.WaitGroup
-	for _, candidate := range g.successors() {
+	for _, candidate := range recentPeers(g.Control.Snapshot().Peers, time.Now()) {
 		if candidate.NodeID == successor.NodeID {
 			continue
 		}
