duties: a read of the topic ends within the life of a lease

Cause: the store may block a read of the topic of duties for 2 s, and a node claims a lapsed lease only after a read that is younger than the life of a lease. With a lease that lives 300 ms a node that lost it, because a renewal came late on a busy machine, could not claim it again for up to 2 s, although no other node was there.

Change: the wait is at most half the life of a lease. At the lease of 3 s that the deployments have, it stays 2 s.

--- a/edge/duties.go
+++ b/edge/duties.go
@@ -90,11 +90,15 @@
 // not change hands back and forth.
 func leaseLife(bound time.Duration) time.Duration { return bound * 3 / 2 }
 
+// dutiesWait returns how long the store may block a read of the topic. A lapsed lease is claimed only
+// after a recent read, so the wait stays well below the lifetime of a lease.
+func dutiesWait(bound time.Duration) time.Duration { return min(maxDutiesWait, leaseLife(bound)/2) }
+
 // newFeed returns the feed of the topic of duties.
 func (d *duties) newFeed(ctx context.Context) *feed {
 	d.dutiesFeed = &feed{
 		edge: d.edge, topic: topicDuties, bound: func(bounds *platform.Bounds) time.Duration { return bounds.Lease },
-		maxWait: func() time.Duration { return maxDutiesWait }, interval: func() time.Duration { return dutiesReadInterval },
+		maxWait: func() time.Duration { return dutiesWait(d.edge.settings.Bounds.Lease) }, interval: func() time.Duration { return dutiesReadInterval },
 		shouldStandBy: func() bool { return !d.edge.dutyCandidate.Load() && !d.leaseHeld.Load() },
 		applyPage: func(page platform.Page) {
 			d.control.post(ctx, func(now time.Time) { d.applyPage(page, now) })
--- a/edge/duties_test.go
+++ b/edge/duties_test.go
@@ -25,3 +25,13 @@
 	require.True(t, ok)
 	require.False(t, claimable, "the holder's claim may be among the deleted records")
 }
+
+// A node that lost the lease may claim it only after a recent read of the topic.
+func TestReadOfDutiesEndsWithinTheLifeOfALease(t *testing.T) {
+	for _, bound := range []time.Duration{200 * time.Millisecond, 3 * time.Second} {
+		s := settings(t, "n", "127.0.0.1:1")
+		s.Bounds.Lease = bound
+		e := New(s, zerolog.Nop())
+		require.Less(t, e.control.duties.newFeed(t.Context()).maxWait(), leaseLife(bound))
+	}
+}
