serving: a stream without framing is confirmed by a connection that stays open longer

Change: at the end of a stream the new connection must stay open for 150 ms. The caller has all events by then. Whole answers, for whose end callers wait, keep 25 ms.

Measured: the new case of the test, 60 ms between the two, fails without the change and passes 3 of 3 with it.

--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -325,7 +325,7 @@
 		return outcomeFailed, fmt.Errorf("upstream answered %d", x.answer.Response.StatusCode)
 	}
 	if x.answer.Response.StatusCode < http.StatusMultipleChoices {
-		if err := x.confirmEnd(); err != nil {
+		if err := x.confirmEnd(confirmSettle); err != nil {
 			return outcomeBroken, err
 		}
 		x.recordSuccess()
@@ -460,7 +460,7 @@
 	case errors.Is(err, io.EOF) && len(rest) == 0 && x.continues && x.eventCount == 0 && !x.endsEmpty():
 		err = errNoContinuation
 	case errors.Is(err, io.EOF) && len(rest) == 0 && r.headerSent:
-		if err = x.confirmEnd(); err != nil {
+		if err = x.confirmEnd(streamConfirmSettle); err != nil {
 			break
 		}
 		x.answer.Finish()
--- a/serving/unframed.go
+++ b/serving/unframed.go
@@ -16,15 +16,19 @@
 const (
 	// confirmTimeout bounds the connection attempt that confirms the end of an unframed answer.
 	confirmTimeout = 300 * time.Millisecond
-	// confirmSettle is how long the connection must stay open.
-	confirmSettle = 25 * time.Millisecond
+	// confirmSettle is how long the connection must stay open, since a host under load takes a while to
+	// close all that a killed process had open; streamConfirmSettle is the same for a stream, whose caller
+	// has all events by then.
+	confirmSettle       = 25 * time.Millisecond
+	streamConfirmSettle = 150 * time.Millisecond
 )
 
 var errUpstreamDied = errors.New("upstream's process ended with its answer")
 
-// confirmEnd returns an error if the end of the answer is that of its upstream's process. An answer that
-// is framed needs no confirmation; one of an upstream that leaves can't be confirmed, and stands.
-func (x *exchange) confirmEnd() error {
+// confirmEnd returns an error if the end of the answer is that of its upstream's process, to which a new
+// connection does not stay open for the settling time. An answer that is framed needs no confirmation; one
+// of an upstream that leaves can't be confirmed, and stands.
+func (x *exchange) confirmEnd(settle time.Duration) error {
 	if x.answer.Framed() {
 		x.confirmed = true
 		return nil
@@ -34,7 +38,7 @@
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, confirmTimeout)
 	defer cancel()
-	err := x.run.handler.Pool.Connect(ctx, relayUpstream(x.upstream), confirmSettle)
+	err := x.run.handler.Pool.Connect(ctx, relayUpstream(x.upstream), settle)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return errUpstreamDied
 	}
--- a/serving/unframed_test.go
+++ b/serving/unframed_test.go
@@ -19,14 +19,16 @@
 	hijack(w, unframedHead+stream(1, 3))
 }
 
-// diesSlowly does the same, but the kernel closes the connections before the address.
-func diesSlowly(d *deployment, _ int64, w http.ResponseWriter, r *http.Request) {
-	listener := d.listenerOf(r).(*net.TCPListener)
-	// Nobody accepts the connections that arrive until the address is closed.
-	_ = listener.SetDeadline(time.Now().Add(-time.Second))
-	hijack(w, unframedHead+stream(1, 3))
-	time.Sleep(5 * time.Millisecond)
-	_ = listener.Close()
+// diesSlowly does the same, but the kernel closes the connections a while before the address.
+func diesSlowly(while time.Duration) behaviour {
+	return func(d *deployment, _ int64, w http.ResponseWriter, r *http.Request) {
+		listener := d.listenerOf(r).(*net.TCPListener)
+		// Nobody accepts the connections that arrive until the address is closed.
+		_ = listener.SetDeadline(time.Now().Add(-time.Second))
+		hijack(w, unframedHead+stream(1, 3))
+		time.Sleep(while)
+		_ = listener.Close()
+	}
 }
 
 // listenerOf returns the listener of the upstream that a request has reached.
@@ -42,7 +44,11 @@
 
 // Guards against a stream that looks complete although its upstream crashed between two events.
 func TestUnframedStreamOfACrashedUpstreamDoesNotLookComplete(t *testing.T) {
-	for name, crash := range map[string]behaviour{"address first": dies, "connections first": diesSlowly} {
+	for name, crash := range map[string]behaviour{
+		"address first":                    dies,
+		"connections first":                diesSlowly(5 * time.Millisecond),
+		"connections first, host has load": diesSlowly(60 * time.Millisecond),
+	} {
 		t.Run(name, func(t *testing.T) {
 			d := deploy(t, 2, crash)
 			got := d.call(context.Background(), "stream", nil)
