serving: an unframed answer is confirmed by a connection made after the settling time

A connection that is made while the kernel closes the address of a killed process may succeed and then stay open on this side alone, with neither a reset nor an end, so that its staying open proves nothing.

Change: the settling time passes first, then the connection is made, which is refused if the process is gone. The pool's Connect no longer waits.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,7 +17,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/persimmonline/persimmonline/internal/netopt"
@@ -231,23 +230,12 @@
 }
 
 // Connect establishes a connection for a later call. It returns an error that is syscall.ECONNREFUSED if
-// nothing listens at the upstream's address, or the connection does not stay open for a settling time: a
-// process that is being ended may still hold the address for a moment.
-func (p *Pool) Connect(ctx context.Context, to Upstream, settle time.Duration) error {
+// nothing listens at the upstream's address.
+func (p *Pool) Connect(ctx context.Context, to Upstream) error {
 	c, err := p.dial(ctx, to)
 	if err != nil {
 		return &Error{Step: StepConnect, Peer: to.Address, Err: err}
 	}
-	timer := time.NewTimer(settle)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	if !netopt.IsIdle(c.Conn) {
-		_ = c.Close()
-		return &Error{Step: StepConnect, Peer: to.Address, Err: syscall.ECONNREFUSED}
-	}
 	c.lastUsed = time.Now()
 	c.expiresAt = c.lastUsed.Add(defaultIdleTimeout)
 	p.putIdle(c)
--- a/serving/unframed.go
+++ b/serving/unframed.go
@@ -14,20 +14,21 @@
 // closes those of one that has finished.
 
 const (
-	// confirmTimeout bounds the connection attempt that confirms the end of an unframed answer.
-	confirmTimeout = 300 * time.Millisecond
-	// confirmSettle is how long the connection must stay open, since a host under load takes a while to
-	// close all that a killed process had open; streamConfirmSettle is the same for a stream, whose caller
-	// has all events by then.
+	// confirmTimeout bounds the confirmation of the end of an unframed answer.
+	confirmTimeout = 450 * time.Millisecond
+	// confirmSettle is the time before the connection attempt that confirms it, in which a host under
+	// load closes all that a killed process had open; streamConfirmSettle is the same for a stream, whose
+	// caller has all events by then. A connection that is made while the address is being closed may stay
+	// open without a process, so that its staying open would prove nothing.
 	confirmSettle       = 25 * time.Millisecond
 	streamConfirmSettle = 150 * time.Millisecond
 )
 
 var errUpstreamDied = errors.New("upstream's process ended with its answer")
 
-// confirmEnd returns an error if the end of the answer is that of its upstream's process, to which a new
-// connection does not stay open for the settling time. An answer that is framed needs no confirmation; one
-// of an upstream that leaves can't be confirmed, and stands.
+// confirmEnd returns an error if the end of the answer is that of its upstream's process, whose address is
+// closed after the settling time. An answer that is framed needs no confirmation; one of an upstream that
+// leaves can't be confirmed, and stands.
 func (x *exchange) confirmEnd(settle time.Duration) error {
 	if x.answer.Framed() {
 		x.confirmed = true
@@ -38,7 +39,13 @@
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, confirmTimeout)
 	defer cancel()
-	err := x.run.handler.Pool.Connect(ctx, relayUpstream(x.upstream), settle)
+	timer := time.NewTimer(settle)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	err := x.run.handler.Pool.Connect(ctx, relayUpstream(x.upstream))
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return errUpstreamDied
 	}
--- a/serving/unframed_test.go
+++ b/serving/unframed_test.go
@@ -31,6 +31,18 @@
 	}
 }
 
+// diesInConnect does the same, and the kernel forgets a connection that arrives just then.
+func diesInConnect(d *deployment, _ int64, w http.ResponseWriter, r *http.Request) {
+	listener := d.listenerOf(r).(*net.TCPListener)
+	_ = listener.SetDeadline(time.Now().Add(-time.Second))
+	hijack(w, unframedHead+stream(1, 3))
+	_ = listener.SetDeadline(time.Now().Add(5 * time.Millisecond))
+	if conn, err := listener.Accept(); err == nil {
+		d.t.Cleanup(func() { _ = conn.Close() })
+	}
+	_ = listener.Close()
+}
+
 // listenerOf returns the listener of the upstream that a request has reached.
 func (d *deployment) listenerOf(r *http.Request) net.Listener {
 	address := r.Context().Value(http.LocalAddrContextKey).(net.Addr).String()
@@ -48,6 +60,7 @@
 		"address first":                    dies,
 		"connections first":                diesSlowly(5 * time.Millisecond),
 		"connections first, host has load": diesSlowly(60 * time.Millisecond),
+		"a connection stays open":          diesInConnect,
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := deploy(t, 2, crash)
