quota: use is not lost with a root that restarts

Cause: a root that restarted took the lowest level that its children sent. Each child's level lacked its own unreported use only, and a child that sent its level to the new root counted its use as told. So of what all nodes had admitted since their last report to the former root, one node's part was charged and the rest was lost.

Change: a node sends its levels without the use that it will report to the receiver, and the new root charges these reports. Use that reached the new root before it knew levels is charged when it adopts them. The lowest level counts on a child's first report only, before any grant, as later levels include what the root has charged.

--- a/api/edge_gen.go
+++ b/api/edge_gen.go
@@ -71,8 +71,9 @@
 	// QuotaGrant replies to the receiver's reports of its usage of quotas.
 	QuotaGrant *EdgeQuotaGrant `json:"quota_grant,omitempty,omitzero"`
 
-	// QuotaLevels are the levels of the sender's buckets, by workspace; sent only to
-	// a node that has just started.
+	// QuotaLevels are the levels of the sender's buckets, by workspace, before the
+	// usage that it reports to the receiver; sent only to a node that has just
+	// started.
 	QuotaLevels map[string]float64 `json:"quota_levels,omitempty,omitzero"`
 
 	// QuotaReport is the sender's usage of quotas; sent only to the node that it
--- a/edge/exchange_test.go
+++ b/edge/exchange_test.go
@@ -421,3 +421,33 @@
 		require.Empty(t, c.registry.Upstreams(), name)
 	}
 }
+
+// A hub restarts at once while all nodes use a workspace. What they used before they knew of the new
+// hub is charged, and once only.
+func TestUseIsNeitherLostNorChargedTwiceWhenAHubRestarts(t *testing.T) {
+	for _, size := range []int{3, 12, 40} {
+		const burst, cost = 1e9, 50.0
+		m := newMesh(t, size, 3)
+		m.limit(quota.Limit{Rate: 1e-6, Burst: burst})
+		m.run(20)
+		level, used, restarts := m.nodes["n000"].edge.ledger.Levels(m.now)["w"], 0.0, 0.0
+		for step := range 100 {
+			for _, c := range m.nodes {
+				require.True(t, c.edge.ledger.Admit("w", cost, m.now).Admitted)
+				used += cost
+			}
+			if step%20 == 10 {
+				hub, _ := m.hubAndReporter()
+				m.restart(hub)
+				m.limit(quota.Limit{Rate: 1e-6, Burst: burst})
+				restarts++
+			}
+			m.run(1)
+		}
+		m.run(10)
+		for name, c := range m.nodes {
+			// The hub takes along what it used after its last message, and what it was told and did not grant on.
+			require.InDelta(t, level-used, c.edge.ledger.Levels(m.now)["w"], 3*restarts*cost+1, "%d nodes, %s", size, name)
+		}
+	}
+}
--- a/edge/quota.go
+++ b/edge/quota.go
@@ -57,11 +57,11 @@
 func (c *control) addQuota(message *api.EdgeExchange, to *peerState, now time.Time) {
 	c.edge.ledgerLock.Lock()
 	defer c.edge.ledgerLock.Unlock()
-	ledger := c.edge.ledger
+	ledger, isParent := c.edge.ledger, c.isQuotaParent(to)
 	if to.needsQuotaLevels {
-		message.QuotaLevels = ledger.LevelsForNewcomer(now)
+		message.QuotaLevels = ledger.LevelsForNewcomer(isParent, now)
 	}
-	if c.isQuotaParent(to) {
+	if isParent {
 		if report, ok := ledger.Report(now); ok {
 			message.QuotaReport = &api.EdgeQuotaReport{Parent: report.Parent, Session: report.Session, Used: report.Used, Nodes: report.Nodes}
 		}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -224,21 +224,27 @@
 // startSession begins to report anew. Usage that the former parent was not told of is carried
 // over, unless there was no report for so long that the share reserved for this node pays for it.
 func (l *Ledger) startSession(parent string, now time.Time) {
-	former := l.session
+	former, untold := l.session, l.untold(now)
 	l.session = session{
-		id: former.id + 1, parent: parent, used: map[string]float64{}, toldAt: former.toldAt,
+		id: former.id + 1, parent: parent, used: untold, toldAt: former.toldAt,
 		grantedAt: former.grantedAt, nodes: former.nodes,
 	}
-	toldAt := former.toldAt
+}
+
+// untold returns the usage that the parent was not told of and the next one will be.
+func (l *Ledger) untold(now time.Time) map[string]float64 {
+	usage := map[string]float64{}
+	toldAt := l.session.toldAt
 	if toldAt.IsZero() {
 		toldAt = l.configuredAt
 	}
 	if now.Sub(toldAt) > l.silenceTimeout {
-		return
+		return usage
 	}
-	for name, used := range former.used {
-		l.session.used[name] = used - former.told[name]
+	for name, used := range l.session.used {
+		usage[name] = used - l.session.told[name]
 	}
+	return usage
 }
 
 // Report returns the report to the parent; ok is false at the root.
@@ -249,13 +255,8 @@
 	if !l.session.toldAt.IsZero() && now.Sub(l.session.toldAt) > l.silenceTimeout {
 		l.startSession(l.session.parent, now)
 	}
-	l.markTold(now)
-	return Report{Parent: l.session.parent, Session: l.session.id, Used: l.session.told, Nodes: l.subtree(now), SentAt: now}, true
-}
-
-// markTold records that the usage so far is known to another node.
-func (l *Ledger) markTold(now time.Time) {
 	l.session.toldBefore, l.session.told, l.session.toldAt = l.session.told, maps.Clone(l.session.used), now
+	return Report{Parent: l.session.parent, Session: l.session.id, Used: l.session.told, Nodes: l.subtree(now), SentAt: now}, true
 }
 
 // ReportIgnored records that the last report reached a later incarnation of the parent, which has
@@ -266,11 +267,21 @@
 // one are ignored. While a child is silent its share of the rate is reserved, which pays for the
 // usage that it admits meanwhile; a report that covers this time is not charged. The silence is
 // measured by send times, since reports that queued up while this node was frozen are all
-// received at once. A node that has just started adopts the levels that its children send, which
-// include their usage; the lowest ones count, since each child lacks some usage of the others.
+// received at once. A node that has just started adopts the levels that its children send; the
+// lowest ones count, since each child lacks some usage that the former parent was told of. What a
+// child has used since is in no other child's level and is charged.
 func (l *Ledger) ApplyReport(report Report, levels map[string]float64, now time.Time) {
-	paid := l.AdoptLevels(levels, now) || !l.ready(now)
+	adopted := l.AdoptLevels(levels, now)
+	paid := !l.ready(now)
 	known := l.children[report.Node]
+	if known == nil && !adopted && now.Sub(l.configuredAt) < 2*adoptionTimeout {
+		for name, level := range levels {
+			if b := l.buckets[name]; b != nil {
+				l.refill(b, now)
+				b.level = min(b.level, level-l.session.used[name])
+			}
+		}
+	}
 	if known != nil && (report.Session < known.session || (report.Session == known.session && !report.SentAt.After(known.sentAt))) {
 		return
 	}
@@ -289,13 +300,6 @@
 		}
 		known.counted[name] = total
 	}
-	if now.Sub(l.configuredAt) < 2*adoptionTimeout {
-		for name, level := range levels {
-			if b := l.buckets[name]; b != nil {
-				b.level = min(b.level, level)
-			}
-		}
-	}
 }
 
 // GrantFor returns the grant for a child; ok is false if the node does not report to this one or
@@ -344,15 +348,20 @@
 }
 
 // LevelsForNewcomer returns the levels of the buckets, for a node that has just started; nil if
-// this node does not know them itself. Their receiver knows the usage of this node.
-func (l *Ledger) LevelsForNewcomer(now time.Time) map[string]float64 {
+// this node does not know them itself. They lack the usage that this node reports to the receiver:
+// that of the session if it is the parent, and what no parent was told of if it may become one.
+func (l *Ledger) LevelsForNewcomer(isParent bool, now time.Time) map[string]float64 {
 	if !l.ready(now) {
 		return nil
 	}
-	if l.session.parent != "" {
-		l.markTold(now)
+	levels, reported := l.Levels(now), l.session.used
+	if !isParent {
+		reported = l.untold(now)
+	}
+	for name := range levels {
+		levels[name] += reported[name]
 	}
-	return l.Levels(now)
+	return levels
 }
 
 // AdoptLevels adopts the first levels that a peer sends, less this node's own usage, which the
@@ -373,6 +382,9 @@
 	l.levelsAdopted, l.pendingLevels = true, nil
 	for name, level := range levels {
 		if b := l.buckets[name]; b != nil {
+			for _, known := range l.children {
+				l.session.used[name] += known.counted[name]
+			}
 			b.level, b.refilledAt = min(level-l.session.used[name], b.limit.Burst), now
 		}
 	}
