serving: log and measure the pauses of streams

Cause: an answer is late if it begins late or if it pauses for longer than gapTargetMs, and the log line of a request only told the former.

Change: "request ended" has longest_pause_ms and longest_write_ms, and persimmonline_edge_longest_pause_seconds counts them. hedge_denied was written twice in a line, and is now written once.

--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -389,9 +389,11 @@
 			return x.classifyStreamEnd(event, err)
 		}
 		x.silence.reset(gapTimeout(r.request.Route))
+		arrived := r.recordArrival()
 		if err := x.forwardEvent(event, reader, controller); err != nil {
 			return outcomeBroken, err
 		}
+		r.longestWrite = max(r.longestWrite, time.Since(arrived))
 		if r.ctx.Err() != nil {
 			return outcomeCanceled, r.ctx.Err()
 		}
@@ -401,6 +403,16 @@
 	}
 }
 
+// recordArrival records that an event of a stream arrived now, and the pause before it.
+func (r *requestRun) recordArrival() (now time.Time) {
+	now = time.Now()
+	if !r.lastEventAt.IsZero() {
+		r.longestPause = max(r.longestPause, now.Sub(r.lastEventAt))
+	}
+	r.lastEventAt = now
+	return now
+}
+
 // recordEvent counts an event; the first one shows that the prompt was processed.
 func (x *exchange) recordEvent() {
 	if x.eventCount == 0 {
--- a/serving/metrics.go
+++ b/serving/metrics.go
@@ -20,8 +20,10 @@
 	firstByte  *prometheus.HistogramVec
 	suppressed prometheus.Counter
 	viewAge    prometheus.Histogram
-	rollouts   *prometheus.CounterVec
-	hedges     hedgeMetrics
+	// longestPause is the longest pause of each stream with more than one event.
+	longestPause prometheus.Histogram
+	rollouts     *prometheus.CounterVec
+	hedges       hedgeMetrics
 
 	waiting    *prometheus.GaugeVec
 	wait       *prometheus.HistogramVec
@@ -62,8 +64,11 @@
 	m.viewAge = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "persimmonline_edge_view_age_seconds", Help: "Age of the view that a request was decided by.", Buckets: latencyBuckets,
 	})
+	m.longestPause = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "persimmonline_edge_longest_pause_seconds", Help: "Longest time between two events of a stream, as they arrived from the upstream.", Buckets: latencyBuckets,
+	})
 	m.hedges = newHedgeMetrics(registry)
-	registry.MustRegister(m.requests, m.refusals, m.attempts, m.retries, m.limited, m.throttled, m.firstByte, m.suppressed, m.viewAge, m.rollouts)
+	registry.MustRegister(m.requests, m.refusals, m.attempts, m.retries, m.limited, m.throttled, m.firstByte, m.suppressed, m.viewAge, m.rollouts, m.longestPause)
 	m.newWaitingMetrics(registry)
 	return m
 }
--- a/serving/run.go
+++ b/serving/run.go
@@ -122,7 +122,12 @@
 	throttledFor time.Duration
 	// firstByte is when the first byte of the response was sent to the caller; zero if it was not.
 	firstByte time.Time
-	attempts  []attemptTrace
+	// longestPause is the longest time between two events of a stream, longestWrite the longest that
+	// an event took to be written to the caller.
+	longestPause, longestWrite time.Duration
+	// lastEventAt is when the last event of a stream arrived; zero before the first.
+	lastEventAt time.Time
+	attempts    []attemptTrace
 	// hedgeDenied is why a slow request was not sent a second time; empty if it was, or was not slow.
 	hedgeDenied hedge.Denial
 	// trace records how upstreams are chosen for a request that is explained and not sent; else nil.
@@ -469,6 +474,9 @@
 func (r *requestRun) logResult() {
 	route := r.request.Route
 	r.handler.Metrics.requests.WithLabelValues(route.Kind.String(), r.result).Inc()
+	if r.longestPause > 0 {
+		r.handler.Metrics.longestPause.Observe(r.longestPause.Seconds())
+	}
 	event := r.handler.Logger.Info()
 	if r.result != "answered" {
 		event = r.handler.Logger.Warn()
@@ -494,6 +502,9 @@
 	if !r.firstByte.IsZero() {
 		event = event.Dur("first_byte_ms", r.firstByte.Sub(r.request.ArrivedAt))
 	}
+	if r.longestPause > 0 {
+		event = event.Dur("longest_pause_ms", r.longestPause).Dur("longest_write_ms", r.longestWrite)
+	}
 	if r.possibleRuns > 0 && r.result != "answered" {
 		event = event.Strs("parts", partIDs(r.request.Parts[:min(len(r.request.Parts), maxLoggedParts)]))
 	}
@@ -503,9 +514,6 @@
 	if r.waited > 0 {
 		event = event.Dur("waited_ms", r.waited)
 	}
-	if r.hedgeDenied != "" {
-		event = event.Str("hedge_denied", string(r.hedgeDenied))
-	}
 	if r.retryDenied.Load() {
 		event = event.Bool("retry_denied", true).Float64("retry_burst", r.view.RetryBurst)
 	}
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -473,6 +474,33 @@
 	require.EqualValues(t, 1, d.runs.Load())
 }
 
+// A stream that begins in time and then pauses is late, and its log line and the metrics must show why.
+func TestPauseOfAStreamIsLogged(t *testing.T) {
+	const pause = 100 * time.Millisecond
+	pausing := func(_ *deployment, _ int64, w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Response-Signature", "only")
+		_, _ = io.WriteString(w, stream(1, 2))
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(pause)
+		_, _ = io.WriteString(w, stream(3, 4))
+	}
+	lines := make(chan string, 1)
+	d := deployWith(t, 1, pausing, func(settings *serving.Settings) {
+		settings.Logger = zerolog.New(writerFunc(func(line string) { lines <- line }))
+	})
+	require.NoError(t, d.call(context.Background(), "stream", nil).err)
+	var logged struct {
+		Pause float64 `json:"longest_pause_ms"`
+	}
+	require.NoError(t, json.Unmarshal([]byte(<-lines), &logged))
+	require.GreaterOrEqual(t, logged.Pause, 0.9*float64(pause.Milliseconds()))
+}
+
+// writerFunc is a writer that passes on what is written.
+type writerFunc func(text string)
+
+func (f writerFunc) Write(p []byte) (int, error) { f(string(p)); return len(p), nil }
+
 func TestUpstreamStopsWhenTheCallerLeaves(t *testing.T) {
 	waits := func(d *deployment, _ int64, _ http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
