--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -476,6 +477,27 @@
 	require.EqualValues(t, 1, d.runs.Load())
 }
 
+// A stream that begins in time and then pauses is late, and its log line and the metrics must show why.
+func TestPauseOfAStreamIsLogged(t *testing.T) {
+	const pause = 100 * time.Millisecond
+	pausing := func(_ *deployment, _ int64, w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Response-Signature", "only")
+		_, _ = io.WriteString(w, stream(1, 2))
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(pause)
+		_, _ = io.WriteString(w, stream(3, 4))
+	}
+	reader, writer := io.Pipe()
+	defer func() { _ = reader.Close() }()
+	d := deployWith(t, 1, pausing, func(settings *serving.Settings) { settings.Logger = zerolog.New(writer) })
+	go d.call(context.Background(), "stream", nil)
+	var logged struct {
+		Pause float64 `json:"longest_pause_ms"`
+	}
+	require.NoError(t, json.NewDecoder(reader).Decode(&logged))
+	require.GreaterOrEqual(t, logged.Pause, 0.9*float64(pause.Milliseconds()))
+}
+
 func TestUpstreamStopsWhenTheCallerLeaves(t *testing.T) {
 	waits := func(d *deployment, _ int64, _ http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
