rollout: streams that stall or go on slowly after their first event

Cause: a version was judged by the time to the first event of a stream, or to the whole of a plain answer. A stream that stalled after its first event and was given up for its silence, or whose caller left, counted as nothing; one that went on several times slower counted as good.

Change: a node also counts streams whose pace after the first event was judged, and stalled ones among them: a pause, the end included, over 2.5 times the old version's usual longest pause on the route, or events at over 2.5 times its usual interval. A pause that is overdue counts at once. The monitor tests stalls beside slowness. The two tests of time share the error that slowness had alone (0.005 each), so that a good version is reverted no more often than before; the test of failures is unchanged.

Nodes of the program before and after this commit do not take each other's counters. Each node's own bound on the exposure does not depend on them.

A test of hedges took the new version's counters by their position, which moves; it now takes them by name.

--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -17,13 +17,16 @@
 // Counter is one of the numbers that a node counts for each side of a route.
 type Counter int
 
-// Counters. Answered counts the answers and the failures, Timed the answers whose time was judged.
+// Counters. Answered counts the answers and the failures; Timed counts the answers whose time to the first
+// event, or to the whole of a plain answer, was judged, Paced those whose pace after the first event was.
 const (
 	Sent Counter = iota
 	Answered
 	Failed
 	Timed
 	Slow
+	Paced
+	Stalled
 	countersPerSide
 )
 
--- a/rollout/monitor.go
+++ b/rollout/monitor.go
@@ -13,8 +13,10 @@
 // on all, beside old engines that crash or are slow themselves.
 
 const (
-	// falseAlarm is the probability that a test rejects a good version within falseAlarmAnswers.
+	// falseAlarm is the probability that the test for failures, or the timeTests together, reject a good
+	// version within falseAlarmAnswers.
 	falseAlarm        = 0.01
+	timeTests         = 2
 	falseAlarmAnswers = 1000
 	// missedBad is the probability that a version which fails as often as is looked for is proven.
 	missedBad = 0.01
@@ -87,7 +89,7 @@
 	}
 	m.observedAt = now
 	whole, wholeSeen := sumRoutes(total), sumRoutes(m.seen)
-	for _, kind := range []Counter{Failed, Slow} {
+	for _, kind := range []Counter{Failed, Slow, Stalled} {
 		m.advance(test{allRoutes, kind}, whole, wholeSeen, decay)
 		for route, tally := range total {
 			m.advance(test{route, kind}, tally, m.seen[route], decay)
@@ -113,9 +115,9 @@
 		state = &testState{}
 		m.states[t] = state
 	}
-	answers, least, effects := Answered, minFailureRate, failureEffects
-	if t.kind == Slow {
-		answers, least, effects = Timed, minSlowRate, slowEffects
+	answers, least, effects := answersOf(t.kind), minFailureRate, failureEffects
+	if t.kind != Failed {
+		least, effects = minSlowRate, slowEffects
 	}
 	since := func(side Side, counter Counter) float64 {
 		return float64(max(0, Get(tally, side, counter)-Get(seen, side, counter)))
@@ -137,6 +139,29 @@
 	}
 }
 
+// answersOf returns the counter of the answers among which bad ones of a kind are counted.
+func answersOf(kind Counter) Counter {
+	switch kind {
+	case Slow:
+		return Timed
+	case Stalled:
+		return Paced
+	}
+	return Answered
+}
+
+// limit returns the sum from which a test of a kind rejects a version.
+func limit(kind Counter, loaded bool) float64 {
+	if kind == Failed {
+		return math.Log(falseAlarmAnswers / falseAlarm)
+	}
+	bound := math.Log(falseAlarmAnswers * timeTests / falseAlarm)
+	if loaded {
+		bound *= loadedFactor
+	}
+	return bound
+}
+
 // upperRate estimates a rate of bad answers, one standard error above the mean.
 func upperRate(bad, answers float64) float64 {
 	mean := (bad + 1) / (answers + 2)
@@ -146,16 +171,11 @@
 // Verdict returns the verdict and what it rests on. loaded is set while the new version takes over
 // all traffic.
 func (m *Monitor) Verdict(loaded bool) (Verdict, string) {
-	bound := math.Log(falseAlarmAnswers / falseAlarm)
 	tests := slices.SortedFunc(maps.Keys(m.states), func(a, b test) int {
 		return cmp.Compare(m.states[b].highest(), m.states[a].highest())
 	})
 	for _, t := range tests {
-		limit := bound
-		if t.kind == Slow && loaded {
-			limit *= loadedFactor
-		}
-		if m.states[t].highest() >= limit {
+		if m.states[t].highest() >= limit(t.kind, loaded) {
 			return Bad, m.describe(t)
 		}
 	}
@@ -173,15 +193,14 @@
 	return Unproven, "not enough answers"
 }
 
+var kindNames = map[Counter]string{Failed: "failed", Slow: "slow", Stalled: "stalled"}
+
 // describe returns the counts behind a test for a log line.
 func (m *Monitor) describe(t test) string {
-	tally, name, kind, answers := m.seen[t.route], "route "+t.route, "failed", Answered
+	tally, name, answers := m.seen[t.route], "route "+t.route, answersOf(t.kind)
 	if t.route == allRoutes {
 		tally, name = sumRoutes(m.seen), "all routes"
 	}
-	if t.kind == Slow {
-		kind, answers = "slow", Timed
-	}
 	return fmt.Sprintf("%s: %d of %d %s at the new version, %d of %d at the old", name,
-		Get(tally, New, t.kind), Get(tally, New, answers), kind, Get(tally, Old, t.kind), Get(tally, Old, answers))
+		Get(tally, New, t.kind), Get(tally, New, answers), kindNames[t.kind], Get(tally, Old, t.kind), Get(tally, Old, answers))
 }
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -20,9 +20,9 @@
 
 // stream draws the answers of both versions of one route.
 type stream struct {
-	random         *rand.Rand
-	tally          rollout.Tally
-	failed, slowed [2]float64
+	random                  *rand.Rand
+	tally                   rollout.Tally
+	failed, slowed, stalled [2]float64
 }
 
 func newStream(seed uint64) *stream {
@@ -41,6 +41,10 @@
 		if s.random.Float64() < s.slowed[side] {
 			rollout.Add(s.tally, side, rollout.Slow, 1)
 		}
+		rollout.Add(s.tally, side, rollout.Paced, 1)
+		if s.random.Float64() < s.stalled[side] {
+			rollout.Add(s.tally, side, rollout.Stalled, 1)
+		}
 	}
 }
 
@@ -68,7 +72,7 @@
 		rejected := 0
 		for seed := range uint64(300) {
 			s := newStream(seed)
-			s.failed, s.slowed = [2]float64{usual, usual}, [2]float64{0.1, 0.1}
+			s.failed, s.slowed, s.stalled = [2]float64{usual, usual}, [2]float64{0.1, 0.1}, [2]float64{0.1, 0.1}
 			if verdict, _ := judge(rollout.NewMonitor(), s, start, 100, 10); verdict == rollout.Bad {
 				rejected++
 			}
@@ -79,15 +83,16 @@
 
 // A version with a part of bad answers is rejected before 50 of them.
 func TestBadVersionIsRejectedBeforeFiftyBadAnswers(t *testing.T) {
-	for _, bad := range []struct{ usual, failed, slowed float64 }{
-		{0, 0.3, 0}, {0.01, 0.2, 0}, {0.14, 0.5, 0}, {0, 0, 0.5}, {0, 0, 0.9}, {0, 1, 0},
+	for _, bad := range []struct{ usual, failed, slowed, stalled float64 }{
+		{0, 0.3, 0, 0}, {0.01, 0.2, 0, 0}, {0.14, 0.5, 0, 0}, {0, 0, 0.5, 0}, {0, 0, 0.9, 0}, {0, 1, 0, 0}, {0, 0, 0, 0.5}, {0, 0, 0, 0.9},
 	} {
 		late := 0
 		for seed := range uint64(200) {
 			s := newStream(seed)
 			s.failed, s.slowed = [2]float64{bad.usual, bad.failed}, [2]float64{0.1, 0.1 + bad.slowed*0.9}
+			s.stalled = [2]float64{0.1, 0.1 + bad.stalled*0.9}
 			verdict, answers := judge(rollout.NewMonitor(), s, start, 100, 5)
-			if verdict != rollout.Bad || float64(answers)*max(bad.failed, bad.slowed) > 50 {
+			if verdict != rollout.Bad || float64(answers)*max(bad.failed, bad.slowed, bad.stalled) > 50 {
 				late++
 			}
 		}
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -403,13 +403,14 @@
 
 // recordEvent counts an event; the first one shows that the prompt was processed.
 func (x *exchange) recordEvent() {
+	now := time.Now()
 	if x.eventCount == 0 {
-		x.firstEventAt = time.Now()
+		x.firstEventAt = now
 		x.run.markStarted()
-		x.tracked.RecordFirstToken(time.Now())
-		x.sample.firstByte()
+		x.tracked.RecordFirstToken(now)
 	}
-	x.tracked.RecordToken(time.Now())
+	x.sample.event(now)
+	x.tracked.RecordToken(now)
 	x.eventCount++
 }
 
--- a/serving/hedge_test.go
+++ b/serving/hedge_test.go
@@ -305,9 +305,9 @@
 	})
 	require.Equal(t, "from i-0", h.call(context.Background(), "safe", nil).body)
 	require.Equal(t, 1, h.hedges("won"))
-	countersOfNew := h.handler.RolloutReport()["s@1"]["safe"][5:]
-	require.EqualValues(t, 1, countersOfNew[rollout.Sent])
-	require.EqualValues(t, 1, countersOfNew[rollout.Slow])
+	tally := h.handler.RolloutReport()["s@1"]["safe"]
+	require.EqualValues(t, 1, rollout.Get(tally, rollout.New, rollout.Sent))
+	require.EqualValues(t, 1, rollout.Get(tally, rollout.New, rollout.Slow))
 }
 
 // The first attempt answers when it would long have been given up without a second one.
--- a/serving/rollout.go
+++ b/serving/rollout.go
@@ -103,6 +103,8 @@
 	orders     rollout.Report
 	references map[referenceKey]*reference
 	durations  map[string]*reference
+	// pauses and intervals are the longest pauses and the mean intervals between events, by route.
+	pauses, intervals map[string]*reference
 }
 
 type referenceKey struct {
@@ -126,6 +128,7 @@
 func newRolloutCounts(metrics *Metrics) *rolloutCounts {
 	return &rolloutCounts{
 		metrics: metrics, orders: rollout.Report{}, references: map[referenceKey]*reference{}, durations: map[string]*reference{},
+		pauses: map[string]*reference{}, intervals: map[string]*reference{},
 	}
 }
 
@@ -193,6 +196,15 @@
 	// judged is set once its time was judged, begun once the answer has begun.
 	judged atomic.Bool
 	begun  bool
+	pace   pace
+}
+
+// slowFrom returns the multiple of a usual time from which a time is slow; 0 if the usual one is unknown.
+func slowFrom(usual *reference) time.Duration {
+	if usual == nil || usual.count < minReference {
+		return 0
+	}
+	return time.Duration(slowFactor * math.Exp(usual.mean) * float64(time.Second))
 }
 
 // startSample starts to count an attempt; it returns nil in a deployment without rollouts.
@@ -216,8 +228,9 @@
 		return s
 	}
 	s.add(rollout.Sent)
-	if known := s.counts.references[s.key]; known != nil && known.count >= minReference {
-		s.slowAfter = time.Duration(slowFactor*math.Exp(known.mean)*float64(time.Second)) + slowSlack
+	s.pace.pauseLimit, s.pace.intervalLimit = slowFrom(s.counts.pauses[s.route]), slowFrom(s.counts.intervals[s.route])
+	if s.slowAfter = slowFrom(s.counts.references[s.key]); s.slowAfter > 0 {
+		s.slowAfter += slowSlack
 		s.overdue = time.AfterFunc(s.slowAfter, func() { s.judge(true) })
 	}
 	return s
@@ -236,7 +249,7 @@
 }
 
 var counterNames = map[rollout.Counter]string{
-	rollout.Sent: "sent", rollout.Answered: "answered", rollout.Failed: "failed", rollout.Slow: "slow",
+	rollout.Sent: "sent", rollout.Answered: "answered", rollout.Failed: "failed", rollout.Slow: "slow", rollout.Stalled: "stalled",
 }
 
 // judge counts the answer's time once.
@@ -276,8 +289,9 @@
 	if !s.begun {
 		s.firstByte()
 	}
-	took := time.Since(s.startedAt)
-	s.counts.learn(func() { observe(s.counts.durations, s.route, took) })
+	now := time.Now()
+	s.counts.learn(func() { observe(s.counts.durations, s.route, now.Sub(s.startedAt)) })
+	s.paceComplete(now)
 }
 
 // end records the outcome.
@@ -288,6 +302,7 @@
 	if s.overdue != nil {
 		s.overdue.Stop()
 	}
+	s.paceEnd(result, slow)
 	failed := result == outcomeFailed || (result == outcomeBroken && !slow)
 	if slow {
 		s.judge(true)
--- a/serving/rollout_test.go
+++ b/serving/rollout_test.go
@@ -1,6 +1,7 @@
 package serving_test
 
 import (
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -94,3 +95,48 @@
 	d.view.Store(&view)
 	require.Equal(t, "new", d.call(t.Context(), "safe", nil).body)
 }
+
+// The judge of versions sees what comes after the first event.
+func TestPaceOfAStreamIsJudged(t *testing.T) {
+	const usual, events = 2 * time.Millisecond, 12
+	for name, c := range map[string]struct {
+		pause, interval time.Duration
+		stalled         int64
+	}{
+		"as usual":                    {usual, usual, 0},
+		"a pause within the slack":    {10 * usual, usual, 0},
+		"stalls once":                 {75 * usual, usual, 1},
+		"goes on slowly":              {usual, 12 * usual, 1},
+		"stalls until it is given up": {500 * usual, usual, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			write := func(version string, w http.ResponseWriter) {
+				pause, interval := usual, usual
+				if version == "new" {
+					pause, interval = c.pause, c.interval
+				}
+				w.Header().Set("X-Response-Signature", "s")
+				w.Header().Set("Content-Type", "text/event-stream")
+				for id := 1; id <= events; id++ {
+					_, _ = io.WriteString(w, event(id))
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(pause)
+					pause = interval
+				}
+			}
+			d := rolloutDeployment(t, onTrial(0), write)
+			for range 6 {
+				require.Equal(t, http.StatusOK, d.call(t.Context(), "stream", nil).status)
+			}
+			view := *d.view.Load()
+			view.Rollouts = map[string]*serving.Rollout{"s": onTrial(1)}
+			d.view.Store(&view)
+			d.call(t.Context(), "stream", nil)
+			tally := d.handler.RolloutReport()["s@1"]["stream"]
+			require.EqualValues(t, 1, rollout.Get(tally, rollout.New, rollout.Paced))
+			require.Equal(t, c.stalled, rollout.Get(tally, rollout.New, rollout.Stalled))
+			require.Zero(t, rollout.Get(tally, rollout.New, rollout.Slow))
+			require.Zero(t, rollout.Get(tally, rollout.Old, rollout.Stalled))
+		})
+	}
+}
