rollout: tests of bad orders at a node

Cause: bad orders were tested in the decoder only, not that a node logs the reason and keeps the order in force; an order for an unknown service had no test.

Result: both pass on the code as it is.

--- a/edge/rollout_mesh_test.go
+++ b/edge/rollout_mesh_test.go
@@ -1,12 +1,14 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"github.com/persimmonline/persimmonline/catalog"
@@ -453,3 +455,49 @@
 	require.Empty(t, c.rollouts.byService)
 	require.Nil(t, c.rollouts.view(m.now))
 }
+
+func TestBadOrdersAreLoggedWithTheReasonAndChangeNothing(t *testing.T) {
+	m := newRolloutMesh(t, 1)
+	c, lines := m.nodes["n0"], &bytes.Buffer{}
+	m.order("n0", "s", "v2", 7, 60)
+	m.addEngines("v2", 4)
+	m.steps(20)
+	c.edge.logger = zerolog.New(lines)
+	before, generation := c.rollouts.byService["s"].order, c.rollouts.view(m.now)["s"].Settled
+	for value, reason := range map[string]string{
+		`{"service":"s","to":"","durationS":9}`:        "without a version",
+		`{"service":"s","to":"v3"}`:                    "order of 0 s",
+		`{"service":"s","to":"v3","durationS":0}`:      "order of 0 s",
+		`{"service":"s","to":"v3","durationS":-9}`:     "order of -9 s",
+		`{"service":"s","to":"v3","durationS":172800}`: "order of 172800 s",
+		`{"service":"s","to":3,"durationS":9}`:         "cannot unmarshal number",
+		`{"service":"s","to":"v3","durationS":"9"}`:    "cannot unmarshal string",
+		`{"service":["s"],"to":"v3","durationS":9}`:    "cannot unmarshal array",
+		`{"service":"r","to":"v3","durationS":9}`:      "of service \\\"r\\\" under the key",
+		`{"to":"v3","durationS":9}`:                    "of service \\\"\\\" under the key",
+		`"v3"`:                                         "cannot unmarshal string",
+		`{"service":"s","to":"v3`:                      "unexpected end of JSON",
+	} {
+		lines.Reset()
+		c.rollouts.applyRecord(platform.KeyedRecord{Key: "rollout/s", Value: []byte(value), Offset: 9}, m.now)
+		require.Contains(t, lines.String(), "rollout order ignored", value)
+		require.Contains(t, lines.String(), reason, value)
+		require.Len(t, c.rollouts.byService, 1, value)
+		require.Equal(t, before, c.rollouts.byService["s"].order, value)
+		require.Equal(t, generation, c.rollouts.view(m.now)["s"].Settled, value)
+	}
+}
+
+func TestOrderForAnUnknownServiceIsLoggedAndHasNoEffect(t *testing.T) {
+	m := newRolloutMesh(t, 1)
+	lines := &bytes.Buffer{}
+	m.holder.edge.logger = zerolog.New(lines)
+	m.order("n0", "x", "v2", 7, 3)
+	require.Contains(t, lines.String(), `"unknown_service":true`)
+	m.steps(60)
+	require.Empty(t, m.log.records)
+	m.order("n0", "s", "v2", 8, 10)
+	m.addEngines("v2", 4)
+	m.steps(99)
+	require.Equal(t, rollout.Complete, m.log.phase(t, "s"))
+}
