rollout: the loss of the holder in the last moments no longer delays complete

Cause: the holder of the duties alone writes complete, 0.5 to 0.7 s before the end of the order. A holder lost in that time is replaced after its lease of 3 s, so that complete came late. A renewal of the counts in the status, begun a second before the end, could also hold up the write.

Change: a completion that was announced and that no node tells 0.25 s after its moment is written by a hub or the next one in line, under the same condition as the holder's write, unless its own evidence shows the version bad. What is left of an order at its completion is 4 % of its time up to 4 s, not up to 0.7 s: the share of requests that this takes is the same for orders of any length, and in long ones the next holder comes in time. Counts are not renewed within a second of the completion.

A store that is down from the planned moment to the end still delays complete: the store's record alone completes an order, and completing earlier would exceed canaryShare.

Result: TestCompletionOfALostHolderIsWrittenByAnother fails without the stand-in and passes with it; the tests of exposure, of deposed holders and of a store that is down at the end pass.

--- a/edge/cells.go
+++ b/edge/cells.go
@@ -90,6 +90,21 @@
 	return nil
 }
 
+// hasAllReports reports whether this node is the hub of its cell or would be the next one; the two get what
+// the other nodes report.
+func (c *control) hasAllReports(now time.Time) bool {
+	preferred := 0
+	for _, name := range c.cells.Members(c.ownCell()) {
+		if name == c.edge.settings.Name {
+			break
+		}
+		if peer := c.peers[name]; peer != nil && peer.live(now) {
+			preferred++
+		}
+	}
+	return preferred <= 1
+}
+
 // relayTo returns a member ranked after this node that still reports to the hub which this node
 // can't reach; nil if none is known.
 func (c *control) relayTo(unreachable *peerState, members []string, now time.Time) *peerState {
--- a/edge/control.go
+++ b/edge/control.go
@@ -241,6 +241,7 @@
 	c.edge.pool.Sweep(c.isTracked)
 	c.duties.tick(now)
 	c.rollouts.decider.readUnknown(now)
+	c.rollouts.decider.standIn(now)
 	c.publishNow = true
 }
 
--- a/edge/rollout_mesh_test.go
+++ b/edge/rollout_mesh_test.go
@@ -142,6 +142,7 @@
 				c.rollouts.decider.tick(m.fence, m.now)
 			}
 			c.rollouts.decider.readUnknown(m.now)
+			c.rollouts.decider.standIn(m.now)
 		}
 		m.run(1)
 	}
@@ -501,3 +502,31 @@
 	m.steps(99)
 	require.Equal(t, rollout.Complete, m.log.phase(t, "s"))
 }
+
+// The lease of a holder that is lost at the end outlives the order.
+func TestCompletionOfALostHolderIsWrittenByAnother(t *testing.T) {
+	m := newRolloutMesh(t, 5)
+	m.order("n3", "s", "v2", 7, 10)
+	m.addEngines("v2", 4)
+	m.steps(94)
+	m.kill(m.holder)
+	m.holder = nil
+	m.steps(6)
+	require.LessOrEqual(t, m.now.Sub(m.nodes["n1"].rollouts.byService["s"].orderedAt), 10*time.Second)
+	require.Equal(t, rollout.Complete, m.log.phase(t, "s"))
+	m.steps(5)
+	m.requireSettled("s", routing.NewGeneration)
+}
+
+func TestNothingIsCompletedForALostHolderIfTheVersionIsBad(t *testing.T) {
+	m := newRolloutMesh(t, 5)
+	m.order("n3", "s", "v2", 7, 10)
+	m.addEngines("v2", 4)
+	m.steps(85)
+	m.failing = 90
+	m.steps(8)
+	m.kill(m.holder)
+	m.holder = nil
+	m.steps(10)
+	require.NotEqual(t, rollout.Complete, m.log.phase(t, "s"))
+}
--- a/edge/rolloutdecider.go
+++ b/edge/rolloutdecider.go
@@ -14,9 +14,12 @@
 
 const (
 	// statusRefresh is the interval at which the counts in a status are renewed while the version is on
-	// trial, quietEnd the time before the end in which they are not, so that no call is in the way.
+	// trial, quietEnd the time before the completion in which they are not, so that no call is in the way.
 	statusRefresh = 2 * time.Second
 	quietEnd      = time.Second
+	// standInDelay is how long after its planned moment a completion that no node tells is written by a
+	// stand-in; the write and its way through two hubs take less.
+	standInDelay = 250 * time.Millisecond
 	// statusPatience is how long a node waits for its peers to tell the phase of an order before it
 	// reads the status.
 	statusPatience = 500 * time.Millisecond
@@ -107,6 +110,44 @@
 	}
 }
 
+// standIn completes the orders whose completion is overdue at a node that does not hold the duties: the
+// lease of a lost holder ends after the order. It only carries out what the holder has announced; the
+// condition of the write decides between the two.
+func (d *rolloutDecider) standIn(now time.Time) {
+	r := d.rollouts
+	if !r.enabled() || r.control.duties.leaseHeld.Load() || !r.control.hasAllReports(now) {
+		return
+	}
+	for _, service := range slices.Sorted(maps.Keys(r.byService)) {
+		state := r.byService[service]
+		announced := state.phase == rollout.Serving && state.decision.Moving && now.Sub(state.decidedAt) < shareLife
+		if announced && state.untilComplete(now) <= -standInDelay {
+			d.completeFor(state, now)
+		}
+	}
+}
+
+// completeFor writes the completion of an order for the holder, unless this node finds the version bad.
+func (d *rolloutDecider) completeFor(state *rolloutState, now time.Time) {
+	if !d.endKnown {
+		d.load(now)
+		return
+	}
+	r := d.rollouts
+	r.gather()
+	monitor := rollout.NewMonitor()
+	monitor.Observe(r.evidence.Total(state.key()), now)
+	input := rollout.State{OrderedAt: state.orderedAt, Duration: state.order.Duration, Withdrawn: state.withdrawn}
+	input.OldEngines, input.NewEngines = r.countEngines(state)
+	input.Verdict, _ = monitor.Verdict(true)
+	if rollout.Decide(r.bounds(), input, now).Phase != rollout.Complete || d.callInFlight || now.Before(d.retryAt) {
+		return
+	}
+	r.edge.logger.Info().Str("service", state.order.Service).Str("to", state.order.To).Dur("decided_ms", now.Sub(state.decidedAt)).
+		Msg("rollout completed for the holder of the duties")
+	d.append(state, rollout.Complete)
+}
+
 // decide makes a decision on an order for all nodes.
 func (d *rolloutDecider) decide(state *rolloutState, now time.Time) {
 	r := d.rollouts
@@ -202,8 +243,7 @@
 
 // refreshDue reports whether the counts in a status are to be renewed.
 func (d *rolloutDecider) refreshDue(state *rolloutState, now time.Time) bool {
-	left := state.orderedAt.Add(state.order.Duration).Sub(now)
-	return now.Sub(state.deciding.statusAt) > statusRefresh && left > quietEnd
+	return now.Sub(state.deciding.statusAt) > statusRefresh && state.untilComplete(now) > quietEnd
 }
 
 // append writes a status under the condition that nobody has written since statuses were read.
@@ -263,6 +303,7 @@
 			for _, record := range records {
 				d.applyStatus(record, now)
 			}
+			d.standIn(now)
 		}, nil
 	})
 }
--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -73,6 +73,11 @@
 	return fmt.Sprintf("%s@%d", s.order.Service, s.order.Offset)
 }
 
+// untilComplete returns the time until the planned completion; it is negative afterwards.
+func (s *rolloutState) untilComplete(now time.Time) time.Duration {
+	return s.orderedAt.Add(s.order.Duration).Sub(now) - rollout.CompleteMargin(s.order.Duration)
+}
+
 // isOld reports whether a version is one that the service had before the order.
 func (s *rolloutState) isOld(version string) bool {
 	return version != s.order.To && !slices.Contains(s.avoid, version)
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -22,11 +22,11 @@
 	proofShare = 0.6
 	// moveTime is how long before the end the longest requests move to the new version.
 	moveTime = 8 * time.Second
-	// completePart is the part of an order's time that is left when it is completed, within bounds; the
-	// operator reads the status some time after it was written.
+	// completePart is the part of an order's time that is left when it is completed, within bounds; it covers
+	// the way to the operator, a stand-in and, in a long order, the next holder of the duties.
 	completePart      = 0.04
 	minCompleteMargin = 500 * time.Millisecond
-	maxCompleteMargin = 700 * time.Millisecond
+	maxCompleteMargin = 4 * time.Second
 	// minEngineShare is the least number of new engines, as a share of the old ones, with which an
 	// order is completed.
 	minEngineShare = 0.5
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -182,6 +182,7 @@
 		"unproven is not completed": {15500 * time.Millisecond, rollout.Unproven, nil, rollout.Serving, false},
 		"likely good is completed":  {15500 * time.Millisecond, rollout.Likely, nil, rollout.Complete, true},
 		"unproven in time":          {16100 * time.Millisecond, rollout.Unproven, nil, rollout.Reverted, false},
+		"long order, early":         {96500 * time.Millisecond, rollout.Proven, func(s *rollout.State) { s.Duration = 100 * time.Second }, rollout.Complete, true},
 		"completed late":            {17 * time.Second, rollout.Proven, nil, rollout.Complete, true},
 		"much too late":             {27 * time.Second, rollout.Proven, nil, rollout.Reverted, false},
 		"bad":                       {2 * time.Second, rollout.Bad, nil, rollout.Reverted, false},
