explain: requests that have ended, and what waits ahead of one

Cause: explain told where a request would go, not what was decided about one that has ended, nor where a request would wait for a place at an engine.

Change: a node keeps the newest decisions in 1 MiB, or a 64th of its memory account if that is less, which is reserved there: route, service, workspace, result, times, and for each attempt upstream, version, price and forecast of the choice, and outcome. The candidates that were not chosen are not kept, since that would cost each request a record of all engines. The admission of a request that is not sent shows its rank, what waits ahead of it and the expected wait, by a preview of the queue that changes nothing. A field that the log line of a request had twice comes once.

The tests of limit, serving, gateway, cmd/persimmon-edge and those of explain in edge pass with -race.

--- a/cmd/persimmon-edge/explain.go
+++ b/cmd/persimmon-edge/explain.go
@@ -25,8 +25,10 @@
 
 // explainCommand asks a running node.
 type explainCommand struct {
-	Host string `arg:"" help:"Host of the request."`
-	Path string `arg:"" help:"Path of the request."`
+	Host string `arg:"" optional:"" help:"Host of the request."`
+	Path string `arg:"" optional:"" help:"Path of the request."`
+
+	Request string `help:"Id of a request that the node has ended in the last minutes, in place of HOST PATH."`
 
 	Node         string   `help:"Metrics address of the node, IP:port; by default that of the settings file." env:"PERSIMMON_NODE"`
 	Key          string   `help:"Key of the workspace; better in the environment, where other users don't see it." env:"PERSIMMON_KEY" xor:"workspace"`
@@ -56,6 +58,14 @@
 }
 
 func (c *explainCommand) question() (*serving.Question, error) {
+	switch {
+	case c.Request != "" && c.Host != "":
+		return nil, errors.New("--request stands in place of HOST PATH")
+	case c.Request != "":
+		return &serving.Question{RequestID: c.Request}, nil
+	case c.Path == "":
+		return nil, errors.New("neither HOST PATH nor --request")
+	}
 	question := &serving.Question{
 		Host: c.Host, Path: c.Path, Key: c.Key, Workspace: c.Workspace, PromptTokens: c.PromptTokens, AnswerTokens: c.AnswerTokens,
 	}
@@ -120,6 +130,13 @@
 		_, err := out.Write(answer)
 		return err
 	}
+	if c.Request != "" {
+		var recent serving.RecentExplanation
+		if err := json.Unmarshal(answer, &recent); err != nil {
+			return fmt.Errorf("decode the answer: %w", err)
+		}
+		return printRecent(out, &recent)
+	}
 	var explanation serving.Explanation
 	if err := json.Unmarshal(answer, &explanation); err != nil {
 		return fmt.Errorf("decode the answer: %w", err)
--- a/cmd/persimmon-edge/explain_test.go
+++ b/cmd/persimmon-edge/explain_test.go
@@ -17,11 +17,16 @@
 
 // explain runs the command against a node.
 func explain(t *testing.T, node string, args ...string) (code int, out, errs string) {
+	t.Helper()
+	return runExplain(t, append([]string{"--node", node, "h.example", "/chat/x"}, args...)...)
+}
+
+func runExplain(t *testing.T, args ...string) (code int, out, errs string) {
 	t.Helper()
 	var flags cli
 	parser, err := kong.New(&flags)
 	require.NoError(t, err)
-	_, err = parser.Parse(append([]string{"explain", "--node", node, "h.example", "/chat/x"}, args...))
+	_, err = parser.Parse(append([]string{"explain"}, args...))
 	require.NoError(t, err)
 	var printed, failed bytes.Buffer
 	code = flags.Explain.run(&printed, &failed)
@@ -75,6 +80,20 @@
 	require.Contains(t, errs, `--part: "a" is not ID=TOKENS`)
 }
 
+func TestExplainPrintsARequestThatHasEnded(t *testing.T) {
+	node, question := nodeAnswering(t, http.StatusOK, serving.RecentExplanation{
+		ID: "id-1", Route: "chat", Result: "answered", Attempts: []serving.RecentAttempt{{Upstream: "i-1", Outcome: "broken", Error: "reset"}, {Upstream: "i-2"}},
+	})
+	code, out, errs := runExplain(t, "--node", node, "--request", "id-1")
+	require.Zero(t, code, errs)
+	require.Equal(t, "id-1", question.RequestID)
+	require.Regexp(t, `(?s)id-1.*i-1 .*broken.*reset.*i-2`, out)
+	code, _, _ = runExplain(t, "--node", node, "h.example", "/chat/x", "--request", "id-1")
+	require.Equal(t, exitSettings, code)
+	code, _, _ = runExplain(t, "--node", node)
+	require.Equal(t, exitSettings, code)
+}
+
 func TestPlainRunServes(t *testing.T) {
 	var flags cli
 	parser, err := kong.New(&flags)
--- a/cmd/persimmon-edge/print.go
+++ b/cmd/persimmon-edge/print.go
@@ -26,6 +26,9 @@
 	}
 	line("retries left", "%.1f", e.Admission.RetriesLeft)
 	line("admitted", "%s", cmp.Or(e.Admission.Refused, "yes"))
+	if q := e.Admission.Queue; q != nil {
+		line("queue", "%s, rank %d, %d ahead of it, %d wait and %d run here, about %.0f ms", q.Verdict, q.Rank, q.Ahead, q.Waiting, q.Running, q.ExpectedMS)
+	}
 	line("known since", "configuration %d, decided on a view of %.0f ms, registry read %.0f ms ago", e.ConfigVersion, e.ViewAgeMS, e.RegistryAgeMS)
 	line("choice", "%s", cmp.Or(e.Choice, e.Error))
 	line("fallback", "%s", cmp.Or(e.Fallback, "none"))
@@ -38,6 +41,32 @@
 	return table.Flush()
 }
 
+// printRecent prints what was decided about a request for people.
+func printRecent(out io.Writer, e *serving.RecentExplanation) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	line := func(name, format string, args ...any) {
+		_, _ = fmt.Fprintf(table, "%s\t%s\n", name, fmt.Sprintf(format, args...))
+	}
+	line("request", "%s, %.0f s ago, took %.0f ms", e.ID, e.AgeMS/1000, e.TookMS)
+	line("route", "%s, service %s, workspace %s", cmp.Or(e.Route, "none"), cmp.Or(e.Service, "none"), cmp.Or(e.Workspace, "none"))
+	line("tokens", "%d, of which %d shared", e.PromptTokens, e.SharedTokens)
+	line("known since", "configuration %d, decided on a view of %.0f ms", e.ConfigVersion, e.ViewAgeMS)
+	line("result", "%s", strings.TrimSpace(fmt.Sprintf("%s, status %d %s", e.Result, e.Status, e.Refused)))
+	line("waited", "%.0f ms, first byte after %s ms", e.WaitedMS, age(e.FirstByteMS))
+	line("retry denied", "%t", e.RetryDenied)
+	line("hedge denied", "%s", cmp.Or(e.HedgeDenied, "no"))
+	_, _ = fmt.Fprint(table, "\nupstream\tversion\toutcome\tprice\tqueue ms\tcached\tfetched\ttook ms\terror\n")
+	for _, a := range e.Attempts {
+		outcome := a.Outcome
+		if a.Hedge {
+			outcome += " (hedge)"
+		}
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%.4f\t%.0f\t%d\t%d\t%.0f\t%s\n", a.Upstream, cmp.Or(a.Version, "-"), outcome, a.Price,
+			a.QueueMS, a.CachedTokens, a.FetchTokens, a.TookMS, cmp.Or(a.Error, "-"))
+	}
+	return table.Flush()
+}
+
 func weights(byService map[string]int) string {
 	var texts []string
 	for _, service := range slices.Sorted(maps.Keys(byService)) {
--- a/edge/explain.go
+++ b/edge/explain.go
@@ -38,6 +38,10 @@
 		e.writeExplanation(w, http.StatusBadRequest, ExplainError{Message: "the question is not JSON: " + err.Error()})
 		return
 	}
+	if question.RequestID != "" {
+		e.serveRecent(w, question.RequestID)
+		return
+	}
 	explanation, refused := e.handler.Explain(&question)
 	event := e.logger.Info().Str("host", question.Host).Str("path", question.Path)
 	if refused != nil {
@@ -49,6 +53,16 @@
 	e.writeExplanation(w, http.StatusOK, explanation)
 }
 
+// serveRecent answers what was decided about a request that has ended.
+func (e *Edge) serveRecent(w http.ResponseWriter, id string) {
+	explanation, refused := e.handler.Recent(id)
+	if refused != nil {
+		e.writeExplanation(w, refused.Status, ExplainError{Message: refused.Message})
+		return
+	}
+	e.writeExplanation(w, http.StatusOK, explanation)
+}
+
 func (e *Edge) writeExplanation(w http.ResponseWriter, status int, answer any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/edge/explain_test.go
+++ b/edge/explain_test.go
@@ -36,6 +36,9 @@
 	code, answer = ask(t, e, `{"host":"h.example","path":"/none/x","key":"key"}`)
 	require.Equal(t, http.StatusNotFound, code)
 	require.JSONEq(t, `{"error":"no route for h.example/none/x"}`, answer)
+	code, answer = ask(t, e, `{"request_id":"id-1"}`)
+	require.Equal(t, http.StatusNotFound, code)
+	require.Contains(t, answer, `no request \"id-1\"`)
 }
 
 func TestTheKeyOfAQuestionIsNotLogged(t *testing.T) {
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -44,6 +44,23 @@
 	require.Equal(t, []uint64{3, 1, 2}, drainOrder(queue))
 }
 
+func TestPreviewTellsWhatASubmissionWouldAndChangesNothing(t *testing.T) {
+	queue := fullQueue(t, 2, 8)
+	require.Equal(t, limit.Wait, queue.Submit(epoch, ticket(1, "a", 0)).Verdict)
+	require.Equal(t, limit.Wait, queue.Submit(epoch, ticket(2, "b", 5)).Verdict)
+	for range 3 {
+		require.Equal(t, 2, queue.Preview(epoch, ticket(3, "b", 5)).Ahead)
+		require.Equal(t, 1, queue.Preview(epoch, ticket(3, "a", 0)).Ahead)
+	}
+	require.Equal(t, limit.Wait, queue.Preview(epoch, ticket(3, "a", 0)).Verdict)
+	require.Equal(t, limit.Wait, queue.Submit(epoch, ticket(3, "a", 0)).Verdict)
+	require.Equal(t, []uint64{1, 3, 2}, drainOrder(queue))
+	queue = fullQueue(t, 1, 1)
+	queue.Submit(epoch, ticket(4, "a", 0))
+	require.Equal(t, limit.RefuseFull, queue.Preview(epoch, ticket(5, "a", 0)).Verdict)
+	require.Equal(t, limit.Run, limit.NewQueue(1, 1).Preview(epoch, ticket(5, "a", 0)).Verdict)
+}
+
 func TestReservedSlotsAreForFirstPriority(t *testing.T) {
 	queue := limit.NewQueue(20, 10)
 	running := 0
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -178,10 +178,34 @@
 	return Decision{Verdict: Wait}
 }
 
+// Preview is the decision on a request as it would be now.
+type Preview struct {
+	Verdict Verdict
+	// Ahead is the number of waiting requests that precede it, Wait its expected time in the queue.
+	Ahead int
+	Wait  time.Duration
+}
+
+// Preview returns the decision on a request that is not submitted.
+func (q *Queue) Preview(now time.Time, ticket Ticket) Preview {
+	entry := q.waiterOf(ticket)
+	ahead := q.ahead(entry, now)
+	if ahead == 0 && q.running < q.slotsFor(entry.ticket.Priority) {
+		return Preview{Verdict: Run}
+	}
+	return Preview{Verdict: q.waitVerdict(now, entry, ahead), Ahead: ahead, Wait: q.expectedWait(ahead + 1)}
+}
+
 func (q *Queue) newWaiter(ticket Ticket) *waiter {
+	entry := q.waiterOf(ticket)
+	q.serial = entry.serial
+	return entry
+}
+
+// waiterOf returns the waiter that a request would be.
+func (q *Queue) waiterOf(ticket Ticket) *waiter {
 	ticket.Priority = clampPriority(ticket.Priority)
-	q.serial++
-	entry := &waiter{ticket: ticket, serial: q.serial, round: q.roundOf(ticket)}
+	entry := &waiter{ticket: ticket, serial: q.serial + 1, round: q.roundOf(ticket)}
 	entry.virtualStart = max(q.virtualTime, q.nextStartByFlow[entry.flow()])
 	return entry
 }
@@ -198,14 +222,23 @@
 
 // decideWait returns the verdict Wait if a new request may be queued, else its refusal.
 func (q *Queue) decideWait(now time.Time, entry *waiter, ahead int) Decision {
+	verdict := q.waitVerdict(now, entry, ahead)
+	if verdict == Wait {
+		return Decision{Verdict: Wait}
+	}
+	return Decision{Verdict: verdict, RetryAfter: q.RetryAfter(now, entry.ticket)}
+}
+
+// waitVerdict returns Wait if a new request may be queued, else why not.
+func (q *Queue) waitVerdict(now time.Time, entry *waiter, ahead int) Verdict {
 	if len(q.waiting) >= q.capacity || q.waitingByWorkspace[entry.ticket.Workspace] >= q.maxWaiting(entry.ticket.Workspace) {
-		return Decision{Verdict: RefuseFull, RetryAfter: q.RetryAfter(now, entry.ticket)}
+		return RefuseFull
 	}
 	deadline := entry.ticket.Deadline
 	if !deadline.IsZero() && now.Add(q.expectedWait(ahead+1)).After(deadline) {
-		return Decision{Verdict: RefuseDeadline, RetryAfter: q.RetryAfter(now, entry.ticket)}
+		return RefuseDeadline
 	}
-	return Decision{Verdict: Wait}
+	return Wait
 }
 
 // Done frees the slot that a request occupied for the given time, and fills free slots.
--- a/serving/explain.go
+++ b/serving/explain.go
@@ -9,6 +9,7 @@
 
 	"github.com/persimmonline/persimmonline/catalog"
 	"github.com/persimmonline/persimmonline/hedge"
+	"github.com/persimmonline/persimmonline/limit"
 	"github.com/persimmonline/persimmonline/refusal"
 	"github.com/persimmonline/persimmonline/routing"
 )
@@ -30,7 +31,7 @@
 	}
 	run := &requestRun{
 		handler: h, view: view, request: request, ctx: context.Background(), shared: sharedPrefix(request.Parts),
-		deadline: deadlineOf(request), excluded: map[string]bool{}, trace: &routing.Trace{},
+		deadline: deadlineOf(request), excluded: map[string]bool{},
 	}
 	run.blocks = run.shared.Blocks()
 	for _, list := range view.CacheLists {
@@ -39,8 +40,9 @@
 	run.service = pickBackend(request.Route.Backends, h.nextRandom())
 	explanation := &Explanation{
 		ConfigVersion: request.ConfigVersion, ViewAgeMS: ms(now.Sub(view.PublishedAt)), RegistryAgeMS: ms(now.Sub(view.RegistryReadAt)),
-		Route: explainRoute(request.Route, run.service), Admission: run.explainAdmission(),
+		Route: explainRoute(request.Route, run.service), Admission: run.explainAdmission(now),
 	}
+	run.trace = &routing.Trace{}
 	choice, err := run.chooseUpstream(view)
 	explanation.Candidates = run.explainCandidates(choice.Upstream, now)
 	if err == nil {
@@ -125,7 +127,7 @@
 	}
 }
 
-func (r *requestRun) explainAdmission() AdmissionExplanation {
+func (r *requestRun) explainAdmission(now time.Time) AdmissionExplanation {
 	h, request := r.handler, r.request
 	admission := AdmissionExplanation{Workspace: request.Workspace, Priority: request.Priority, RetriesLeft: h.retriesLeft(r.service, r.view.RetryBurst)}
 	if request.Workspace != "" {
@@ -144,9 +146,30 @@
 	case admission.QuotaLeft != nil && *admission.QuotaLeft < admission.QuotaCost:
 		admission.Refused = string(refusal.CodeWorkspaceLimit)
 	}
+	admission.Queue = r.explainQueue(now)
 	return admission
 }
 
+var queueVerdicts = map[limit.Verdict]string{limit.Run: "run", limit.Wait: "wait", limit.RefuseFull: "full", limit.RefuseDeadline: "deadline"}
+
+// explainQueue says where the request would wait; nil if the service's requests do not differ in rank.
+func (r *requestRun) explainQueue(now time.Time) *QueueExplanation {
+	if _, ranked := r.view.Rooms[r.service]; !ranked {
+		return nil
+	}
+	ticket := r.ticket()
+	r.setDeadlines(&ticket)
+	p := &r.handler.waiting
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	queue := p.place(r.service, r.view).queue
+	preview := queue.Preview(now, ticket)
+	return &QueueExplanation{
+		Verdict: queueVerdicts[preview.Verdict], Rank: ticket.Priority, Ahead: preview.Ahead, Waiting: queue.Waiting(), Running: queue.Running(),
+		ExpectedMS: ms(preview.Wait),
+	}
+}
+
 // refusesPart reports whether a part of the prompt is refused; the trait of the whole request, which
 // includes its body, is not known here.
 func (r *requestRun) refusesPart() bool {
--- a/serving/explain_test.go
+++ b/serving/explain_test.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/persimmonline/persimmonline/membership"
+	"github.com/persimmonline/persimmonline/memory"
 	"github.com/persimmonline/persimmonline/serving"
 )
 
@@ -75,3 +79,38 @@
 	explanation, _ = h.handler.Explain(&serving.Question{Host: "h.example", Path: "/unsafe/x", Key: "key"})
 	require.Equal(t, "not_repeatable", explanation.Hedge.Denied)
 }
+
+func TestRequestThatHasEndedIsExplainedByItsID(t *testing.T) {
+	d := deploy(t, 2, answers)
+	got := d.call(context.Background(), "safe", nil)
+	require.Eventually(t, func() bool { _, refused := d.handler.Recent("id-1"); return refused == nil }, time.Second, time.Millisecond)
+	recent, _ := d.handler.Recent("id-1")
+	require.Equal(t, [4]string{"safe", "s", "w", "answered"}, [4]string{recent.Route, recent.Service, recent.Workspace, recent.Result})
+	require.Len(t, recent.Attempts, 1)
+	require.Equal(t, got.header.Get("X-Response-Signature"), recent.Attempts[0].Upstream)
+	require.Equal(t, "answered", recent.Attempts[0].Outcome)
+	d.call(context.Background(), "none", func(r *http.Request) { r.Header.Set("X-Request-Id", "id-2") })
+	recent, refused := d.handler.Recent("id-2")
+	require.Nil(t, refused)
+	require.Equal(t, "refused:not_found", recent.Result)
+	_, refused = d.handler.Recent("id-3")
+	require.Equal(t, http.StatusNotFound, refused.Status)
+	require.Contains(t, refused.Message, `no request "id-3" among those that this node has ended in the last`)
+}
+
+func TestEndedRequestsKeepWithinTheirMemory(t *testing.T) {
+	account := memory.New(1 << 20)
+	d := deployWith(t, 1, answers, func(settings *serving.Settings) { settings.Memory = account })
+	require.EqualValues(t, 1<<14, account.Stats().Reserved)
+	for i := range 200 {
+		d.call(context.Background(), "none", func(r *http.Request) { r.Header.Set("X-Request-Id", fmt.Sprint("id-", i)) })
+	}
+	kept := 0
+	for i := range 200 {
+		if _, refused := d.handler.Recent(fmt.Sprint("id-", i)); refused == nil {
+			kept++
+			require.Greater(t, i, 100, "the newest are kept")
+		}
+	}
+	require.Greater(t, kept, 10)
+}
--- a/serving/explanation.go
+++ b/serving/explanation.go
@@ -1,7 +1,9 @@
 package serving
 
-// Question describes a request that is not sent.
+// Question describes a request that is not sent, or names one that has ended.
 type Question struct {
+	// RequestID of a request that has ended; the other fields are then not looked at.
+	RequestID string `json:"request_id,omitempty"`
 	// Host and Path select the route.
 	Host string `json:"host"`
 	Path string `json:"path"`
@@ -56,6 +58,64 @@
 	RetriesLeft float64 `json:"retries_left"`
 	// Refused is why the request would be refused; empty if it is admitted.
 	Refused string `json:"refused,omitempty"`
+	// Queue is where the request would wait for a place at an engine; absent if none of the service's do.
+	Queue *QueueExplanation `json:"queue,omitempty"`
+}
+
+// QueueExplanation says where the request would wait for a place at an engine.
+type QueueExplanation struct {
+	// Verdict is run, wait, full or deadline.
+	Verdict string `json:"verdict"`
+	// Rank of the request; 0 is the highest. Ahead is the number of waiting requests that would start first.
+	Rank  int `json:"rank"`
+	Ahead int `json:"ahead"`
+	// Waiting and Running are the service's requests at this node.
+	Waiting int `json:"waiting"`
+	Running int `json:"running"`
+	// ExpectedMS is how long it would wait.
+	ExpectedMS float64 `json:"expected_ms"`
+}
+
+// RecentExplanation says what was decided about a request that has ended.
+type RecentExplanation struct {
+	ID string `json:"request_id"`
+	// AgeMS is the time since the request came.
+	AgeMS         float64 `json:"age_ms"`
+	Route         string  `json:"route,omitempty"`
+	Service       string  `json:"service,omitempty"`
+	Workspace     string  `json:"workspace,omitempty"`
+	ConfigVersion int64   `json:"config_version"`
+	ViewAgeMS     float64 `json:"view_age_ms,omitempty"`
+	PromptTokens  int     `json:"prompt_tokens"`
+	SharedTokens  int     `json:"shared_tokens,omitempty"`
+	// Result is what the caller got, Refused the message of a refusal before any choice.
+	Result  string `json:"result"`
+	Status  int    `json:"status"`
+	Refused string `json:"refused,omitempty"`
+	// WaitedMS is the time in the queue, FirstByteMS that until the caller was sent the first byte.
+	WaitedMS    float64  `json:"waited_ms,omitempty"`
+	FirstByteMS *float64 `json:"first_byte_ms,omitempty"`
+	TookMS      float64  `json:"took_ms"`
+	// HedgeDenied is why a slow request was not sent a second time; RetryDenied is set if the retry budget
+	// had no more.
+	HedgeDenied string          `json:"hedge_denied,omitempty"`
+	RetryDenied bool            `json:"retry_denied,omitempty"`
+	Attempts    []RecentAttempt `json:"attempts"`
+}
+
+// RecentAttempt is a choice of an upstream and what came of it.
+type RecentAttempt struct {
+	Upstream string `json:"upstream"`
+	Version  string `json:"version,omitempty"`
+	Outcome  string `json:"outcome"`
+	Error    string `json:"error,omitempty"`
+	Hedge    bool   `json:"hedge,omitempty"`
+	// Price, QueueMS, CachedTokens and FetchTokens are what the choice rested on.
+	Price        float64 `json:"price"`
+	QueueMS      float64 `json:"queue_ms"`
+	CachedTokens int     `json:"cached_tokens"`
+	FetchTokens  int     `json:"fetch_tokens"`
+	TookMS       float64 `json:"took_ms"`
 }
 
 // CandidateExplanation is what the decision found of an upstream.
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -87,6 +87,7 @@
 	budgets map[string]*retry.WindowBudget
 
 	waiting waitingPlaces
+	recent  *recentDecisions
 }
 
 // New returns a handler.
@@ -100,6 +101,7 @@
 		successLogLimiter:     rate.NewLimiter(successLogRate, successLogRate),
 		noticeErrorLogLimiter: rate.NewLimiter(noticeErrorLogRate, 1),
 	}
+	h.recent = newRecentDecisions(settings.Memory)
 	h.random.Store(uint64(time.Now().UnixNano()))
 	return h
 }
@@ -159,6 +161,7 @@
 	if run.possibleRuns == 0 {
 		h.refund(request, cost)
 	}
+	run.keepDecision()
 	run.logResult()
 	if run.abortConnection {
 		panic(http.ErrAbortHandler)
@@ -333,6 +336,7 @@
 	id := ""
 	if request != nil {
 		id = request.ID
+		h.keepRefusal(request, refused)
 	}
 	h.writeRefusal(w, id, refused)
 	if request != nil && request.Route != nil {
--- a/serving/run.go
+++ b/serving/run.go
@@ -137,6 +137,8 @@
 type attemptTrace struct {
 	upstream string
 	outcome  outcome
+	version  string
+	price    float64
 	queue    float64
 	cached   int
 	fetched  int
@@ -451,7 +453,7 @@
 	x.sample.end(result, overtaken || x.upstreamSilent())
 	r.recordLatency(x, result, now)
 	r.attempts = append(r.attempts, attemptTrace{
-		upstream: x.upstream.ID, outcome: result, queue: x.choice.Queue, cached: x.choice.CachedTokens, fetched: x.choice.FetchTokens,
+		upstream: x.upstream.ID, version: x.upstream.Version, outcome: result, price: x.choice.Price, queue: x.choice.Queue, cached: x.choice.CachedTokens, fetched: x.choice.FetchTokens,
 		limit: x.limit, limitAge: x.sentAt.Sub(x.limit.At), took: now.Sub(x.sentAt), err: err, hedge: x.hedges,
 	})
 	r.handler.Metrics.attempts.WithLabelValues(r.service, outcomeNames[result]).Inc()
@@ -497,9 +499,6 @@
 	if r.possibleRuns > 0 && r.result != "answered" {
 		event = event.Strs("parts", partIDs(r.request.Parts[:min(len(r.request.Parts), maxLoggedParts)]))
 	}
-	if r.hedgeDenied != "" {
-		event = event.Str("hedge_denied", string(r.hedgeDenied))
-	}
 	if r.waited > 0 {
 		event = event.Dur("waited_ms", r.waited)
 	}
--- a/serving/waiting_test.go
+++ b/serving/waiting_test.go
@@ -119,3 +119,17 @@
 	require.NotEmpty(t, got.header.Get("Retry-After"))
 	require.Less(t, time.Since(started), 200*time.Millisecond)
 }
+
+func TestExplanationTellsWhatWaitsAhead(t *testing.T) {
+	d, _, _, _ := scarce(t)
+	question := &serving.Question{Host: "h.example", Path: "/unsafe/x", Key: "key"}
+	explanation, refused := d.handler.Explain(question)
+	require.Nil(t, refused)
+	queue := explanation.Admission.Queue
+	require.Equal(t, "wait", queue.Verdict)
+	require.Equal(t, [3]int{1, 1, 1}, [3]int{queue.Ahead, queue.Waiting, queue.Running})
+	require.Equal(t, 1, d.handler.Waiting()["s"])
+	d.setRooms(nil, false)
+	explanation, _ = d.handler.Explain(question)
+	require.Nil(t, explanation.Admission.Queue)
+}
