--- a/routing/generation.go
+++ b/routing/generation.go
@@ -14,7 +14,12 @@
 
 // includes reports whether a request restricted to a generation may run at a candidate.
 func (g Generation) includes(candidate *Upstream) bool {
-	return g == AnyGeneration || candidate.Generation == AnyGeneration || candidate.Generation == g
+	return g.Includes(candidate.Generation)
+}
+
+// Includes reports whether a request restricted to a generation may run at an upstream of another.
+func (g Generation) Includes(other Generation) bool {
+	return g == AnyGeneration || other == AnyGeneration || other == g
 }
 
 // mayCopyFrom reports whether a request restricted to a generation may use a copy of an engine's cache:
