serving: carry on the runs of engines that leave

Cause: a stream that may not be resumed broke when its engine ended after its notice.

The end of a stream whose move is under way is judged by the answer to the move. A copy that is not used is freed. Off by default.

Measured: tests of serving, routing, platform, catalog, carry and persimmon-edge and those of edge that bear on leaving upstreams pass with -race.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -83,6 +83,10 @@
 	// FetchRate is the rate at which an engine copies from another's cache, in tokens per
 	// second; 0 if it can't.
 	FetchRate float64
+	// Moves is set if a run's memory can be moved to another engine.
+	Moves bool
+	// EventTokens is the number of tokens in an event of a stream; 0 if unknown.
+	EventTokens int
 }
 
 // Scaling holds the bounds on the number of a service's engines, and their prices.
--- a/cmd/persimmon-edge/main.go
+++ b/cmd/persimmon-edge/main.go
@@ -35,6 +35,7 @@
 type cli struct {
 	LogLevel   string  `help:"Lowest level of log lines." enum:"debug,info,warn,error" default:"info" env:"PERSIMMON_LOG_LEVEL"`
 	HedgeShare float64 `help:"Extra work that second attempts at the slowest requests may cause, as a share of all work (0 to 1)." default:"0" env:"PERSIMMON_HEDGE_SHARE"`
+	CarryRuns  bool    `help:"Move the streams of engines that leave to other engines, where engines offer it." default:"false" env:"PERSIMMON_CARRY_RUNS"`
 
 	Serve   struct{}       `cmd:"" default:"1" help:"Serve callers (without a command as well)."`
 	Explain explainCommand `cmd:"" help:"Say where a request would go now, and why, without sending it."`
@@ -66,6 +67,7 @@
 		return exitSettings
 	}
 	settings.HedgeShare = flags.HedgeShare
+	settings.CarryRuns = flags.CarryRuns
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryBytes)))
 	}
--- a/edge/control.go
+++ b/edge/control.go
@@ -109,6 +109,7 @@
 	// loggedRetryBurst is the share of the retry budget's burst that was last logged.
 	loggedRetryBurst float64
 	suspectUntil     map[string]time.Time
+	leaving          leavingUpstreams
 	trackers         map[string]*routing.Tracker
 	// gates hold the limits and pauses that upstreams announce, by upstream key. gateClock is
 	// their clock, which is also read by the goroutines that serve requests.
@@ -148,7 +149,7 @@
 func newControl(e *Edge) *control {
 	c := &control{
 		edge: e, events: make(chan event, eventQueue),
-		registry: fleet.NewRegistry(), peers: map[string]*peerState{}, suspectUntil: map[string]time.Time{},
+		registry: fleet.NewRegistry(), peers: map[string]*peerState{}, suspectUntil: map[string]time.Time{}, leaving: leavingUpstreams{},
 		trackers: map[string]*routing.Tracker{}, holders: map[string]routing.Holder{}, cacheListsWanted: map[string]bool{}, keyByHash: map[uint32]string{}, nodesChanged: true,
 		gates: map[string]*pacing.Gate{}, removedGates: map[string]removedGate{}, gateClock: time.Now,
 		noticeLogLimiter: rate.NewLimiter(noticeLogRate, noticeLogBurst),
@@ -266,6 +267,7 @@
 			c.edge.peers.wake()
 		}
 		u := change.Upstream
+		c.leaving.observe(change, c.edge.clock.monotonic(), c.edge.bounds.Load().Drain)
 		c.edge.logger.Info().Str("upstream", u.ID).Int64("born_ms", u.BornMS).Str("service", u.Service).
 			Str("address", u.Address).Str("data_centre", u.DataCentre).Bool("reclaimable", u.Reclaimable).
 			Dur("leaves_ms", u.TimeLeft).Str("change", string(change.Kind)).Msg("upstream changed")
@@ -425,7 +427,7 @@
 	}
 	view.Fleet = routing.NewFleet(byService, c.prefixes, 1, time.Now())
 	view.Fleet.BlockTokens = serving.BlockTokens
-	view.Rooms = c.rooms(byService, now)
+	view.Rooms, view.Leaving = c.rooms(byService, now), c.leaving.view(now, time.Now())
 	view.CacheLists = c.currentCacheLists(now)
 	for _, source := range sources {
 		view.Fleet.AddSource(source)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -126,12 +126,16 @@
 	e.control = newControl(e)
 	e.peers = newPeers(e)
 	e.control.publish(e.startedMonotonic)
-	e.handler = serving.New(serving.Settings{
+	handlerSettings := serving.Settings{
 		Adapter: platform.Protocol{}, CurrentView: e.view.Load, Pool: e.pool, Ledger: e.ledger, LedgerLock: &e.ledgerLock,
 		MonotonicNow: e.clock.monotonic, Successes: e.successes,
 		Events: e.control, RetryRatio: settings.Bounds.RetryRatio, RetryWindow: settings.Bounds.RetryWindow,
 		HedgeShare: settings.HedgeShare, Logger: e.logger, Metrics: serving.NewMetrics(registry), Memory: e.account,
-	})
+	}
+	if settings.CarryRuns {
+		handlerSettings.Mover = e.engines
+	}
+	e.handler = serving.New(handlerSettings)
 	return e
 }
 
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -175,6 +175,9 @@
 // queued at the upstream.
 func (u *Upstream) QueuedByOtherNodes() float64 { return u.estimate.otherQueued }
 
+// PrefillRate returns the expected rate at which the upstream reads prompts, in tokens per second.
+func (u *Upstream) PrefillRate() float64 { return u.estimate.rate }
+
 // decayedSpeed returns a learned speed that decays exponentially to the mean with its age.
 func decayedSpeed(observed movingAverage, mean float64, now time.Time) float64 {
 	if observed.value == 0 {
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -82,6 +82,10 @@
 	sample *sample
 	// hedges is set for the second attempt of a request whose first one is still under way.
 	hedges bool
+	// memory is what the run goes on with; zero for a run that starts anew.
+	memory runMemory
+	// carried is the entry of the run among those that may be moved; nil if it can't be.
+	carried *carriedRun
 	// ctx is done with the request, or when another upstream takes over from this one.
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
@@ -151,7 +155,7 @@
 	if x.opened.reached {
 		x.run.reachedAttempts++
 	}
-	if x.opened.mayHaveRun {
+	if x.opened.mayHaveRun && !x.memory.held() {
 		x.run.possibleRuns++
 	}
 }
@@ -176,6 +180,7 @@
 		Header: r.handler.Adapter.UpstreamHeader(r.request, Attempt{
 			UpstreamID: x.upstream.ID, Workspace: r.request.Workspace, Remaining: time.Until(r.deadline),
 			LastEventID: r.lastEventID, EnginePriority: r.enginePriority(), FetchFrom: fetchFrom,
+			RunFrom: x.memory.address, RunHandle: x.memory.handle,
 		}),
 	}
 }
@@ -384,6 +389,8 @@
 	}
 	defer func() { _ = controller.SetWriteDeadline(time.Time{}) }()
 	event, err := x.opened.firstEvent, x.opened.streamErr
+	r.handler.carrier.register(x)
+	defer r.handler.carrier.release(x)
 	for {
 		if err != nil {
 			return x.classifyStreamEnd(event, err)
@@ -411,6 +418,7 @@
 	}
 	x.tracked.RecordToken(time.Now())
 	x.eventCount++
+	x.carried.recordEvents(x.eventCount)
 }
 
 // forwardEvent forwards one event, unless a resumed stream repeats an event that the caller already
@@ -453,9 +461,14 @@
 	return x.eventCount > 0 && time.Since(x.firstEventAt) > maxCrashDelay
 }
 
-// classifyStreamEnd distinguishes the regular end of a stream from a broken one.
+// classifyStreamEnd distinguishes the regular end of a stream from a broken one, and from that of a run that
+// was moved.
 func (x *exchange) classifyStreamEnd(rest []byte, err error) (outcome, error) {
 	r := x.run
+	if ended, cause := x.endedByMove(err); cause != nil {
+		r.markStarted()
+		return ended, cause
+	}
 	switch {
 	case errors.Is(err, io.EOF) && len(rest) == 0 && x.continues && x.eventCount == 0 && !x.endsEmpty():
 		err = errNoContinuation
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -59,6 +59,8 @@
 	RetryWindow time.Duration
 	// HedgeShare bounds the extra work of second attempts, as a share of all work; 0 means none.
 	HedgeShare float64
+	// Mover moves runs from engines that leave; nil if runs end with their engine.
+	Mover RunMover
 	// Logger for decisions about requests.
 	Logger zerolog.Logger
 	// Metrics of requests and attempts.
@@ -72,6 +74,7 @@
 	Settings
 
 	hedges   *hedges
+	carrier  *carrier
 	inFlight atomic.Int64
 	random   atomic.Uint64
 
@@ -100,6 +103,7 @@
 		successLogLimiter:     rate.NewLimiter(successLogRate, successLogRate),
 		noticeErrorLogLimiter: rate.NewLimiter(noticeErrorLogRate, 1),
 	}
+	h.carrier = newCarrier(h)
 	h.random.Store(uint64(time.Now().UnixNano()))
 	return h
 }
--- a/serving/metrics.go
+++ b/serving/metrics.go
@@ -22,6 +22,7 @@
 	viewAge    prometheus.Histogram
 	rollouts   *prometheus.CounterVec
 	hedges     hedgeMetrics
+	moves      *prometheus.CounterVec
 
 	waiting    *prometheus.GaugeVec
 	wait       *prometheus.HistogramVec
@@ -62,8 +63,11 @@
 	m.viewAge = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "persimmonline_edge_view_age_seconds", Help: "Age of the view that a request was decided by.", Buckets: latencyBuckets,
 	})
+	m.moves = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "persimmonline_edge_moves_total", Help: "Moves of runs from engines that leave, by service and result.",
+	}, []string{"service", "result"})
 	m.hedges = newHedgeMetrics(registry)
-	registry.MustRegister(m.requests, m.refusals, m.attempts, m.retries, m.limited, m.throttled, m.firstByte, m.suppressed, m.viewAge, m.rollouts)
+	registry.MustRegister(m.requests, m.refusals, m.attempts, m.retries, m.limited, m.throttled, m.firstByte, m.suppressed, m.viewAge, m.rollouts, m.moves)
 	m.newWaitingMetrics(registry)
 	return m
 }
--- a/serving/request.go
+++ b/serving/request.go
@@ -77,6 +77,9 @@
 	// FetchFrom is the address of the engine from whose cache the prompt's prefix is to be copied;
 	// empty for none.
 	FetchFrom string
+	// RunFrom is the address of the engine, and RunHandle its handle, of the memory with which the run
+	// goes on; empty for a run that starts anew.
+	RunFrom, RunHandle string
 }
 
 // ResponseInfo is the information in the headers of an upstream's response.
--- a/serving/run.go
+++ b/serving/run.go
@@ -69,10 +69,12 @@
 	outcomeCanceled
 	// outcomeLost: another upstream answered first.
 	outcomeLost
+	// outcomeMoved: the run was stopped, and goes on elsewhere with its memory.
+	outcomeMoved
 )
 
 var outcomeNames = map[outcome]string{
-	outcomeAnswered: "answered", outcomeNotRun: "not_run", outcomeUnreachable: "unreachable", outcomeFailed: "failed", outcomeBroken: "broken", outcomeCanceled: "gone", outcomeLost: "lost",
+	outcomeAnswered: "answered", outcomeNotRun: "not_run", outcomeUnreachable: "unreachable", outcomeFailed: "failed", outcomeBroken: "broken", outcomeCanceled: "gone", outcomeLost: "lost", outcomeMoved: "moved",
 }
 
 // bufferedResponse is a complete response that has not been forwarded yet.
@@ -131,6 +133,10 @@
 	// none.
 	waited     time.Duration
 	turnedAway *refusal.Refusal
+	// moved is the move that stopped the run; nil if it is not to go on elsewhere. memory is what the next
+	// attempt goes on with.
+	moved  *runMove
+	memory runMemory
 }
 
 // attemptTrace is the log entry of an attempt.
@@ -170,6 +176,9 @@
 			return
 		}
 		result := r.attempt(choice)
+		if result == outcomeMoved {
+			result = r.continueMoved()
+		}
 		if result == outcomeAnswered {
 			r.result = "answered"
 			return
@@ -412,7 +421,8 @@
 	x := &exchange{run: r, choice: choice, upstream: upstream, continues: r.headerSent, sentAt: now, limit: upstream.Gate.Limit()}
 	x.sample = r.startSample(upstream, uncached)
 	x.tracked = upstream.Tracker.Begin(now, r.request.Priority, uncached, upstream.QueuedByOtherNodes())
-	if upstream.Holder != 0 {
+	x.memory = r.memory
+	if upstream.Holder != 0 && !x.memory.held() {
 		r.view.Fleet.Prefixes.Add(upstream.Holder, r.blocks...)
 		r.handler.Events.PromptPlaced(upstream, r.shared, uncached)
 	}
--- a/serving/view.go
+++ b/serving/view.go
@@ -39,6 +39,8 @@
 	JudgesVersions bool
 	// Rooms holds the places at the engines of the services whose requests differ in rank.
 	Rooms map[string]limit.Room
+	// Leaving holds when the upstreams that leave are expected to end, by key.
+	Leaving map[string]time.Time
 	// Draining is set while this node is stopping; it closes the connections after each response.
 	Draining bool
 	// RefusingRequests is set once the load balancer has had time to stop sending connections, so
--- a/serving/waiting.go
+++ b/serving/waiting.go
@@ -88,8 +88,9 @@
 	}
 }
 
-// ViewChanged applies a new view to the waiting requests.
+// ViewChanged applies a new view to the waiting requests and to the runs of engines that leave.
 func (h *Handler) ViewChanged(view *View) {
+	h.carrier.viewChanged(view)
 	h.waiting.mu.Lock()
 	defer h.waiting.mu.Unlock()
 	for service, place := range h.waiting.byService {
