carry: spread the destinations, and move elsewhere after a refusal

The refusal was taken for an unknown outcome, though the runs went on.

Change: the better of two drawn destinations is taken, in any data centre. A refusal without a handle is one, and the run moves to another engine if there is time; a destination that refused gets no more runs of that engine.

--- a/carry/carry.go
+++ b/carry/carry.go
@@ -175,30 +175,31 @@
 	})
 }
 
-// pick returns an engine with room, of the source's data centre if one has any: the freer of two that a hash
-// draws, lest all nodes choose the same. It returns nil if no engine has room.
+// pick returns the better of two engines with room that a hash draws, lest all nodes choose the same; nil if
+// none has room.
 func pick(room []Destination, source Source, run Run) *Destination {
-	var near, all []*Destination
+	var able []*Destination
 	for i := range room {
 		candidate := &room[i]
-		if candidate.FreeSlots <= 0 || run.Excluded[candidate.ID] || !run.Generation.Includes(candidate.Generation) {
-			continue
-		}
-		all = append(all, candidate)
-		if candidate.DataCentre == source.DataCentre {
-			near = append(near, candidate)
+		if candidate.FreeSlots > 0 && !run.Excluded[candidate.ID] && run.Generation.Includes(candidate.Generation) {
+			able = append(able, candidate)
 		}
 	}
-	if len(near) > 0 {
-		all = near
-	}
-	if len(all) == 0 {
+	if len(able) == 0 {
 		return nil
 	}
-	hash, count := xxhash.Sum64String(run.ID), uint64(len(all))
-	first, second := all[hash%count], all[(hash>>32)%count]
-	if second.FreeSlots > first.FreeSlots {
+	hash, count := xxhash.Sum64String(run.ID), uint64(len(able))
+	first, second := able[hash%count], able[(hash>>32)%count]
+	if source.worth(second) > source.worth(first) {
 		return second
 	}
 	return first
 }
+
+// worth returns the free slots of a destination; one in another data centre needs more of them.
+func (s *Source) worth(to *Destination) int {
+	if to.DataCentre == s.DataCentre {
+		return zoneFactor * to.FreeSlots
+	}
+	return to.FreeSlots
+}
--- a/serving/carry.go
+++ b/serving/carry.go
@@ -42,13 +42,15 @@
 	RunUnknown RunState = iota
 	// RunStays: the run was not stopped, or there is none.
 	RunStays
+	// RunRefused: the destination has no room or was not reached, and the run goes on at the source.
+	RunRefused
 	// RunStopped: the run was stopped, and its memory is at the source alone.
 	RunStopped
 	// RunCopied: the run was stopped, and its memory is at the destination as well.
 	RunCopied
 )
 
-var moveResults = map[RunState]string{RunUnknown: "unknown", RunStays: "stays", RunStopped: "stopped", RunCopied: "copied"}
+var moveResults = map[RunState]string{RunUnknown: "unknown", RunStays: "stays", RunRefused: "refused", RunStopped: "stopped", RunCopied: "copied"}
 
 // RunMove is the answer to the move of a run.
 type RunMove struct {
@@ -87,6 +89,8 @@
 	service  string
 	runs     map[*carriedRun]bool
 	moving   map[*runMove]bool
+	// refused holds the ids of the destinations that took no run of this engine.
+	refused map[string]bool
 	// watched is set while a goroutine moves runs, changed wakes it.
 	watched bool
 	changed chan struct{}
@@ -143,7 +147,8 @@
 	engine := c.engines[key]
 	if engine == nil {
 		engine = &engineRuns{
-			upstream: x.upstream, service: x.run.service, runs: map[*carriedRun]bool{}, moving: map[*runMove]bool{}, changed: make(chan struct{}, 1),
+			upstream: x.upstream, service: x.run.service, runs: map[*carriedRun]bool{}, moving: map[*runMove]bool{},
+			refused: map[string]bool{}, changed: make(chan struct{}, 1),
 		}
 		c.engines[key] = engine
 	}
@@ -308,7 +313,7 @@
 		}
 		byID[upstream.ID] = upstream
 		candidates = append(candidates, carry.Destination{
-			ID: upstream.ID, Usable: mayHedgeAt(upstream) && !leaving && !upstream.Leaving && upstream.Key() != engine.upstream.Key(),
+			ID: upstream.ID, Usable: mayHedgeAt(upstream) && !leaving && !upstream.Leaving && !engine.refused[upstream.ID],
 			Version: upstream.Version, DataCentre: upstream.DataCentre, Generation: upstream.Generation, FreeSlots: free,
 			ReadRate: upstream.PrefillRate(),
 		})
@@ -351,6 +356,12 @@
 	move.result = result
 	delete(engine.moving, move)
 	ended := run.ended
+	if result.State == RunRefused || result.State == RunStopped {
+		engine.refused[move.to.ID] = true
+	}
+	if result.State == RunRefused {
+		run.move = nil
+	}
 	close(move.done)
 	engine.wake()
 	c.forgetIdle(engine)
