--- a/serving/metrics.go
+++ b/serving/metrics.go
@@ -24,6 +24,7 @@
 	longestPause prometheus.Histogram
 	rollouts     *prometheus.CounterVec
 	hedges       hedgeMetrics
+	moves        *prometheus.CounterVec
 
 	waiting    *prometheus.GaugeVec
 	wait       *prometheus.HistogramVec
@@ -67,8 +68,11 @@
 	m.longestPause = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Name: "persimmonline_edge_longest_pause_seconds", Help: "Longest time between two events of a stream, as they arrived from the upstream.", Buckets: latencyBuckets,
 	})
+	m.moves = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "persimmonline_edge_moves_total", Help: "Moves of runs from engines that leave, by service and result.",
+	}, []string{"service", "result"})
 	m.hedges = newHedgeMetrics(registry)
-	registry.MustRegister(m.requests, m.refusals, m.attempts, m.retries, m.limited, m.throttled, m.firstByte, m.suppressed, m.viewAge, m.rollouts, m.longestPause)
+	registry.MustRegister(m.requests, m.refusals, m.attempts, m.retries, m.limited, m.throttled, m.firstByte, m.suppressed, m.viewAge, m.rollouts, m.longestPause, m.moves)
 	m.newWaitingMetrics(registry)
 	return m
 }
