edge: a node that was suspended when it was told to stop ends within its grace

Cause: a suspended process gets SIGTERM when it resumes, and drained from then on for 2.5 s at least, while the platform counts the grace from when it sent the signal. In the soak's edge-0 is suspended for 2.7 s, gets SIGTERM 0.1 s after the suspension began, and outlives its grace of 5 s.

Change: if the control loop has just detected a stall, the signal counts as sent when the stall began. The drain is shorter by that time, but at least 1 s, and new requests are refused 0.3 s before it ends. By then the balancer's checks have failed for as long as the stall took. With a grace of 8 s a stall of more than 4.5 s is needed to refuse earlier.

--- a/edge/control.go
+++ b/edge/control.go
@@ -95,8 +95,9 @@
 	// otherHubsContactedAt is when the hubs of other cells were last sent a message, probedAt when
 	// nodes were last probed, candidacyCheckedAt when candidacy for the duties was last checked.
 	otherHubsContactedAt, probedAt, candidacyCheckedAt time.Time
-	// lastTickAt is the time of the last tick, stalledAt when the loop last detected a stall.
-	lastTickAt, stalledAt time.Time
+	// lastTickAt is the time of the last tick, stalledAt when the loop last detected a stall, which
+	// began after stalledFrom.
+	lastTickAt, stalledAt, stalledFrom time.Time
 	// quotaParentIncarnation is the incarnation of the node to which this node reports its usage of
 	// quotas; empty if it is the root.
 	quotaParentIncarnation string
@@ -248,11 +249,20 @@
 // that messages may have been delayed in its sockets.
 func (c *control) recentlyStalled(now time.Time) bool {
 	if !c.lastTickAt.IsZero() && now.Sub(c.lastTickAt) > stallTicks*controlTick {
-		c.stalledAt = now
+		c.stalledAt, c.stalledFrom = now, c.lastTickAt
 	}
 	return !c.stalledAt.IsZero() && now.Sub(c.stalledAt) < peerLiveTime
 }
 
+// signalAge returns how long ago a signal that arrives now may have been sent: a process that was
+// suspended gets it when it resumes.
+func (c *control) signalAge(now time.Time) time.Duration {
+	if c.recentlyStalled(now) && now.Sub(c.stalledAt) < stallTicks*controlTick {
+		return now.Sub(c.stalledFrom)
+	}
+	return 0
+}
+
 // isTracked reports whether an upstream is known, so that its pooled connections are kept.
 func (c *control) isTracked(key string) bool {
 	_, ok := c.trackers[key]
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -50,6 +50,10 @@
 	drainPollInterval = 50 * time.Millisecond
 	// idleBeforeExit is how long a stopping node must be without requests before it exits.
 	idleBeforeExit = 200 * time.Millisecond
+	// exitTime is how long before the end of its grace a stopping node refuses requests at the latest.
+	exitTime = idleBeforeExit + 2*drainPollInterval
+	// minDrainTime is the least time that a node which was suspended gives its requests.
+	minDrainTime = time.Second
 )
 
 // Edge is one node.
@@ -228,19 +232,25 @@
 func (e *Edge) stop() {
 	began := time.Now()
 	e.logger.Info().Int64("in_flight", e.handler.InFlight()).Msg("node stopping")
-	e.control.post(e.ctx, func(now time.Time) {
+	signalAge, _ := query(e.ctx, e.control, func(now time.Time) time.Duration {
 		e.control.draining = true
 		for _, record := range e.control.duties.stop(now) {
 			e.control.duties.release(record)
 		}
 		e.control.publish(now)
 		e.peers.wake()
+		return e.control.signalAge(now)
 	})
-	deadline := began.Add(max(balancerDrainTime, e.settings.Bounds.Grace-graceMargin))
+	drainTime, refuseAfter := max(balancerDrainTime, e.settings.Bounds.Grace-graceMargin), balancerDrainTime
+	if signalAge > 0 {
+		drainTime = max(minDrainTime, drainTime-signalAge)
+		refuseAfter = min(refuseAfter, drainTime-exitTime)
+	}
+	deadline := began.Add(drainTime)
 	idleSince, refusing := time.Time{}, false
 	for time.Now().Before(deadline) {
 		time.Sleep(drainPollInterval)
-		if !refusing && time.Since(began) > balancerDrainTime {
+		if !refusing && time.Since(began) > refuseAfter {
 			refusing = true
 			e.rejectNewRequests()
 		}
@@ -256,7 +266,7 @@
 	}
 	e.peers.startExchanges(e.ctx)
 	time.Sleep(drainPollInterval)
-	e.logger.Info().Int64("in_flight", e.handler.InFlight()).Dur("took_ms", time.Since(began)).Msg("node stopped")
+	e.logger.Info().Int64("in_flight", e.handler.InFlight()).Dur("took_ms", time.Since(began)).Dur("signal_age_ms", signalAge).Msg("node stopped")
 	e.cancel()
 	for _, server := range e.servers {
 		_ = server.Close()
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -205,6 +205,20 @@
 	require.Less(t, time.Since(began), 5*time.Second)
 }
 
+// A process that was suspended gets the signal late and is killed at the end of the grace all the same.
+func TestStoppingNodeThatWasSuspendedEndsWithinTheGrace(t *testing.T) {
+	t.Parallel()
+	e, stop := start(t, settings(t, "n1", "127.0.0.1:1"))
+	time.Sleep(2 * controlTick)
+	began := time.Now()
+	query(e.ctx, e.control, func(time.Time) struct{} {
+		time.Sleep(2700 * time.Millisecond)
+		return struct{}{}
+	})
+	stop()
+	require.Less(t, time.Since(began), e.settings.Bounds.Grace)
+}
+
 // Connections are closed only once every new request is refused: a request that arrives while its
 // connection is being closed must not have been sent to an upstream.
 func TestNodeRefusesBeforeItClosesConnections(t *testing.T) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -77,9 +77,10 @@
 
 // regressions holds seeds that once failed, with the cause.
 var regressions = map[uint64]string{
-	1033: "the store deleted its history and all nodes were killed: a window was reported again with different counts",
-	7004: "all links to the store hung when a version was published: it took effect 5.5 s late",
-	7007: "the store lost its history and its newest records lagged: a version never took effect",
+	1033:         "the store deleted its history and all nodes were killed: a window was reported again with different counts",
+	7004:         "all links to the store hung when a version was published: it took effect 5.5 s late",
+	7007:         "the store lost its history and its newest records lagged: a version never took effect",
+	521744363621: "a node was sent SIGTERM while it was suspended: it outlived its grace time",
 }
 
 func TestSoak(t *testing.T) {
