--- a/serving/run.go
+++ b/serving/run.go
@@ -523,6 +523,9 @@
 	if r.waited > 0 {
 		event = event.Dur("waited_ms", r.waited)
 	}
+	if r.hedgeDenied != "" {
+		event = event.Str("hedge_denied", string(r.hedgeDenied))
+	}
 	if r.retryDenied.Load() {
 		event = event.Bool("retry_denied", true).Float64("retry_burst", r.view.RetryBurst)
 	}
