edge: tests read a node only after its control loop has answered

Cause: the set-up of the tests waited until the node accepted connections, which orders no memory; a test that then read the context which Run sets raced with it.

Change: the set-up also waits for an answer of the control loop, which starts after the context is set.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -100,6 +100,9 @@
 	}
 	t.Cleanup(stop)
 	require.Eventually(t, func() bool { return isListening(e) }, eventually, 5*time.Millisecond)
+	// A connection does not order memory: tests read what Run has set only after the control loop has answered.
+	_, answered := query(t.Context(), e.control, func(time.Time) struct{} { return struct{}{} })
+	require.True(t, answered)
 	return e, stop
 }
 
