edge: one account of a server's connections also ends the idle ones

Cause: idleConnections kept since when callers' connections are idle, and ended their reads and undid that, beside connections, which has the same state and does the same for those that give way. Both ran on each change of state.

Change: connections ends idle connections too, and idleConnections is gone. Callers see no difference. A connection that was told to end for its idleness no longer counts towards the limit, as one that gave way never did.

--- a/edge/connections.go
+++ b/edge/connections.go
@@ -178,7 +178,19 @@
 	}
 }
 
-// stateChanged is the server's ConnState hook.
+// endIdle ends connections that have waited for a request for longer than limit since the last one.
+func (c *connections) endIdle(limit time.Duration, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		if conn.phase == phaseIdle && now.Sub(conn.since) > limit && !conn.ended {
+			c.end(conn)
+		}
+	}
+}
+
+// stateChanged is the server's ConnState hook. It runs before a request is handled, and undoes the effect
+// of end on a connection whose request was just being read.
 func (c *connections) stateChanged(conn net.Conn, state http.ConnState) {
 	guarded, ok := conn.(*guardedConn)
 	if !ok {
@@ -191,7 +203,6 @@
 		guarded.phase = phaseActive
 		guarded.reservation.Release()
 		if guarded.ended {
-			// Its request was just being read.
 			guarded.ended = false
 			c.ended--
 			_ = conn.SetReadDeadline(time.Time{}) // Fails only on a closed connection.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -95,7 +95,6 @@
 	tasks        sync.WaitGroup
 	servers      []*http.Server
 	callerServer *http.Server
-	idle         *idleConnections
 	account      *memory.Account
 	callers      *connections
 	reloads      chan struct{}
@@ -106,7 +105,7 @@
 	e := &Edge{
 		settings: settings, incarnation: uuid.NewString(), clock: newClock(),
 		store: platform.NewStore(settings.StoreAddress), pool: relay.NewPool(), engines: platform.NewEngines(), successes: quarantine.NewSuccesses(), ledger: quota.NewLedger(),
-		idle: newIdleConnections(), reloads: make(chan struct{}, 1),
+		reloads: make(chan struct{}, 1),
 	}
 	e.logger = logger.With().Str("node", settings.Name).Logger()
 	if settings.CloudAddress != "" {
@@ -160,10 +159,7 @@
 func (e *Edge) start() error {
 	e.callerServer = &http.Server{
 		Handler: e.handler, ReadHeaderTimeout: maxHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: func(conn net.Conn, state http.ConnState) {
-			e.callers.stateChanged(conn, state)
-			e.idle.connStateChanged(conn, state)
-		},
+		ConnState: e.callers.stateChanged,
 	}
 	servers := []server{
 		{"callers", e.settings.CallerAddress, e.callerServer, e.callers},
