edge: the peers that a message represents are chosen once

Cause: the sums of load, waiting requests and reading speeds each looked through all peers and chose the same ones, for every message. The cells of a fleet were listed and sorted to learn that there is one, in every message too, and each node looked at its place in its cell at every tick while rollouts are on.

Change: a message's peers are chosen once and handed to the three sums; cell.Layout counts its cells; the place in the cell is looked up only when a completion is overdue.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -84,6 +84,9 @@
 	return names
 }
 
+// Count returns the number of cells.
+func (l Layout) Count() int { return len(l.membersByCell) }
+
 // Precedes reports whether two nodes are in the same cell and the first is preferred to the
 // second as its hub.
 func (l Layout) Precedes(first, second string) bool {
--- a/edge/control.go
+++ b/edge/control.go
@@ -357,7 +357,7 @@
 	}
 	c.candidacyCheckedAt = now
 	c.refreshCells()
-	readers := int64(len(c.cells.Cells()))
+	readers := int64(c.cells.Count())
 	if c.reportsTo != nil {
 		readers = c.fleetSize.Load()
 	}
--- a/edge/message.go
+++ b/edge/message.go
@@ -56,13 +56,14 @@
 	c.refreshCells()
 	e := c.edge
 	toReporter := to != c.reportsTo && (to.reporter || c.cells.Precedes(e.settings.Name, to.name))
+	represented := c.representedPeers(to, toReporter, now)
 	message := &api.EdgeExchange{
 		Node: e.settings.Name, Incarnation: e.incarnation, Address: e.peerAddress(), DataCentre: e.settings.DataCentre,
 		ClockMS: e.clock.now().UnixMilli(), SentMS: now.UnixMilli(), All: toReporter,
 		ConfigVersion: c.configVersion(), ConfigAgeMS: ageMS(c.configConfirmedAt, now),
 		RegistryAgeMS: ageMS(c.registryCurrentAt, now),
-		Load:          c.outgoingLoad(to, toReporter, now), Suspicions: c.outgoingSuspicions(now), Leaving: c.outgoingLeaving(now), Limits: c.outgoingLimits(to),
-		Waiting: c.outgoingWaiting(to, toReporter, now), Readings: c.outgoingReadings(to, toReporter, now),
+		Load:          c.outgoingLoad(represented), Suspicions: c.outgoingSuspicions(now), Leaving: c.outgoingLeaving(now), Limits: c.outgoingLimits(to),
+		Waiting: c.outgoingWaiting(represented), Readings: c.outgoingReadings(to, represented, now),
 		Placed: []api.EdgePlacement{}, PlacedSeen: to.receivedPlacement, MembersKnown: to.membersVersion, RegistrySeen: to.registryVersion,
 	}
 	if c.reportsTo != nil {
@@ -96,6 +97,11 @@
 	return toReporter || (peer.reporter && (!c.sameCell(to.name) || c.cells.Precedes(to.name, peer.name)))
 }
 
+// representedPeers returns the peers whose reported state a message to a peer includes in its sums.
+func (c *control) representedPeers(to *peerState, toReporter bool, now time.Time) []*peerState {
+	return slices.DeleteFunc(c.peersWithLoad(now), func(peer *peerState) bool { return !c.represents(peer, to, toReporter) })
+}
+
 // ageMS returns the time since at in milliseconds; unknownAgeMS if at is zero.
 func ageMS(at, now time.Time) int64 {
 	if at.IsZero() {
@@ -113,8 +119,8 @@
 // to add to without overflow.
 const unknownAgeMS = int64(24 * time.Hour / time.Millisecond)
 
-// outgoingLoad sums the load of the nodes that a message to a peer represents.
-func (c *control) outgoingLoad(to *peerState, toReporter bool, now time.Time) []api.EdgeLoad {
+// outgoingLoad sums the load of this node and of those that a message represents.
+func (c *control) outgoingLoad(represented []*peerState) []api.EdgeLoad {
 	sum := map[uint32]api.EdgeLoad{}
 	for key, tracker := range c.trackers {
 		if running := tracker.InFlight.Load(); running > 0 {
@@ -123,10 +129,8 @@
 			sum[hash] = api.EdgeLoad{Upstream: hash, Running: int(running), Due: awaiting, QueuedTokens: queued}
 		}
 	}
-	for _, peer := range c.peersWithLoad(now) {
-		if c.represents(peer, to, toReporter) {
-			addLoads(sum, peer.lastMessage.Load)
-		}
+	for _, peer := range represented {
+		addLoads(sum, peer.lastMessage.Load)
 	}
 	loads := make([]api.EdgeLoad, 0, len(sum))
 	for _, load := range sum {
--- a/edge/readings.go
+++ b/edge/readings.go
@@ -24,10 +24,10 @@
 	millisecondsPerSecond = 1000
 )
 
-// outgoingReadings sums the samples of the nodes that a message to a peer represents; nil if it has got
-// them recently, or the fleet is a single cell, in which each node sends enough to every engine.
-func (c *control) outgoingReadings(to *peerState, toReporter bool, now time.Time) []api.EdgeReading {
-	if now.Sub(to.readingsSentAt) < readingsInterval || len(c.cells.Cells()) <= 1 {
+// outgoingReadings sums the samples of this node and of those that a message to a peer represents; nil if it
+// has got them recently, or the fleet is a single cell, in which each node sends enough to every engine.
+func (c *control) outgoingReadings(to *peerState, represented []*peerState, now time.Time) []api.EdgeReading {
+	if c.cells.Count() <= 1 || now.Sub(to.readingsSentAt) < readingsInterval {
 		return nil
 	}
 	to.readingsSentAt = now
@@ -37,10 +37,8 @@
 			sum[upstreamHash(key)] = samples
 		}
 	}
-	for _, peer := range c.peersWithLoad(now) {
-		if c.represents(peer, to, toReporter) {
-			peer.addReadings(sum, now)
-		}
+	for _, peer := range represented {
+		peer.addReadings(sum, now)
 	}
 	readings := make([]api.EdgeReading, 0, len(sum))
 	for upstream, samples := range sum {
--- a/edge/rolloutdecider.go
+++ b/edge/rolloutdecider.go
@@ -115,13 +115,13 @@
 // condition of the write decides between the two.
 func (d *rolloutDecider) standIn(now time.Time) {
 	r := d.rollouts
-	if !r.enabled() || r.control.duties.leaseHeld.Load() || !r.control.hasAllReports(now) {
+	if !r.enabled() || r.control.duties.leaseHeld.Load() {
 		return
 	}
 	for _, service := range slices.Sorted(maps.Keys(r.byService)) {
 		state := r.byService[service]
 		announced := state.phase == rollout.Serving && state.decision.Moving && now.Sub(state.decidedAt) < shareLife
-		if announced && state.untilComplete(now) <= -standInDelay {
+		if announced && state.untilComplete(now) <= -standInDelay && r.control.hasAllReports(now) {
 			d.completeFor(state, now)
 		}
 	}
--- a/edge/waiting.go
+++ b/edge/waiting.go
@@ -35,11 +35,11 @@
 	return rooms
 }
 
-// outgoingWaiting sums the waiting requests of the nodes that a message to a peer represents.
-func (c *control) outgoingWaiting(to *peerState, toReporter bool, now time.Time) map[string]int {
+// outgoingWaiting sums the waiting requests of this node and of those that a message represents.
+func (c *control) outgoingWaiting(represented []*peerState) map[string]int {
 	sum := c.edge.handler.Waiting()
-	for _, peer := range c.peersWithLoad(now) {
-		if len(peer.lastMessage.Waiting) == 0 || !c.represents(peer, to, toReporter) {
+	for _, peer := range represented {
+		if len(peer.lastMessage.Waiting) == 0 {
 			continue
 		}
 		if sum == nil {
--- a/edge/waiting_test.go
+++ b/edge/waiting_test.go
@@ -52,7 +52,7 @@
 	}
 	sum := 0
 	for _, peer := range c.peers {
-		sum = max(sum, c.outgoingWaiting(peer, true, m.now)["s"])
+		sum = max(sum, c.outgoingWaiting(c.representedPeers(peer, true, m.now))["s"])
 	}
 	require.Equal(t, 3, sum, "what a node reported is not reported back to it")
 }
