serving, rollout: one piece of code where two did the same

Cause: the time and the pace of an answer were counted once each by two copies of one function; tallies were added up in two places; the two tables of explain each brought the function that writes a line.

Change: sample.addOnce, rollout.addTally and newTable serve both sides.

Measured: the tests of serving, rollout and persimmon-edge pass.

--- a/cmd/persimmon-edge/print.go
+++ b/cmd/persimmon-edge/print.go
@@ -12,12 +12,17 @@
 	"github.com/persimmonline/persimmonline/serving"
 )
 
-// printExplanation prints an explanation for people.
-func printExplanation(out io.Writer, e *serving.Explanation) error {
-	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	line := func(name, format string, args ...any) {
+// newTable returns a table and what writes a named line of it.
+func newTable(out io.Writer) (table *tabwriter.Writer, line func(name, format string, args ...any)) {
+	table = tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	return table, func(name, format string, args ...any) {
 		_, _ = fmt.Fprintf(table, "%s\t%s\n", name, fmt.Sprintf(format, args...))
 	}
+}
+
+// printExplanation prints an explanation for people.
+func printExplanation(out io.Writer, e *serving.Explanation) error {
+	table, line := newTable(out)
 	line("route", "%s, %s, target %.0f ms, at most %d attempts", e.Route.Name, e.Route.Kind, e.Route.LatencyTargetMS, e.Route.MaxAttempts)
 	line("service", "%s of %s", e.Route.Service, weights(e.Route.Weights))
 	line("workspace", "%s, rank %d", cmp.Or(e.Admission.Workspace, "none"), e.Admission.Priority)
@@ -43,10 +48,7 @@
 
 // printRecent prints what was decided about a request for people.
 func printRecent(out io.Writer, e *serving.RecentExplanation) error {
-	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	line := func(name, format string, args ...any) {
-		_, _ = fmt.Fprintf(table, "%s\t%s\n", name, fmt.Sprintf(format, args...))
-	}
+	table, line := newTable(out)
 	line("request", "%s, %.0f s ago, took %.0f ms", e.ID, e.AgeMS/1000, e.TookMS)
 	line("route", "%s, service %s, workspace %s", cmp.Or(e.Route, "none"), cmp.Or(e.Service, "none"), cmp.Or(e.Workspace, "none"))
 	line("tokens", "%d, of which %d shared", e.PromptTokens, e.SharedTokens)
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -56,6 +56,13 @@
 	return tally[index]
 }
 
+// addTally adds the counters of a tally to a sum.
+func addTally(sum, tally Tally) {
+	for i, count := range tally {
+		sum[i] += count
+	}
+}
+
 // Evidence holds the counters of all nodes by incarnation. Counters only rise, so a report may
 // arrive late or twice.
 type Evidence struct {
@@ -141,9 +148,7 @@
 			if total[route] == nil {
 				total[route] = NewTally()
 			}
-			for i, count := range tally {
-				total[route][i] += count
-			}
+			addTally(total[route], tally)
 		}
 	}
 	return total
--- a/rollout/monitor.go
+++ b/rollout/monitor.go
@@ -101,9 +101,7 @@
 func sumRoutes(routes Routes) Tally {
 	sum := NewTally()
 	for _, tally := range routes {
-		for i := range sum {
-			sum[i] += tally[i]
-		}
+		addTally(sum, tally)
 	}
 	return sum
 }
--- a/serving/pace.go
+++ b/serving/pace.go
@@ -87,13 +87,7 @@
 
 // judgePace counts the stream's pace once.
 func (s *sample) judgePace(slow bool) {
-	if !s.pace.known() || !s.pace.judged.CompareAndSwap(false, true) {
-		return
-	}
-	s.counts.mu.Lock()
-	defer s.counts.mu.Unlock()
-	s.add(rollout.Paced)
-	if slow {
-		s.add(rollout.Stalled)
+	if s.pace.known() {
+		s.addOnce(&s.pace.judged, rollout.Paced, rollout.Stalled, slow)
 	}
 }
--- a/serving/rollout.go
+++ b/serving/rollout.go
@@ -254,14 +254,21 @@
 
 // judge counts the answer's time once.
 func (s *sample) judge(slow bool) {
-	if s.slowAfter == 0 || !s.judged.CompareAndSwap(false, true) {
+	if s.slowAfter > 0 {
+		s.addOnce(&s.judged, rollout.Timed, rollout.Slow, slow)
+	}
+}
+
+// addOnce counts what is judged by a yardstick, and what it finds slow, unless that was done before.
+func (s *sample) addOnce(judged *atomic.Bool, all, bad rollout.Counter, slow bool) {
+	if !judged.CompareAndSwap(false, true) {
 		return
 	}
 	s.counts.mu.Lock()
 	defer s.counts.mu.Unlock()
-	s.add(rollout.Timed)
+	s.add(all)
 	if slow {
-		s.add(rollout.Slow)
+		s.add(bad)
 	}
 }
 
