edge, hostile: the set-up that tests repeat in one place

Cause: fourteen tests of rollouts began with the same order and the same new engines, six tests of faulty upstreams with the same process and crowd.

Change: startRollout and requireSoundBeside. Crowds, bounds and assertions are the same.

--- a/edge/rollout_mesh_test.go
+++ b/edge/rollout_mesh_test.go
@@ -92,6 +92,14 @@
 	return m
 }
 
+// startRollout returns a fleet of which one node has read an order for the service s, whose new engines are there.
+func startRollout(t *testing.T, nodes int, reader string, seconds int) *rolloutMesh {
+	m := newRolloutMesh(t, nodes)
+	m.order(reader, "s", "v2", 7, seconds)
+	m.addEngines("v2", 4)
+	return m
+}
+
 // join starts a node that knows the others.
 func (m *rolloutMesh) join(name string) *control {
 	m.start(name, "dc")
@@ -188,9 +196,7 @@
 }
 
 func TestGoodVersionIsCompleteByTheEndAndNotBefore(t *testing.T) {
-	m := newRolloutMesh(t, 5)
-	m.order("n3", "s", "v2", 7, 10)
-	m.addEngines("v2", 4)
+	m := startRollout(t, 5, "n3", 10)
 	m.steps(60)
 	require.Equal(t, rollout.Serving, m.log.phase(t, "s"))
 	m.steps(39)
@@ -199,10 +205,8 @@
 }
 
 func TestBadVersionIsRevertedAtAllNodes(t *testing.T) {
-	m := newRolloutMesh(t, 5)
+	m := startRollout(t, 5, "n3", 10)
 	m.failing = 50
-	m.order("n3", "s", "v2", 7, 10)
-	m.addEngines("v2", 4)
 	m.steps(50)
 	require.Equal(t, rollout.Reverted, m.log.phase(t, "s"))
 	m.requireSettled("s", routing.OldGeneration)
@@ -211,9 +215,7 @@
 // A version that turns bad while the store is down is reverted at the nodes, and in the store when it
 // is back, also by the next holder.
 func TestRevertWithoutTheStoreOutlivesTheHolder(t *testing.T) {
-	m := newRolloutMesh(t, 5)
-	m.order("n3", "s", "v2", 7, 20)
-	m.addEngines("v2", 4)
+	m := startRollout(t, 5, "n3", 20)
 	m.steps(30)
 	m.log.down, m.failing = true, 60
 	m.steps(60)
@@ -226,9 +228,7 @@
 }
 
 func TestNextHolderGoesOn(t *testing.T) {
-	m := newRolloutMesh(t, 5)
-	m.order("n3", "s", "v2", 7, 10)
-	m.addEngines("v2", 4)
+	m := startRollout(t, 5, "n3", 10)
 	m.steps(40)
 	m.kill(m.holder)
 	m.holder = nil
@@ -243,9 +243,7 @@
 
 // A holder that was replaced and does not know it yet reverts; the next one has completed.
 func TestDeposedHolderDoesNotOverwriteTheStatus(t *testing.T) {
-	m := newRolloutMesh(t, 5)
-	m.order("n3", "s", "v2", 7, 10)
-	m.addEngines("v2", 4)
+	m := startRollout(t, 5, "n3", 10)
 	m.steps(50)
 	deposed := m.holder
 	m.isCut = func(from, to string) bool { return from == "n0" || to == "n0" }
@@ -261,9 +259,7 @@
 
 // The old engines stop with the write, whether or not it is answered.
 func TestNextHolderLearnsOfACompletionThatWasNotAnswered(t *testing.T) {
-	m := newRolloutMesh(t, 5)
-	m.order("n3", "s", "v2", 7, 10)
-	m.addEngines("v2", 4)
+	m := startRollout(t, 5, "n3", 10)
 	m.steps(92)
 	m.log.loseAnswer = true
 	m.steps(6)
@@ -277,9 +273,7 @@
 
 // Evidence counts also while the store is down.
 func TestTrialGoesOnWithoutTheStore(t *testing.T) {
-	m := newRolloutMesh(t, 5)
-	m.order("n3", "s", "v2", 7, 60)
-	m.addEngines("v2", 4)
+	m := startRollout(t, 5, "n3", 60)
 	m.steps(30)
 	m.log.down = true
 	m.steps(60)
@@ -289,9 +283,7 @@
 }
 
 func TestStoreThatIsDownAtTheEndDelaysTheCompletion(t *testing.T) {
-	m := newRolloutMesh(t, 5)
-	m.order("n3", "s", "v2", 7, 10)
-	m.addEngines("v2", 4)
+	m := startRollout(t, 5, "n3", 10)
 	m.steps(80)
 	m.log.down = true
 	m.steps(40)
@@ -303,9 +295,7 @@
 }
 
 func TestRepeatedReplacedAndWithdrawnOrders(t *testing.T) {
-	m := newRolloutMesh(t, 3)
-	m.order("n1", "s", "v2", 7, 10)
-	m.addEngines("v2", 4)
+	m := startRollout(t, 3, "n1", 10)
 	m.steps(20)
 	m.order("n2", "s", "v2", 9, 10)
 	require.EqualValues(t, 7, m.nodes["n2"].rollouts.byService["s"].order.Offset, "the time does not start again")
@@ -324,9 +314,7 @@
 }
 
 func TestNodeThatIsCutOffThroughARevert(t *testing.T) {
-	m := newRolloutMesh(t, 5)
-	m.order("n3", "s", "v2", 7, 30)
-	m.addEngines("v2", 4)
+	m := startRollout(t, 5, "n3", 30)
 	m.steps(30)
 	require.True(t, follows(m.nodes["n4"].rollouts.view(m.now)["s"]))
 	m.isCut = func(from, to string) bool { return from == "n4" || to == "n4" }
@@ -340,9 +328,7 @@
 }
 
 func TestNodeThatStartsInTheMiddleLearnsTheAgeOfTheOrder(t *testing.T) {
-	m := newRolloutMesh(t, 3)
-	m.order("n1", "s", "v2", 7, 10)
-	m.addEngines("v2", 4)
+	m := startRollout(t, 3, "n1", 10)
 	m.steps(50)
 	late := m.join("n9")
 	m.engines(late, "v2", 4)
@@ -356,9 +342,7 @@
 
 // All nodes are lost: the order's age and its exposure are in the status.
 func TestOrderOutlivesAllNodes(t *testing.T) {
-	m := newRolloutMesh(t, 3)
-	m.order("n1", "s", "v2", 7, 60)
-	m.addEngines("v2", 4)
+	m := startRollout(t, 3, "n1", 60)
 	m.steps(60)
 	before := *m.holder.rollouts.byService["s"]
 	for _, c := range m.nodes {
@@ -505,9 +489,7 @@
 
 // The lease of a holder that is lost at the end outlives the order.
 func TestCompletionOfALostHolderIsWrittenByAnother(t *testing.T) {
-	m := newRolloutMesh(t, 5)
-	m.order("n3", "s", "v2", 7, 10)
-	m.addEngines("v2", 4)
+	m := startRollout(t, 5, "n3", 10)
 	m.steps(94)
 	m.kill(m.holder)
 	m.holder = nil
@@ -519,9 +501,7 @@
 }
 
 func TestNothingIsCompletedForALostHolderIfTheVersionIsBad(t *testing.T) {
-	m := newRolloutMesh(t, 5)
-	m.order("n3", "s", "v2", 7, 10)
-	m.addEngines("v2", 4)
+	m := startRollout(t, 5, "n3", 10)
 	m.steps(85)
 	m.failing = 90
 	m.steps(8)
--- a/hostile/upstreams_test.go
+++ b/hostile/upstreams_test.go
@@ -61,55 +61,42 @@
 	}
 }
 
-// askFaulty sends requests to the faulty upstream and leaves them open.
-func askFaulty(t *testing.T, p *process, path string, size int) {
+// requireSoundBeside starts a process with a faulty upstream, sends requests there, leaves them open, and requires
+// that the process is sound.
+func requireSoundBeside(t *testing.T, answer func(conn io.Writer, id string), path string, size int) {
+	t.Helper()
+	p := startProcess(t)
+	startFaultyUpstream(t, p, answer)
 	crowd(t, p.callers, size, send(requestHead(path, "busy", "Content-Length: 1\r\n\r\n"), "x"))
 	time.Sleep(2 * settle)
+	p.requireSound(t)
 }
 
 func TestAnswersWithoutEnd(t *testing.T) {
-	p := startProcess(t)
-	startFaultyUpstream(t, p, writeLong("200 OK", "\r\n", "x"))
-	askFaulty(t, p, "/faulty/x", 40)
-	p.requireSound(t)
+	requireSoundBeside(t, writeLong("200 OK", "\r\n", "x"), "/faulty/x", 40)
 }
 
 func TestFailuresWithoutEnd(t *testing.T) {
-	p := startProcess(t)
-	startFaultyUpstream(t, p, writeLong("500 Internal Server Error", "\r\n", "x"))
-	askFaulty(t, p, "/stream/x", 40)
-	p.requireSound(t)
+	requireSoundBeside(t, writeLong("500 Internal Server Error", "\r\n", "x"), "/stream/x", 40)
 }
 
 func TestEventsWithoutEnd(t *testing.T) {
-	p := startProcess(t)
 	event := "data: " + strings.Repeat("x", 1_000_000)
-	startFaultyUpstream(t, p, func(conn io.Writer, id string) {
+	requireSoundBeside(t, func(conn io.Writer, id string) {
 		_, _ = fmt.Fprintf(conn, answerHead+"Content-Type: text/event-stream\r\n\r\n%s", "200 OK", id, event)
-	})
-	askFaulty(t, p, "/stream/x", 110)
-	p.requireSound(t)
+	}, "/stream/x", 110)
 }
 
 func TestHeadsOfAnswersWithoutEnd(t *testing.T) {
-	p := startProcess(t)
 	fields := distinctFields(60 << 10)
-	startFaultyUpstream(t, p, func(conn io.Writer, id string) { _, _ = fmt.Fprintf(conn, answerHead+"%s", "200 OK", id, fields) })
-	askFaulty(t, p, "/faulty/x", 110)
-	p.requireSound(t)
+	requireSoundBeside(t, func(conn io.Writer, id string) { _, _ = fmt.Fprintf(conn, answerHead+"%s", "200 OK", id, fields) }, "/faulty/x", 110)
 }
 
 func TestRefusalsWithoutEnd(t *testing.T) {
-	p := startProcess(t)
-	startFaultyUpstream(t, p, writeLong("503 Service Unavailable", "X-Not-Executed: 1\r\n\r\n", "x"))
-	askFaulty(t, p, "/faulty/x", 40)
-	p.requireSound(t)
+	requireSoundBeside(t, writeLong("503 Service Unavailable", "X-Not-Executed: 1\r\n\r\n", "x"), "/faulty/x", 40)
 }
 
 func TestLateAnswersOfOthersWithoutEnd(t *testing.T) {
-	p := startProcess(t)
 	long := writeLong("200 OK", "Content-Length: 16000000\r\n\r\n", "x")
-	startFaultyUpstream(t, p, func(conn io.Writer, _ string) { long(conn, "another") })
-	askFaulty(t, p, "/faulty/x", 40)
-	p.requireSound(t)
+	requireSoundBeside(t, func(conn io.Writer, _ string) { long(conn, "another") }, "/faulty/x", 40)
 }
