catalog: a service's engines are looked up in one place

Change: catalog.Table.Engine serves both.

Measured: the tests of serving, catalog and carry pass; linter and formatter are clean.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -222,6 +222,17 @@
 // Service returns a service by name, or nil.
 func (t *Table) Service(name string) *Service { return t.serviceByName[name] }
 
+// Engine returns the properties of a service's engines; nil for a plain or an unknown service, and without a table.
+func (t *Table) Engine(service string) *Engine {
+	if t == nil {
+		return nil
+	}
+	if known := t.Service(service); known != nil {
+		return known.Engine
+	}
+	return nil
+}
+
 // WorkspaceByKey returns the workspace to which a key belongs, or nil.
 func (t *Table) WorkspaceByKey(key string) *Workspace { return t.workspaceByKey[key] }
 
--- a/edge/cachelists.go
+++ b/edge/cachelists.go
@@ -31,7 +31,7 @@
 // requestCacheList asks an engine that is new to this node what it has cached.
 func (c *control) requestCacheList(member *fleet.Upstream, holder routing.Holder) {
 	age := c.edge.clock.now().Sub(time.UnixMilli(member.BornMS))
-	if c.engine(member.Service) == nil || age < minCacheListAge || c.cacheListCalls >= maxCacheListCalls {
+	if c.table.Engine(member.Service) == nil || age < minCacheListAge || c.cacheListCalls >= maxCacheListCalls {
 		return
 	}
 	c.cacheListCalls++
--- a/serving/carry.go
+++ b/serving/carry.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/persimmonline/persimmonline/carry"
-	"github.com/persimmonline/persimmonline/catalog"
 	"github.com/persimmonline/persimmonline/routing"
 )
 
@@ -26,13 +23,6 @@
 	dropTimeout = time.Second
 )
 
-var (
-	// errRunMoved means that the run was stopped, and goes on at another upstream.
-	errRunMoved = errors.New("run was moved")
-	// errMoveUnknown means that an answer without a length ended while its run may have been moved.
-	errMoveUnknown = errors.New("stream ended while its run may have been moved")
-)
-
 // RunState is what became of a run that was to be moved.
 type RunState int
 
@@ -70,11 +60,6 @@
 	DropRun(ctx context.Context, address, handle string) error
 }
 
-// runMemory is memory with which a run goes on; address is that of the source of the move.
-type runMemory struct{ address, handle string }
-
-func (m runMemory) held() bool { return m.handle != "" }
-
 // carrier moves the runs of engines that leave.
 type carrier struct {
 	handler *Handler
@@ -136,7 +121,7 @@
 		return
 	}
 	view := c.handler.CurrentView()
-	if engine := view.engine(x.run.service); engine == nil || !engine.Moves {
+	if engine := view.Table.Engine(x.run.service); engine == nil || !engine.Moves {
 		return
 	}
 	x.carried = &carriedRun{exchange: x}
@@ -276,7 +261,7 @@
 // carryRuns describes the streams to the planner.
 func (e *engineRuns) carryRuns(view *View, now time.Time) ([]carry.Run, map[string]*carriedRun) {
 	eventTokens := 1
-	if engine := view.engine(e.service); engine != nil {
+	if engine := view.Table.Engine(e.service); engine != nil {
 		eventTokens = max(1, engine.EventTokens)
 	}
 	runs, byID, count := make([]carry.Run, 0, len(e.runs)), make(map[string]*carriedRun, len(e.runs)), make(map[string]int, len(e.runs))
@@ -325,17 +310,6 @@
 	return candidates, byID
 }
 
-// engine returns the properties of a service's engines; nil for a plain or an unknown service.
-func (v *View) engine(service string) *catalog.Engine {
-	if v.Table == nil {
-		return nil
-	}
-	if known := v.Table.Service(service); known != nil {
-		return known.Engine
-	}
-	return nil
-}
-
 // begin starts a move; the lock is held.
 func (c *carrier) begin(engine *engineRuns, run *carriedRun, to *routing.Upstream, planned carry.Move, leavesAt time.Time) {
 	x := run.exchange
@@ -397,76 +371,3 @@
 		}
 	}()
 }
-
-// moveOf returns the move of a stream that has ended. Without one, none begins any more.
-func (c *carrier) moveOf(run *carriedRun) *runMove {
-	if c == nil || run == nil {
-		return nil
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	run.stays = true
-	return run.move
-}
-
-// endedByMove returns outcomeMoved if a stream has ended because its run was moved, and outcomeAnswered if the
-// end says itself what it is.
-func (x *exchange) endedByMove(err error) (outcome, error) {
-	r := x.run
-	move := r.handler.carrier.moveOf(x.carried)
-	if move == nil || x.upstreamSilent() {
-		return outcomeAnswered, nil
-	}
-	select {
-	case <-move.done:
-	case <-r.ctx.Done():
-		return outcomeAnswered, nil
-	}
-	unframedEnd := errors.Is(err, io.EOF) && !x.answer.Framed()
-	switch live := r.ctx.Err() == nil; {
-	case live && move.result.Handle != "":
-		r.moved = move
-		return outcomeMoved, errRunMoved
-	case live && move.result.State == RunUnknown && unframedEnd:
-		return outcomeBroken, errMoveUnknown
-	}
-	return outcomeAnswered, nil
-}
-
-// continueMoved sends the request to where the memory of its run is: to the destination of the move or, if that
-// refuses it, to the source.
-func (r *requestRun) continueMoved() outcome {
-	result := outcomeMoved
-	for result == outcomeMoved {
-		move := r.moved
-		r.moved = nil
-		result = r.continueAt(move)
-	}
-	return result
-}
-
-func (r *requestRun) continueAt(move *runMove) outcome {
-	places := []*routing.Upstream{move.to, move.source}
-	if move.result.State == RunStopped {
-		r.excluded[move.to.ID] = true
-		places = places[1:]
-	}
-	r.memory = runMemory{move.source.Address, move.result.Handle}
-	defer func() { r.memory = runMemory{} }()
-	for _, place := range places {
-		if time.Until(r.deadline) < minRemaining || (place == move.to && !place.Gate.Take(time.Now())) {
-			continue
-		}
-		r.view = r.handler.CurrentView()
-		result := r.attempt(routing.Choice{Upstream: place, CachedTokens: r.request.PromptTokens})
-		if result != outcomeNotRun && result != outcomeUnreachable {
-			return result
-		}
-	}
-	r.handler.Metrics.moves.WithLabelValues(r.service, "lost").Inc()
-	r.handler.carrier.drop(move)
-	if r.ctx.Err() != nil {
-		return outcomeCanceled
-	}
-	return outcomeBroken
-}
