netopt: an answer that is reset during the upload is not complete

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got the part as a whole answer.

Cause: the kernel reports the failure of a connection once, to the system call that meets it first. If that is the write of the request's body, the read of the answer gets the bytes that were received and then an end that looks like that of the peer. An answer without a length ends with its connection, so the end counted as that of the answer.

Fix: connections of all HTTP clients remember the error of a write, and a read that meets the end returns that error instead. EPIPE is no such error: a reset after the peer's own end is reported so. A write that is still under way is waited for unless the socket is half-closed (TCP_INFO), so that an upstream that ends its answer early and reads on, or stops reading, is not waited for.

It holds for callers' requests, the store, the cloud API, peers, engines' own interfaces, and the clients of package upstream, infra/httpclient and operator, which now share one transport.

--- a/hostile/process_test.go
+++ b/hostile/process_test.go
@@ -176,8 +176,11 @@
 func (p *process) ordinaryRequest() int { return p.request("/plain/x") }
 
 // request sends a request within all limits on a new connection, and returns its status; 0 for none.
-func (p *process) request(path string) int {
-	r, err := http.NewRequest(http.MethodPost, "http://"+p.callers+path, strings.NewReader(strings.Repeat("b", 1000)))
+func (p *process) request(path string) int { return p.post(path, strings.Repeat("b", 1000)) }
+
+// post sends a body on a new connection, and returns the status of the whole answer; 0 for none.
+func (p *process) post(path, body string) int {
+	r, err := http.NewRequest(http.MethodPost, "http://"+p.callers+path, strings.NewReader(body))
 	if err != nil {
 		return 0
 	}
--- a/hostile/upstreams_test.go
+++ b/hostile/upstreams_test.go
@@ -100,3 +100,19 @@
 	long := writeLong("200 OK", "Content-Length: 16000000\r\n\r\n", "x")
 	requireSoundBeside(t, func(conn io.Writer, _ string) { long(conn, "another") }, "/faulty/x", 40)
 }
+
+// Guards against an answer that its upstream resets during a long upload, and that looks complete to the caller.
+func TestAnswersThatAreResetDuringTheUpload(t *testing.T) {
+	const rounds = 20
+	p := startProcess(t)
+	startFaultyUpstream(t, p, func(conn io.Writer, id string) {
+		_, _ = fmt.Fprintf(conn, answerHead+"\r\npart", "200 OK", id)
+		time.Sleep(5 * time.Millisecond)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.(*net.TCPConn).Close()
+	})
+	body := strings.Repeat("b", maxBody)
+	for range rounds {
+		require.Equal(t, http.StatusBadGateway, p.post("/faulty/x", body))
+	}
+}
--- a/infra/httpclient/client.go
+++ b/infra/httpclient/client.go
@@ -20,7 +20,7 @@
 
 	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/infra"
-	"github.com/persimmonline/persimmonline/telemetry"
+	"github.com/persimmonline/persimmonline/internal/netopt"
 )
 
 const (
@@ -40,10 +40,8 @@
 }
 
 func newClient(name, base string) client {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.Proxy = nil
 	httpClient := &http.Client{
-		Transport: transport,
+		Transport: netopt.Transport(),
 		// A redirect would send an append a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -57,7 +55,7 @@
 
 // SetDial makes the client open its connections with dial, for instance to count
 // their bytes. It must be called before the first call.
-func (c client) SetDial(dial telemetry.Dial) {
+func (c client) SetDial(dial netopt.DialFunc) {
 	c.http.Transport.(*http.Transport).DialContext = dial
 }
 
--- a/internal/netopt/netopt.go
+++ b/internal/netopt/netopt.go
@@ -35,11 +35,19 @@
 // for idleTimeout.
 func Client(dialTimeout, idleTimeout time.Duration, maxIdle int) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext: Dialer(dialTimeout).DialContext, MaxIdleConnsPerHost: maxIdle,
+		DialContext: ReportResets(Dialer(dialTimeout).DialContext), MaxIdleConnsPerHost: maxIdle,
 		IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
 
+// Transport returns net/http's default transport without a proxy, with connections that report resets.
+func Transport() *http.Transport {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy = nil
+	transport.DialContext = ReportResets(transport.DialContext)
+	return transport
+}
+
 // Listen listens on a TCP address.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
 	config := net.ListenConfig{KeepAliveConfig: keepAlive, Control: control}
--- a/operator/client.go
+++ b/operator/client.go
@@ -20,6 +20,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/internal/netopt"
 )
 
 const (
@@ -61,10 +62,8 @@
 
 // NewClient returns a client of the nodes at the base URLs, which it tries in order.
 func NewClient(bases []string, key string) *Client {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.Proxy = nil
 	httpClient := &http.Client{
-		Transport:     transport,
+		Transport:     netopt.Transport(),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	const name = "administration"
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -109,7 +109,7 @@
 
 // Pool holds idle connections by upstream. It is safe for concurrent use.
 type Pool struct {
-	dialer *net.Dialer
+	dial netopt.DialFunc
 
 	mu    sync.Mutex
 	idle  map[string][]*conn
@@ -132,7 +132,7 @@
 // reset closes the connection with a TCP reset, so that bytes which a broken link holds back are
 // discarded: the upstream must not get a request that was given up.
 func (c *conn) reset() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = c.Close()
@@ -140,7 +140,7 @@
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{dialer: netopt.Dialer(dialTimeout), idle: map[string][]*conn{}}
+	return &Pool{dial: netopt.ReportResets(netopt.Dialer(dialTimeout).DialContext), idle: map[string][]*conn{}}
 }
 
 // Stats returns the current counts.
@@ -226,13 +226,13 @@
 		}
 		_ = c.Close()
 	}
-	return p.dial(ctx, to)
+	return p.connect(ctx, to)
 }
 
 // Connect establishes a connection for a later call. It returns an error that is syscall.ECONNREFUSED if
 // nothing listens at the upstream's address.
 func (p *Pool) Connect(ctx context.Context, to Upstream) error {
-	c, err := p.dial(ctx, to)
+	c, err := p.connect(ctx, to)
 	if err != nil {
 		return &Error{Step: StepConnect, Peer: to.Address, Err: err}
 	}
@@ -242,8 +242,8 @@
 	return nil
 }
 
-func (p *Pool) dial(ctx context.Context, to Upstream) (*conn, error) {
-	dialled, err := p.dialer.DialContext(ctx, "tcp", to.Address)
+func (p *Pool) connect(ctx context.Context, to Upstream) (*conn, error) {
+	dialled, err := p.dial(ctx, "tcp", to.Address)
 	if err != nil {
 		return nil, err
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -281,3 +281,63 @@
 		roundTrip(t, pool, to)
 	}
 }
+
+// longUpload is a body that no socket buffer holds, so that its upload is under way while the answer comes.
+func longUpload() *relay.Call {
+	call := getCall()
+	call.Method, call.Body = http.MethodPost, make([]byte, 16<<20)
+	return call
+}
+
+// Guards against a reset that only the upload sees: the read of an answer without a length then meets an end that
+// looks regular.
+func TestAnswerThatIsResetDuringTheUploadIsNotComplete(t *testing.T) {
+	to := listen(t, func(_ int, conn net.Conn) {
+		_, _ = io.ReadFull(conn, make([]byte, 512))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+		time.Sleep(20 * time.Millisecond)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	})
+	pool := relay.NewPool()
+	defer pool.Close()
+	answer, err := pool.Send(t.Context(), to, longUpload())
+	require.NoError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	_, err = io.ReadAll(answer.Body())
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+	answer.Abort()
+}
+
+// An upstream that ends its answer before it has read the request may read on, stop reading or close.
+func TestEarlyAnswerThatEndsRegularlyIsComplete(t *testing.T) {
+	for name, end := range map[string]func(conn *net.TCPConn){
+		"reads on":      func(conn *net.TCPConn) { _ = conn.CloseWrite(); _, _ = io.Copy(io.Discard, conn) },
+		"stops reading": func(conn *net.TCPConn) { _ = conn.CloseWrite(); time.Sleep(time.Second) },
+		"closes": func(conn *net.TCPConn) {
+			_ = conn.CloseWrite()
+			time.Sleep(20 * time.Millisecond)
+			_ = conn.SetLinger(0)
+			_ = conn.Close()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			to := listen(t, func(_ int, conn net.Conn) {
+				_, _ = io.ReadFull(conn, make([]byte, 512))
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nwhole")
+				end(conn.(*net.TCPConn))
+			})
+			pool := relay.NewPool()
+			defer pool.Close()
+			answer, err := pool.Send(t.Context(), to, longUpload())
+			require.NoError(t, err)
+			time.Sleep(100 * time.Millisecond)
+			began := time.Now()
+			body, err := io.ReadAll(answer.Body())
+			require.NoError(t, err)
+			require.Equal(t, "whole", string(body))
+			require.Less(t, time.Since(began), 500*time.Millisecond, "the answer does not wait for the upload")
+			answer.Abort()
+		})
+	}
+}
--- a/telemetry/conn.go
+++ b/telemetry/conn.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/persimmonline/persimmonline/internal/netopt"
 )
 
 // Directions of control traffic.
@@ -17,17 +19,14 @@
 // controlDialTimeout bounds the dialling of a connection for control traffic.
 const controlDialTimeout = 2 * time.Second
 
-// Dial opens a connection; it has the signature of net.Dialer.DialContext.
-type Dial func(ctx context.Context, network, address string) (net.Conn, error)
-
 // ControlDial returns a dialer whose connections count all their bytes, including headers,
 // as control traffic of a kind.
-func (m *Metrics) ControlDial(kind string) Dial {
-	dialer := &net.Dialer{Timeout: controlDialTimeout}
+func (m *Metrics) ControlDial(kind string) netopt.DialFunc {
+	dial := netopt.ReportResets((&net.Dialer{Timeout: controlDialTimeout}).DialContext)
 	sent := m.ControlBytes.WithLabelValues(directionSent, kind)
 	received := m.ControlBytes.WithLabelValues(directionReceived, kind)
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
+		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -15,8 +15,8 @@
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
+	"github.com/persimmonline/persimmonline/internal/netopt"
 	"github.com/persimmonline/persimmonline/retry"
-	"github.com/persimmonline/persimmonline/telemetry"
 )
 
 const (
@@ -53,7 +53,7 @@
 // Pool holds the connections to all upstreams by address.
 type Pool struct {
 	owner string
-	dial  telemetry.Dial
+	dial  netopt.DialFunc
 	mu    sync.Mutex
 	conns map[string]*Conn
 }
@@ -66,7 +66,7 @@
 
 // NewControlPool returns a pool for control traffic, with connections and circuit breakers
 // separate from those of requests; dial counts its bytes.
-func NewControlPool(owner string, dial telemetry.Dial) *Pool {
+func NewControlPool(owner string, dial netopt.DialFunc) *Pool {
 	return &Pool{owner: owner + " control", dial: dial, conns: map[string]*Conn{}}
 }
 
@@ -110,10 +110,9 @@
 	service   httpc.Service
 }
 
-func newConn(owner, address string, dial telemetry.Dial) *Conn {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.Proxy = nil
-	transport.DialContext = (&net.Dialer{Timeout: connectTimeout}).DialContext
+func newConn(owner, address string, dial netopt.DialFunc) *Conn {
+	transport := netopt.Transport()
+	transport.DialContext = netopt.ReportResets((&net.Dialer{Timeout: connectTimeout}).DialContext)
 	if dial != nil {
 		transport.DialContext = dial
 	}
--- a/upstream/once.go
+++ b/upstream/once.go
@@ -5,6 +5,8 @@
 	"sync"
 
 	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"github.com/persimmonline/persimmonline/internal/netopt"
 )
 
 // OnceSender sends requests that may not be repeated, each on a connection of its own.
@@ -20,8 +22,7 @@
 // NewOnceSender returns a sender for a node; owner separates the circuit breakers of several
 // nodes in one process.
 func NewOnceSender(owner string) *OnceSender {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.Proxy = nil
+	transport := netopt.Transport()
 	transport.DisableCompression = true
 	transport.DisableKeepAlives = true
 	client := &http.Client{
