netopt: an answer whose status is none is not an answer

What callers saw: an upstream in trouble sent an answer with the status 000. The bytes of its body passed for an answer of their own.

Cause: net/http parses any three characters that make a number from 0 on. The relay took every status below 200 for that of an interim answer and read on in the body. The other clients compared the status only with bounds from above: package upstream took 000 for the refusal of a request that has not run, infra/httpclient for a success (a host counted as stopped), and the client of the platform's store for a refusal that had no effect. net/http also hands 101 to its caller, which nothing here asks for.

Evidence, on the code as it was: an unsafe call was answered 200 with the forged body, a safe one was not repeated, a resumed stream went on with forged events; 8 of 8 statuses in ./relay and 4 of 4 in ./upstream passed; an append answered 000 had the effect "none", a stop of a host no error.

Fix: one check of an answer's head, used by the relay for each head, interim ones included, and by a transport that all HTTP clients share. A final status is one of 200 to 599, an interim one of 100 to 199 but 101; anything else fails the call with an unknown effect.

Measured: all of these tests pass; interim answers before a sound one are still skipped.

--- a/infra/httpclient/client.go
+++ b/infra/httpclient/client.go
@@ -34,14 +34,16 @@
 
 // client calls one platform service with JSON.
 type client struct {
-	base    string
-	http    *http.Client
-	service httpc.Service
+	base      string
+	transport *http.Transport
+	http      *http.Client
+	service   httpc.Service
 }
 
 func newClient(name, base string) client {
+	transport := netopt.Transport()
 	httpClient := &http.Client{
-		Transport: netopt.Transport(),
+		Transport: netopt.Checked(transport),
 		// A redirect would send an append a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -50,13 +52,13 @@
 	// recovered, and the failed calls of one client would block another client of the same
 	// service, since go-zero keeps breakers by name; the callers back off themselves.
 	breaker.NoBreakerFor(service)
-	return client{base: base, http: httpClient, service: httpc.NewServiceWithClient(service, httpClient)}
+	return client{base: base, transport: transport, http: httpClient, service: httpc.NewServiceWithClient(service, httpClient)}
 }
 
 // SetDial makes the client open its connections with dial, for instance to count
 // their bytes. It must be called before the first call.
 func (c client) SetDial(dial netopt.DialFunc) {
-	c.http.Transport.(*http.Transport).DialContext = dial
+	c.transport.DialContext = dial
 }
 
 // call sends in as JSON, if it is not nil, and decodes the response into out, if it is
--- a/infra/httpclient/client_test.go
+++ b/infra/httpclient/client_test.go
@@ -155,3 +155,13 @@
 	require.Error(t, read(0), "an idle connection that has become unresponsive")
 	require.NoError(t, read(0))
 }
+
+// Guards against a status that is none and counts as that of a success.
+func TestStatusThatIsNoneLeavesTheEffectUnknown(t *testing.T) {
+	listener, err := platformtest.ServeRaw(platformtest.RawAnswer("HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n"))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	client := httpclient.NewCloudClient("http://" + listener.Addr().String())
+	t.Cleanup(client.Close)
+	requireEffect(t, infra.EffectUnknown, client.Stop(t.Context(), "h-1"))
+}
--- a/internal/netopt/netopt.go
+++ b/internal/netopt/netopt.go
@@ -1,5 +1,5 @@
 // Package netopt dials and listens on TCP with socket options that close connections to
-// unresponsive peers.
+// unresponsive peers, and provides HTTP clients that accept only valid answers.
 package netopt
 
 import (
@@ -34,10 +34,10 @@
 // Client returns an HTTP client that retains up to maxIdle idle connections to each host, each
 // for idleTimeout.
 func Client(dialTimeout, idleTimeout time.Duration, maxIdle int) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: Checked(&http.Transport{
 		DialContext: ReportResets(Dialer(dialTimeout).DialContext), MaxIdleConnsPerHost: maxIdle,
 		IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
-	}}
+	})}
 }
 
 // Transport returns net/http's default transport without a proxy, with connections that report resets.
--- a/operator/client.go
+++ b/operator/client.go
@@ -63,7 +63,7 @@
 // NewClient returns a client of the nodes at the base URLs, which it tries in order.
 func NewClient(bases []string, key string) *Client {
 	httpClient := &http.Client{
-		Transport:     netopt.Transport(),
+		Transport:     netopt.Checked(netopt.Transport()),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	const name = "administration"
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -352,6 +352,9 @@
 		if err != nil {
 			return err
 		}
+		if err := netopt.CheckHead(response); err != nil {
+			return err
+		}
 		if response.StatusCode >= http.StatusOK {
 			a.Response = response
 			return nil
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -341,3 +341,38 @@
 		})
 	}
 }
+
+// requireNoAnswer requires that bytes in the place of an answer fail the call.
+func requireNoAnswer(t *testing.T, text string) {
+	t.Helper()
+	to := listen(t, func(_ int, conn net.Conn) {
+		readHead(conn)
+		_, _ = io.WriteString(conn, text)
+		_ = conn.Close()
+	})
+	pool := relay.NewPool()
+	defer pool.Close()
+	_, err := pool.Send(t.Context(), to, getCall())
+	var failure *relay.Error
+	require.ErrorAs(t, err, &failure)
+	require.Equal(t, relay.StepRead, failure.Step)
+}
+
+// Guards against a status that is none, after which the bytes that follow pass for the answer.
+func TestStatusThatIsNoneIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "+20", "-00", "101", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			requireNoAnswer(t, "HTTP/1.1 "+status+" X\r\nContent-Length: 38\r\n\r\n"+completeAnswer)
+		})
+	}
+}
+
+func TestInterimAnswersAreSkipped(t *testing.T) {
+	to := listen(t, func(_ int, conn net.Conn) {
+		readHead(conn)
+		_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"+completeAnswer)
+	})
+	pool := relay.NewPool()
+	defer pool.Close()
+	roundTrip(t, pool, to)
+}
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -203,6 +203,16 @@
 	hijack(w, "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Request-Id: id-1\r\nContent-Length: 100\r\n\r\nhalf")
 }
 
+// raw answers with bytes as they are.
+func raw(text string) behaviour {
+	return func(_ *deployment, _ int64, w http.ResponseWriter, _ *http.Request) { hijack(w, text) }
+}
+
+// forged is an answer in the body of another.
+const forged = "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Request-Id: id-1\r\nContent-Length: 6\r\n\r\nforged"
+
+var noStatus = raw("HTTP/1.1 000 X\r\nX-Response-Signature: s\r\nX-Request-Id: id-1\r\n\r\n" + forged)
+
 func shed(_ *deployment, _ int64, w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("X-Not-Executed", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
@@ -239,6 +249,9 @@
 		{"no protocol", "safe", firstThen(func(_ *deployment, _ int64, w http.ResponseWriter, _ *http.Request) {
 			hijack(w, "SSH-2.0-x\r\n\r\n")
 		}, ok), 200, 2, "POST /safe/x?q=1 body w"},
+		{"no status, safe: again", "safe", firstThen(noStatus, ok), 200, 2, "POST /safe/x?q=1 body w"},
+		{"no status, unsafe: unknown", "unsafe", noStatus, 502, 1, ""},
+		{"no status, stream: unknown", "stream", noStatus, 502, 1, ""},
 		{"unframed success", "unsafe", func(_ *deployment, _ int64, w http.ResponseWriter, _ *http.Request) {
 			hijack(w, "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Request-Id: id-1\r\n\r\nto the end")
 		}, 200, 1, "to the end"},
@@ -354,9 +367,6 @@
 
 // The caller of a stream that broke off finds the next upstream's error in it, or the stream complete.
 func TestErrorOfTheNextUpstreamIsInTheStream(t *testing.T) {
-	raw := func(text string) behaviour {
-		return func(_ *deployment, _ int64, w http.ResponseWriter, _ *http.Request) { hijack(w, text) }
-	}
 	const id = "X-Request-Id: id-1\r\nX-Response-Signature: second\r\n"
 	cases := []struct {
 		name  string
@@ -379,6 +389,7 @@
 		{"503, not run", shed, false},
 		{"500 without a length", raw("HTTP/1.1 500 Failed\r\n" + id + "\r\n" + stream(4, 6)), false},
 		{"no answer", raw("\x00\x01\x02\n\n"), false},
+		{"no status", raw("HTTP/1.1 000 X\r\n" + id + "\r\nHTTP/1.1 200 OK\r\n" + id + "\r\n" + stream(4, 6)), false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -120,7 +120,7 @@
 	transport.MaxIdleConnsPerHost = maxIdlePerUpstream
 	transport.IdleConnTimeout = idleTimeout
 	client := &http.Client{
-		Transport:     transport,
+		Transport:     netopt.Checked(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return &Conn{
--- a/upstream/once.go
+++ b/upstream/once.go
@@ -13,10 +13,11 @@
 // net/http resends a request on a reused connection when it carries an
 // Idempotency-Key or when the connection was closed; a new connection prevents that.
 type OnceSender struct {
-	owner  string
-	client *http.Client
-	mu     sync.Mutex
-	conns  map[string]*Conn
+	owner     string
+	transport *http.Transport
+	client    *http.Client
+	mu        sync.Mutex
+	conns     map[string]*Conn
 }
 
 // NewOnceSender returns a sender for a node; owner separates the circuit breakers of several
@@ -26,10 +27,10 @@
 	transport.DisableCompression = true
 	transport.DisableKeepAlives = true
 	client := &http.Client{
-		Transport:     transport,
+		Transport:     netopt.Checked(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	return &OnceSender{owner: owner, client: client, conns: map[string]*Conn{}}
+	return &OnceSender{owner: owner, transport: transport, client: client, conns: map[string]*Conn{}}
 }
 
 // Do sends a request to an address, once. The error is an *Error that reports whether
@@ -46,7 +47,7 @@
 	if !ok {
 		conn = &Conn{
 			address:   address,
-			transport: o.client.Transport.(*http.Transport),
+			transport: o.transport,
 			service:   httpc.NewServiceWithClient(o.owner+" once to "+address, o.client),
 		}
 		o.conns[address] = conn
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -10,25 +10,17 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/persimmonline/persimmonline/platform/platformtest"
+	"github.com/persimmonline/persimmonline/retry"
 	"github.com/persimmonline/persimmonline/upstream"
 )
 
-// answerWith starts an upstream that passes each connection to a function once a part of a request has arrived,
-// and returns its address.
+// answerWith starts an upstream that answers with a function, and returns its address.
 func answerWith(t *testing.T, answer func(conn *net.TCPConn)) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	t.Helper()
+	listener, err := platformtest.ServeRaw(answer)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = conn.Read(make([]byte, 512))
-			answer(conn.(*net.TCPConn))
-		}
-	}()
 	return listener.Addr().String()
 }
 
@@ -66,7 +58,6 @@
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
 		time.Sleep(5 * time.Millisecond)
 		_ = conn.SetLinger(0)
-		_ = conn.Close()
 	})
 	for name, do := range senders() {
 		t.Run(name, func(t *testing.T) {
@@ -77,3 +68,22 @@
 		})
 	}
 }
+
+// requireNoAnswer requires that bytes in the place of an answer fail a request that may have run.
+func requireNoAnswer(t *testing.T, text string) {
+	t.Helper()
+	address := answerWith(t, platformtest.RawAnswer(text))
+	for name, do := range senders() {
+		_, err := post(t, do, address, []byte("b"))
+		var failure *upstream.Error
+		require.ErrorAs(t, err, &failure, name)
+		require.Equal(t, retry.MaybeSent, failure.Sent, name)
+	}
+}
+
+// Guards against a status that is none and counts as the refusal of a request that has not run.
+func TestStatusThatIsNoneIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600"} {
+		t.Run(status, func(t *testing.T) { requireNoAnswer(t, "HTTP/1.1 "+status+" X\r\nContent-Length: 0\r\n\r\n") })
+	}
+}
