netopt: a head with a field whose name is none is not that of an answer

What callers saw: an upstream in trouble sent an answer in whose head the name of a field held a blank or a control byte. The caller got it as an answer, with the line passed on or with a body that was not the upstream's.

Cause: net/http refuses control bytes in names, but accepts blanks: it keeps "Transfer-Encoding " as a field of its own, so that the body was read to the end of the connection with the lines of its chunks, and joins a line that begins with a blank to the value of the field before, which is passed on, whatever the line names.

Fix: the check of a head that all HTTP clients share requires names to be tokens. The relay refuses folded lines as well, interim heads included, which RFC 9112, section 5.2, allows a gateway; net/http hides them, so the bytes are scanned as they are read. The other clients still join them.

--- a/internal/netopt/answer.go
+++ b/internal/netopt/answer.go
@@ -4,10 +4,16 @@
 	"errors"
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
-// errStatus means that the status of an answer is not one of RFC 9110, section 15.
-var errStatus = errors.New("invalid status of answer")
+var (
+	// errStatus means that the status of an answer is not one of RFC 9110, section 15.
+	errStatus = errors.New("invalid status of answer")
+	// errFieldName means that the name of a field is not a token of RFC 9110, section 5.6.2.
+	errFieldName = errors.New("invalid field name in the head of answer")
+)
 
 // maxStatus is the highest valid status.
 const maxStatus = 599
@@ -19,6 +25,11 @@
 	if status < http.StatusContinue || status > maxStatus || status == http.StatusSwitchingProtocols {
 		return fmt.Errorf("%w: %.40q", errStatus, response.Status)
 	}
+	for name := range response.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: %.40q", errFieldName, name)
+		}
+	}
 	return nil
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -348,6 +348,9 @@
 	a.conn.head.remaining = maxHeadBytes
 	defer func() { a.conn.head.remaining = unlimited }()
 	for range maxInterim {
+		if err := a.conn.beginHead(); err != nil {
+			return err
+		}
 		response, err := http.ReadResponse(a.conn.reader, request) //nolint:bodyclose // Finish and Abort end the connection.
 		if err != nil {
 			return err
@@ -373,10 +376,45 @@
 // errHeadTooLarge means that the head of an answer exceeds maxHeadBytes.
 var errHeadTooLarge = fmt.Errorf("head of answer exceeds %d bytes", maxHeadBytes)
 
-// headLimiter bounds the bytes read from a connection while a head is parsed. It is used by
+// errFolded means that a line of a head begins with a blank. net/http joins it with the line before, whatever it
+// names.
+var errFolded = errors.New("line of the head begins with a blank")
+
+// foldDetector finds folded lines in the bytes of a head; it ignores the bytes that follow the head.
+type foldDetector struct{ atLineStart, ended bool }
+
+// scan returns errFolded if a line of the head begins with a blank.
+func (d *foldDetector) scan(p []byte) error {
+	for _, b := range p {
+		switch {
+		case d.ended:
+			return nil
+		case b == '\n':
+			d.atLineStart, d.ended = true, d.atLineStart
+		case d.atLineStart && (b == ' ' || b == '\t'):
+			return errFolded
+		case b != '\r':
+			d.atLineStart = false
+		}
+	}
+	return nil
+}
+
+// beginHead prepares the connection for the next head, of which some bytes may be buffered.
+func (c *conn) beginHead() error {
+	c.head.folds = foldDetector{}
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.head.folds.scan(buffered)
+}
+
+// headLimiter bounds and checks the bytes read from a connection while a head is parsed. It is used by
 // one goroutine.
 type headLimiter struct {
 	reader    io.Reader
+	folds     foldDetector
 	remaining int
 	// reserve is called for what exceeds the buffer; it may be nil.
 	reserve func(bytes int) error
@@ -396,6 +434,9 @@
 			return 0, err
 		}
 	}
+	if err := l.folds.scan(p[:n]); err != nil {
+		return 0, err
+	}
 	return n, err
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -376,3 +377,38 @@
 	defer pool.Close()
 	roundTrip(t, pool, to)
 }
+
+// Guards against a field that its reader does not know by its name: the line is passed on, or ignored though it is
+// that of the body's length.
+func TestFieldWhoseNameIsNoneMakesNoAnswer(t *testing.T) {
+	for _, line := range []string{
+		"X Bad: 1", "X-Bad : 1", " X-Bad: 1", "\tX-Bad: 1", "X\tBad: 1", "X-Bad\t: 1", "X\x00Bad: 1", "X\x01Bad: 1", "X\x7fBad: 1", "X\rBad: 1",
+		"\rX-Bad: 1", "\x0bX-Bad: 1", "X(Bad): 1", ": 1", "X-Bad", " ", "\t", "Content-Length : 2", "Transfer-Encoding : chunked", " Content-Length: 2",
+	} {
+		t.Run(line, func(t *testing.T) {
+			requireNoAnswer(t, "HTTP/1.1 200 OK\r\nX-A: 1\r\n"+line+"\r\nX-Z: 1\r\n\r\nok")
+			requireNoAnswer(t, "HTTP/1.1 103 Early Hints\r\nX-A: 1\r\n"+line+"\r\n\r\n"+completeAnswer)
+		})
+	}
+}
+
+// The bodies of answers are no heads.
+func TestBlankLinesOfABodyAreNoHead(t *testing.T) {
+	const body = "\n a\n\n\tb\r\n c: d"
+	to := listen(t, func(_ int, conn net.Conn) {
+		for readHead(conn) != "" {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-A: \xe9\tx\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+		}
+	})
+	pool := relay.NewPool()
+	defer pool.Close()
+	for range 2 {
+		answer, err := pool.Send(t.Context(), to, getCall())
+		require.NoError(t, err)
+		got, err := io.ReadAll(answer.Body())
+		require.NoError(t, err)
+		require.Equal(t, body, string(got))
+		answer.Finish()
+	}
+	require.EqualValues(t, 1, pool.Stats().Dialled)
+}
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -213,6 +213,9 @@
 
 var noStatus = raw("HTTP/1.1 000 X\r\nX-Response-Signature: s\r\nX-Request-Id: id-1\r\n\r\n" + forged)
 
+var badName = raw("HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Request-Id: id-1\r\nTransfer-Encoding : chunked\r\n\r\n" +
+	"5\r\nid: 1\r\n0\r\n\r\n")
+
 func shed(_ *deployment, _ int64, w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("X-Not-Executed", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
@@ -252,6 +255,9 @@
 		{"no status, safe: again", "safe", firstThen(noStatus, ok), 200, 2, "POST /safe/x?q=1 body w"},
 		{"no status, unsafe: unknown", "unsafe", noStatus, 502, 1, ""},
 		{"no status, stream: unknown", "stream", noStatus, 502, 1, ""},
+		{"blank in a field's name, safe: again", "safe", firstThen(badName, ok), 200, 2, "POST /safe/x?q=1 body w"},
+		{"blank in a field's name, unsafe: unknown", "unsafe", badName, 502, 1, ""},
+		{"blank in a field's name, stream: unknown", "stream", badName, 502, 1, ""},
 		{"unframed success", "unsafe", func(_ *deployment, _ int64, w http.ResponseWriter, _ *http.Request) {
 			hijack(w, "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Request-Id: id-1\r\n\r\nto the end")
 		}, 200, 1, "to the end"},
@@ -389,6 +395,7 @@
 		{"503, not run", shed, false},
 		{"500 without a length", raw("HTTP/1.1 500 Failed\r\n" + id + "\r\n" + stream(4, 6)), false},
 		{"no answer", raw("\x00\x01\x02\n\n"), false},
+		{"blank in a field's name", raw("HTTP/1.1 200 OK\r\nX Bad: 1\r\n" + id + "\r\n" + stream(4, 6)), false},
 		{"no status", raw("HTTP/1.1 000 X\r\n" + id + "\r\nHTTP/1.1 200 OK\r\n" + id + "\r\n" + stream(4, 6)), false},
 	}
 	for _, c := range cases {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -87,3 +87,10 @@
 		t.Run(status, func(t *testing.T) { requireNoAnswer(t, "HTTP/1.1 "+status+" X\r\nContent-Length: 0\r\n\r\n") })
 	}
 }
+
+// Guards against a field that its reader does not know by its name, and ignores though it is that of the body's length.
+func TestFieldWhoseNameIsNoneMakesNoAnswer(t *testing.T) {
+	for _, line := range []string{"X Bad: 1", "X-Bad : 1", "X\x01Bad: 1", "Transfer-Encoding : chunked"} {
+		t.Run(line, func(t *testing.T) { requireNoAnswer(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\n2\r\nok\r\n0\r\n\r\n") })
+	}
+}
