platform: lists of cached parts take room in the account of memory

What callers saw, on other systems: an upstream sent bytes that were no answer without end. The machine that had called it kept them all, ran out of memory, and the requests of others on it ended with it.

Cause here: answers to callers' requests are read within the account of memory, but those of the engines' own interface were not. A node that starts asks up to 32 engines at once for their cached parts and read 8 MB of each, with buffers that grow beyond that.

An answer beyond its limit is an error of its own now, not one that happened to be undecodable.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -104,7 +104,7 @@
 func New(settings platform.Settings, logger zerolog.Logger) *Edge {
 	e := &Edge{
 		settings: settings, incarnation: uuid.NewString(), clock: newClock(),
-		store: platform.NewStore(settings.StoreAddress), pool: relay.NewPool(), engines: platform.NewEngines(), successes: quarantine.NewSuccesses(), ledger: quota.NewLedger(),
+		store: platform.NewStore(settings.StoreAddress), pool: relay.NewPool(), account: memory.New(accountBudget(settings.MemoryBytes)), successes: quarantine.NewSuccesses(), ledger: quota.NewLedger(),
 		reloads: make(chan struct{}, 1),
 	}
 	e.logger = logger.With().Str("node", settings.Name).Logger()
@@ -123,7 +123,7 @@
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector())
 	e.metrics = newMetrics(registry)
-	e.account = memory.New(accountBudget(settings.MemoryBytes))
+	e.engines = platform.NewEngines(e.account)
 	e.callers = newConnections(callerConnectionLimit(&settings), e.account, e.maxHeaderBytes)
 	registerMemory(registry, e.account, e.callers)
 	e.control = newControl(e)
--- a/hostile/process_test.go
+++ b/hostile/process_test.go
@@ -87,13 +87,24 @@
 	exited                       chan struct{}
 	log                          bytes.Buffer
 	peakFDs                      atomic.Int64
+	// storeFails makes the store answer all calls without end.
+	storeFails atomic.Bool
 }
 
 // startProcess starts a daemon and an ordinary upstream for the services plain and model. An answer of the
 // upstream takes as long as the request's header X-Work-Ms asks for.
 func startProcess(t *testing.T) *process {
 	p := &process{store: platformtest.NewStore(), exited: make(chan struct{})}
-	store := httptest.NewServer(p.store)
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !p.storeFails.Load() {
+			p.store.ServeHTTP(w, r)
+			return
+		}
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			writeLong("200 OK", "\r\n", "x")(conn, "")
+			_ = conn.Close()
+		}
+	}))
 	t.Cleanup(func() { store.CloseClientConnections() })
 	ports := freePorts(t)
 	p.callers, p.readiness, p.peerPort = loopback(ports), loopback(ports+1), loopback(ports+2)
@@ -137,8 +148,10 @@
 	_, _ = io.WriteString(w, "done")
 }
 
-func (p *process) register(service, address string) {
-	p.store.Put(platform.TopicRegistry, "i-"+service, fmt.Appendf(nil,
+func (p *process) register(service, address string) { p.registerAs("i-"+service, service, address) }
+
+func (p *process) registerAs(id, service, address string) {
+	p.store.Put(platform.TopicRegistry, id, fmt.Appendf(nil,
 		`{"service":"%s","address":"%s","zone":"a","slots":512,"phase":"ready","sequence":1,"born":1700000000000}`, service, address))
 }
 
--- a/hostile/upstreams_test.go
+++ b/hostile/upstreams_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonline/persimmonline/platform/platformtest"
 )
 
 // startFaultyUpstream registers an upstream that answers each request with raw bytes and leaves the
@@ -116,3 +118,29 @@
 		require.Equal(t, http.StatusBadGateway, p.post("/faulty/x", body))
 	}
 }
+
+// Guards against lists of cached parts without end, which a node asks many engines for at once.
+func TestListsOfCachedPartsWithoutEnd(t *testing.T) {
+	const engines = 32
+	p := startProcess(t)
+	var asked atomic.Int64
+	for n := range engines {
+		listener, err := platformtest.ServeRaw(func(conn *net.TCPConn) {
+			asked.Add(1)
+			writeLong("200 OK", "\r\n", "x")(conn, "")
+		})
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = listener.Close() })
+		p.registerAs(fmt.Sprintf("i-list-%d", n), "model", listener.Addr().String())
+	}
+	require.Eventually(t, func() bool { return asked.Load() == engines }, hangTime, 50*time.Millisecond)
+	time.Sleep(settle)
+	p.requireSound(t)
+}
+
+func TestAnswersOfTheStoreWithoutEnd(t *testing.T) {
+	p := startProcess(t)
+	p.storeFails.Store(true)
+	time.Sleep(5 * settle)
+	p.requireSound(t)
+}
--- a/memory/read.go
+++ b/memory/read.go
@@ -67,6 +67,15 @@
 	}
 }
 
+// ReadAtMost reads to the end of a body of limit bytes at most, without an account.
+func ReadAtMost(body io.Reader, limit int64) ([]byte, error) {
+	raw, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err == nil && int64(len(raw)) > limit {
+		return nil, ErrTooLarge
+	}
+	return raw, err
+}
+
 // nextBuffer returns the size of the buffer that follows a full one of held bytes; it is larger. A byte more than
 // the body lets a read find its end.
 func nextBuffer(held, stated, limit int64) int64 {
--- a/serving/carry_test.go
+++ b/serving/carry_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/persimmonline/persimmonline/catalog"
+	"github.com/persimmonline/persimmonline/memory"
 	"github.com/persimmonline/persimmonline/platform"
 	"github.com/persimmonline/persimmonline/serving"
 )
@@ -36,7 +37,7 @@
 func deployLeaving(t *testing.T, moved func(l *leaving, w http.ResponseWriter)) *leaving {
 	t.Helper()
 	l := &leaving{opening: fmt.Sprintf(streamHead, "first") + chunk(stream(1, 3)), moved: moved, goesOn: continuesStream, dropped: make(chan string, 1)}
-	l.deployment = deployWith(t, 2, l.behave, func(settings *serving.Settings) { settings.Mover = platform.NewEngines() })
+	l.deployment = deployWith(t, 2, l.behave, func(settings *serving.Settings) { settings.Mover = platform.NewEngines(memory.New(1 << 20)) })
 	view := *l.view.Load()
 	view.Table.Service("s").Engine = &catalog.Engine{Moves: true}
 	l.view.Store(&view)
