upstream, peer: an answer without end does not fill the memory

What callers saw, on other systems: an upstream sent bytes without end that were no answer, in a head or a body. The node that had called it kept them all until it had no memory left, and the requests of others ended with it.

Cause here: the gateway's clients of engines and of other nodes decoded JSON straight from the connection, and a decoder keeps a value until it is whole; only a deadline ended that. Chunks of a stream without text were kept without end, too. Heads were read up to net/http's 10 MB each.

A single event without end and the look-up of a prompt, which has 300 ms, were bounded already.

Fix: heads are bounded by 64 KB as on the other clients, bodies that are decoded whole and each line of a peer by 64 MB, and so is the memory of a streamed answer. One function reads a bounded body and fails for a longer one; infra/httpclient, operator, the nodes' own exchanges and explain use it, too, where a longer body was cut before.

--- a/cmd/persimmon-edge/explain.go
+++ b/cmd/persimmon-edge/explain.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/persimmonline/persimmonline/edge"
+	"github.com/persimmonline/persimmonline/memory"
 	"github.com/persimmonline/persimmonline/platform"
 	"github.com/persimmonline/persimmonline/serving"
 )
@@ -110,7 +111,7 @@
 		return nil, fmt.Errorf("node %s does not answer: %w", node, errors.Unwrap(err))
 	}
 	defer func() { _ = response.Body.Close() }()
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxExplanationBytes))
+	answer, err := memory.ReadAtMost(response.Body, maxExplanationBytes)
 	if err != nil {
 		return nil, fmt.Errorf("read the answer of node %s: %w", node, err)
 	}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -5,13 +5,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"syscall"
 	"time"
 
 	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/internal/netopt"
+	"github.com/persimmonline/persimmonline/memory"
 	"github.com/persimmonline/persimmonline/usage"
 )
 
@@ -227,7 +227,7 @@
 		return nil, fmt.Errorf("call %s of peer %s: %w", path, address, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(response.Body, limit))
+	raw, err := memory.ReadAtMost(response.Body, limit)
 	if err != nil {
 		return nil, fmt.Errorf("call %s of peer %s: %w", path, address, err)
 	}
--- a/infra/httpclient/client.go
+++ b/infra/httpclient/client.go
@@ -21,6 +21,7 @@
 	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/infra"
 	"github.com/persimmonline/persimmonline/internal/netopt"
+	"github.com/persimmonline/persimmonline/memory"
 )
 
 const (
@@ -81,7 +82,7 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(out); err != nil {
+	if err := memory.DecodeJSON(response.Body, maxAnswerBytes, out); err != nil {
 		return &infra.Error{Step: step, Peer: c.base, Status: response.StatusCode, Effect: infra.EffectUnknown, Err: err}
 	}
 	return nil
--- a/infra/httpclient/conditional.go
+++ b/infra/httpclient/conditional.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"sync"
 
 	"github.com/persimmonline/persimmonline/infra"
+	"github.com/persimmonline/persimmonline/memory"
 )
 
 // cached holds the last response to a conditional read, with its entity tag.
@@ -44,7 +43,7 @@
 		return zero, c.statusError(step, response)
 	}
 	var fresh T
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(&fresh); err != nil {
+	if err := memory.DecodeJSON(response.Body, maxAnswerBytes, &fresh); err != nil {
 		return zero, &infra.Error{Step: step, Peer: c.base, Status: response.StatusCode, Effect: infra.EffectUnknown, Err: err}
 	}
 	k.etag, k.value = response.Header.Get("ETag"), fresh
--- a/internal/netopt/netopt.go
+++ b/internal/netopt/netopt.go
@@ -20,7 +20,7 @@
 	probeIdle     = time.Second
 	probeInterval = time.Second
 	probeCount    = 2
-	// maxHeaderBytes bounds the header of a response.
+	// maxHeaderBytes bounds the head of an answer.
 	maxHeaderBytes = 64 << 10
 )
 
@@ -40,11 +40,13 @@
 	})}
 }
 
-// Transport returns net/http's default transport without a proxy, with connections that report resets.
+// Transport returns net/http's default transport without a proxy, with a bound on heads and connections that
+// report resets.
 func Transport() *http.Transport {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
 	transport.DialContext = ReportResets(transport.DialContext)
+	transport.MaxResponseHeaderBytes = maxHeaderBytes
 	return transport
 }
 
--- a/memory/read.go
+++ b/memory/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"time"
@@ -76,6 +77,15 @@
 	return raw, err
 }
 
+// DecodeJSON decodes a body of limit bytes at most, without an account.
+func DecodeJSON(body io.Reader, limit int64, into any) error {
+	raw, err := ReadAtMost(body, limit)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(raw, into)
+}
+
 // nextBuffer returns the size of the buffer that follows a full one of held bytes; it is larger. A byte more than
 // the body lets a read find its end.
 func nextBuffer(held, stated, limit int64) int64 {
--- a/node/config.go
+++ b/node/config.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -17,6 +16,7 @@
 	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/config"
 	"github.com/persimmonline/persimmonline/control"
+	"github.com/persimmonline/persimmonline/memory"
 	"github.com/persimmonline/persimmonline/peer"
 	"github.com/persimmonline/persimmonline/refusal"
 )
@@ -178,8 +178,7 @@
 	if response.StatusCode != http.StatusOK {
 		return transfer, fmt.Errorf("fetch configuration of peer %s: refused with status %d", address, response.StatusCode)
 	}
-	body := io.LimitReader(response.Body, maxTransferBytes)
-	if err := json.NewDecoder(body).Decode(&transfer); err != nil {
+	if err := memory.DecodeJSON(response.Body, maxTransferBytes, &transfer); err != nil {
 		return transfer, fmt.Errorf("read configuration of peer %s: %w", address, err)
 	}
 	return transfer, nil
--- a/operator/client.go
+++ b/operator/client.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -21,6 +20,7 @@
 
 	"github.com/persimmonline/persimmonline/api"
 	"github.com/persimmonline/persimmonline/internal/netopt"
+	"github.com/persimmonline/persimmonline/memory"
 )
 
 const (
@@ -206,7 +206,7 @@
 		return connected.Load(), fmt.Errorf("ask node %s: %w", base, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	raw, err := memory.ReadAtMost(response.Body, maxAnswerBytes)
 	if err != nil {
 		return true, fmt.Errorf("read answer of node %s: %w", base, err)
 	}
--- a/peer/answer.go
+++ b/peer/answer.go
@@ -29,11 +29,13 @@
 type Answer struct {
 	address string
 	body    io.ReadCloser
+	line    *io.LimitedReader
 	decoder *json.Decoder
 }
 
 func newAnswer(address string, body io.ReadCloser) *Answer {
-	return &Answer{address: address, body: body, decoder: json.NewDecoder(body)}
+	line := &io.LimitedReader{R: body}
+	return &Answer{address: address, body: body, line: line, decoder: json.NewDecoder(line)}
 }
 
 // Event is one line of an answer; a keepalive has no field set.
@@ -54,6 +56,7 @@
 func (a *Answer) Next() (Event, error) {
 	const step = "read answer of owner"
 	var line api.PeerEvent
+	a.line.N = maxAnswerBytes
 	if err := a.decoder.Decode(&line); err != nil {
 		return Event{}, &upstream.Error{Step: step, Peer: a.address, Sent: retry.MaybeSent, Err: err}
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/memory"
 	"github.com/persimmonline/persimmonline/refusal"
 	"github.com/persimmonline/persimmonline/retry"
 	"github.com/persimmonline/persimmonline/upstream"
@@ -37,6 +38,8 @@
 	handoverTimeout = 3 * time.Second
 	// promptTimeout bounds the look-up of a prompt.
 	promptTimeout = 300 * time.Millisecond
+	// maxAnswerBytes bounds an answer, and each line of a streamed one; the longest is that of a service call.
+	maxAnswerBytes = 64 << 20
 	// maxErrorBytes bounds the part of an error answer that is included in an error.
 	maxErrorBytes = 512
 )
@@ -71,7 +74,7 @@
 		return answer, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+	if err := memory.DecodeJSON(response.Body, maxAnswerBytes, &answer); err != nil {
 		return answer, fmt.Errorf("read heartbeat of peer %s: %w", address, err)
 	}
 	return answer, nil
@@ -119,7 +122,7 @@
 		return answer, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+	if err := memory.DecodeJSON(response.Body, maxAnswerBytes, &answer); err != nil {
 		return answer, fmt.Errorf("read prompt answer of peer %s: %w", address, err)
 	}
 	return answer, nil
--- a/peer/service.go
+++ b/peer/service.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/memory"
 	"github.com/persimmonline/persimmonline/retry"
 	"github.com/persimmonline/persimmonline/upstream"
 )
@@ -24,7 +24,7 @@
 		return answer, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+	if err := memory.DecodeJSON(response.Body, maxAnswerBytes, &answer); err != nil {
 		return answer, &upstream.Error{Step: "read answer of holder", Peer: address, Sent: retry.MaybeSent, Err: err}
 	}
 	return answer, nil
--- a/upstream/cache.go
+++ b/upstream/cache.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"strconv"
 
 	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/memory"
 )
 
 // CacheEvents reads an engine's cache events from a sequence number on.
@@ -26,7 +26,7 @@
 		return events, c.errorAnswer(step, response)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if err := json.NewDecoder(response.Body).Decode(&events); err != nil {
+	if err := memory.DecodeJSON(response.Body, maxAnswerBytes, &events); err != nil {
 		return events, &Error{Step: step, Peer: c.address, Err: err}
 	}
 	return events, nil
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -14,6 +14,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/memory"
 	"github.com/persimmonline/persimmonline/refusal"
 	"github.com/persimmonline/persimmonline/retry"
 )
@@ -21,6 +22,12 @@
 const (
 	// maxEventBytes bounds one server-sent event.
 	maxEventBytes = 1 << 20
+	// maxAnswerBytes bounds an answer that is decoded whole; the longest is the KV cache of a request.
+	maxAnswerBytes = 64 << 20
+	// maxStreamBytes bounds the memory of a streamed answer, whose chunks are kept until it has ended, and
+	// chunkBytes is that of a chunk besides its text.
+	maxStreamBytes = 64 << 20
+	chunkBytes     = 256
 	// maxErrorBytes bounds the part of an error answer that is included in an error.
 	maxErrorBytes = 2048
 	// streamEnd is the data of the last event of a stream.
@@ -38,6 +45,8 @@
 	body    io.ReadCloser
 	next    func() (sse.Event, error, bool)
 	stop    func()
+	// bytes is the memory of the chunks so far.
+	bytes int
 }
 
 // Chat requests a streamed answer from an engine. The body is an OpenAI chat request
@@ -91,6 +100,9 @@
 	if event.Data == streamEnd {
 		return api.ChatChunk{}, io.EOF
 	}
+	if s.bytes += chunkBytes + len(event.Data); s.bytes > maxStreamBytes {
+		return api.ChatChunk{}, &Error{Step: step, Peer: s.address, Sent: retry.MaybeSent, Err: memory.ErrTooLarge}
+	}
 	var chunk api.ChatChunk
 	if err := json.Unmarshal([]byte(event.Data), &chunk); err != nil {
 		return api.ChatChunk{}, &Error{Step: step, Peer: s.address, Sent: retry.MaybeSent, Err: err}
@@ -120,7 +132,7 @@
 		return load, c.errorAnswer(step, response)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if err := json.NewDecoder(response.Body).Decode(&load); err != nil {
+	if err := memory.DecodeJSON(response.Body, maxAnswerBytes, &load); err != nil {
 		return load, &Error{Step: step, Peer: c.address, Err: err}
 	}
 	return load, nil
@@ -135,7 +147,7 @@
 		return state, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if err := json.NewDecoder(response.Body).Decode(&state); err != nil {
+	if err := memory.DecodeJSON(response.Body, maxAnswerBytes, &state); err != nil {
 		return state, &Error{Step: step, Peer: c.address, Err: err}
 	}
 	return state, nil
--- a/upstream/order.go
+++ b/upstream/order.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/memory"
 	"github.com/persimmonline/persimmonline/retry"
 )
 
@@ -33,7 +34,7 @@
 		return result, c.errorAnswer(step, response)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if err := json.NewDecoder(response.Body).Decode(&result); err != nil {
+	if err := memory.DecodeJSON(response.Body, maxAnswerBytes, &result); err != nil {
 		return result, &Error{Step: step, Peer: c.address, Sent: retry.MaybeSent, Err: err}
 	}
 	return result, nil
