serving: a request whose body ends late in the grace is refused

What callers saw, on other systems: in a planned stop of one node requests that came late in the grace were taken and passed on, and cut at its end without an answer, among them requests that may not be repeated.

Cause here: a node that stops refuses requests once the balancer has had time to send no more connections. It asked so when it had read the head. A request whose body came slowly was passed on whenever that was whole, up to the end of the grace.

Evidence: on the code as it was, an unsafe request whose head came before and whose body came after that moment reached its upstream, and its connection ended without an answer.

Fix: the node asks once more when it has read the body. The refusal says that the request has not run, with the time after which another node takes it.

--- a/serving/handler.go
+++ b/serving/handler.go
@@ -200,7 +200,7 @@
 	}
 	request.ArrivedAt, request.ConfigVersion = arrived, view.Table.Config.Version
 	if view.RefusingRequests {
-		return request, refusal.New(http.StatusServiceUnavailable, refusal.CodeDraining, "this node is stopping").WithRetryAfter(retryAfterOtherNode)
+		return request, stoppingRefusal()
 	}
 	if refused := authorise(view.Table, request); refused != nil {
 		if view.ConfigUnconfirmed {
@@ -211,7 +211,18 @@
 	if refused := h.reserveRequest(request, r); refused != nil {
 		return request, refused
 	}
-	return request, h.readBody(view.Table, request, w, r)
+	if refused := h.readBody(view.Table, request, w, r); refused != nil {
+		return request, refused
+	}
+	if h.CurrentView().RefusingRequests {
+		// The body came so slowly that the node has begun to refuse requests.
+		return request, stoppingRefusal()
+	}
+	return request, nil
+}
+
+func stoppingRefusal() *refusal.Refusal {
+	return refusal.New(http.StatusServiceUnavailable, refusal.CodeDraining, "this node is stopping").WithRetryAfter(retryAfterOtherNode)
 }
 
 func noConfiguration() *refusal.Refusal {
