edge: a request that outlasts the drain is answered

What callers saw, on other systems: at the end of the grace of a node that stops, requests were cut without an answer, among them requests that may not be repeated.

Cause here: the node closed all connections at the end of its drain. A request that was taken soon after the signal, and whose upstream was still at work then, lost its connection.

Evidence: on the code as it was, the connection of an unsafe request that was sent 1 s after the signal ended without an answer, at the end of the drain.

Fix: at the end of its drain the node cancels what is under way with a cause of its own, and each request gets its last answer: 502, outcome unknown, if it may have run, else 503 with the time after which another node takes it. A stream of which the caller has a part breaks off as before. The node waits 200 ms at most for these answers, within the margin that it keeps before it is killed; a failure of an upstream that waits for another attempt is delivered.

Measured: the request is answered and the process ended within the grace; the tests of stops, suspended ones included, pass.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -52,6 +52,8 @@
 	idleBeforeExit = 200 * time.Millisecond
 	// exitTime is how long before the end of its grace a stopping node refuses requests at the latest.
 	exitTime = idleBeforeExit + 2*drainPollInterval
+	// finalAnswerTime is how long after its drain a stopping node waits for the answers to requests that it ends.
+	finalAnswerTime = 200 * time.Millisecond
 	// minDrainTime is the least time that a node which was suspended gives its requests.
 	minDrainTime = time.Second
 )
@@ -228,7 +230,7 @@
 }
 
 // stop shuts the node down: readiness fails first, callers are still served, and the process
-// exits once no request is in flight.
+// exits once no request is in flight. Requests that outlast the drain are answered that the node stopped.
 func (e *Edge) stop() {
 	began := time.Now()
 	e.logger.Info().Int64("in_flight", e.handler.InFlight()).Msg("node stopping")
@@ -264,9 +266,14 @@
 			break
 		}
 	}
+	ended := e.handler.InFlight()
+	e.handler.EndRequests()
+	for end := time.Now().Add(finalAnswerTime); e.handler.InFlight() > 0 && time.Now().Before(end); {
+		time.Sleep(drainPollInterval)
+	}
 	e.peers.startExchanges(e.ctx)
 	time.Sleep(drainPollInterval)
-	e.logger.Info().Int64("in_flight", e.handler.InFlight()).Dur("took_ms", time.Since(began)).Dur("signal_age_ms", signalAge).Msg("node stopped")
+	e.logger.Info().Int64("in_flight", e.handler.InFlight()).Int64("ended", ended).Dur("took_ms", time.Since(began)).Dur("signal_age_ms", signalAge).Msg("node stopped")
 	e.cancel()
 	for _, server := range e.servers {
 		_ = server.Close()
--- a/edge/stopping_test.go
+++ b/edge/stopping_test.go
@@ -71,3 +71,18 @@
 	requireRefusal(t, conn, http.StatusServiceUnavailable, refusal.RanNo)
 	require.Zero(t, reached.Load())
 }
+
+// Guards against a request that is cut without an answer at the end of the grace.
+func TestRequestUnderWayAtTheEndOfTheGraceIsAnswered(t *testing.T) {
+	e, stop, reached := startBeforeUpstreamThatHangs(t)
+	began := time.Now()
+	go stop()
+	requireWithin(t, time.Second, func() bool { return e.view.Load().Draining }, "the node must drain")
+	time.Sleep(time.Second)
+	conn := upload(t, e, "whole", "")
+	require.Eventually(t, func() bool { return reached.Load() == 1 }, eventually, 5*time.Millisecond)
+	requireRefusal(t, conn, http.StatusBadGateway, refusal.RanUnknown)
+	require.Less(t, time.Since(began), e.settings.Bounds.Grace)
+	stop()
+	require.Less(t, time.Since(began), e.settings.Bounds.Grace)
+}
--- a/serving/handler.go
+++ b/serving/handler.go
@@ -73,8 +73,11 @@
 type Handler struct {
 	Settings
 
-	hedges   *hedges
-	carrier  *carrier
+	hedges  *hedges
+	carrier *carrier
+	// lifetime is done once requests under way are to end.
+	lifetime context.Context
+	endAll   context.CancelFunc
 	inFlight atomic.Int64
 	random   atomic.Uint64
 
@@ -104,6 +107,7 @@
 		successLogLimiter:     rate.NewLimiter(successLogRate, successLogRate),
 		noticeErrorLogLimiter: rate.NewLimiter(noticeErrorLogRate, 1),
 	}
+	h.lifetime, h.endAll = context.WithCancel(context.Background())
 	h.recent = newRecentDecisions(settings.Memory)
 	h.carrier = newCarrier(h)
 	h.random.Store(uint64(time.Now().UnixNano()))
@@ -119,6 +123,10 @@
 // InFlight returns the number of requests under way.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
 
+// EndRequests ends the requests under way, each with a refusal that says whether it may have run; a stream of which
+// the caller has a part breaks off.
+func (h *Handler) EndRequests() { h.endAll() }
+
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inFlight.Add(1)
@@ -153,6 +161,9 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), deadlineOf(request))
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer context.AfterFunc(h.lifetime, func() { end(errNodeStops) })()
 	run := &requestRun{
 		handler: h, view: view, request: request, ctx: ctx, caller: w, shared: sharedPrefix(request.Parts),
 		traits: traits, trial: trial, deadline: deadlineOf(request), excluded: map[string]bool{}, lastEventID: request.LastEventID,
--- a/serving/run.go
+++ b/serving/run.go
@@ -48,6 +48,9 @@
 	tokensPerPriority = 4096
 )
 
+// errNodeStops is the cause with which requests under way are canceled at the end of the node.
+var errNodeStops = errors.New("node stops")
+
 // errCrashesUpstreams means that requests like this one crash the upstreams that run them.
 var errCrashesUpstreams = errors.New("such requests crash upstreams")
 
@@ -374,14 +377,19 @@
 
 // finish sends the final response of a request after its last attempt.
 func (r *requestRun) finish() {
+	stopping := errors.Is(context.Cause(r.ctx), errNodeStops)
 	switch {
-	case r.ctx.Err() != nil && errors.Is(r.ctx.Err(), context.Canceled):
+	case errors.Is(r.ctx.Err(), context.Canceled) && !stopping:
 		r.abortConnection, r.result = true, "canceled"
 	case r.headerSent:
 		r.abortConnection, r.result = true, "cut"
 	case r.failureResponse != nil:
 		r.deliver(r.failureResponse)
 		r.result = "failed"
+	case stopping && r.possibleRuns > 0:
+		r.refuse(refusal.New(http.StatusBadGateway, refusal.CodeDraining, "this node stopped before the answer").WithUnknownOutcome())
+	case stopping:
+		r.refuse(stoppingRefusal())
 	case r.possibleRuns > 0 && time.Until(r.deadline) < minRemaining:
 		r.refuse(refusal.New(http.StatusGatewayTimeout, refusal.CodeDeadline, "no answer in time").WithUnknownOutcome())
 	case r.possibleRuns > 0:
