relay, upstream, serving: a head that ends early makes no answer

What callers saw, on other systems: an upstream stopped in the middle of its answer's head and closed. Callers got a 200 with an empty or short body, framed as whole.

This is no fault here: the parser of heads fails for one that ends before its empty line, and a call that fails so is repeated or answered 502.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -412,3 +412,14 @@
 	}
 	require.EqualValues(t, 1, pool.Stats().Dialled)
 }
+
+// Guards against an answer whose head ends early and that looks whole, as one with a short body.
+func TestHeadThatEndsEarlyMakesNoAnswer(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nX-A: 1\r\nContent-Length: 12\r\n\r\n", "HTTP/1.1 200 OK\nX-A: 1\n\n", "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+	} {
+		for end := range len(head) {
+			requireNoAnswer(t, head[:end])
+		}
+	}
+}
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -216,6 +216,8 @@
 var badName = raw("HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Request-Id: id-1\r\nTransfer-Encoding : chunked\r\n\r\n" +
 	"5\r\nid: 1\r\n0\r\n\r\n")
 
+var halfHead = raw("HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Request-Id: id-1\r\nContent-Type: text/event-stream\r\nX-")
+
 func shed(_ *deployment, _ int64, w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("X-Not-Executed", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
@@ -258,6 +260,9 @@
 		{"blank in a field's name, safe: again", "safe", firstThen(badName, ok), 200, 2, "POST /safe/x?q=1 body w"},
 		{"blank in a field's name, unsafe: unknown", "unsafe", badName, 502, 1, ""},
 		{"blank in a field's name, stream: unknown", "stream", badName, 502, 1, ""},
+		{"head ends early, safe: again", "safe", firstThen(halfHead, ok), 200, 2, "POST /safe/x?q=1 body w"},
+		{"head ends early, unsafe: unknown", "unsafe", halfHead, 502, 1, ""},
+		{"head ends early, stream: unknown", "stream", halfHead, 502, 1, ""},
 		{"unframed success", "unsafe", func(_ *deployment, _ int64, w http.ResponseWriter, _ *http.Request) {
 			hijack(w, "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Request-Id: id-1\r\n\r\nto the end")
 		}, 200, 1, "to the end"},
@@ -396,6 +401,7 @@
 		{"500 without a length", raw("HTTP/1.1 500 Failed\r\n" + id + "\r\n" + stream(4, 6)), false},
 		{"no answer", raw("\x00\x01\x02\n\n"), false},
 		{"blank in a field's name", raw("HTTP/1.1 200 OK\r\nX Bad: 1\r\n" + id + "\r\n" + stream(4, 6)), false},
+		{"head ends early", raw("HTTP/1.1 200 OK\r\n" + id + "Content-Type: text/event-stream\r\nX-"), false},
 		{"no status", raw("HTTP/1.1 000 X\r\n" + id + "\r\nHTTP/1.1 200 OK\r\n" + id + "\r\n" + stream(4, 6)), false},
 	}
 	for _, c := range cases {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -94,3 +94,11 @@
 		t.Run(line, func(t *testing.T) { requireNoAnswer(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\n2\r\nok\r\n0\r\n\r\n") })
 	}
 }
+
+// Guards against an answer whose head ends early and that looks whole.
+func TestHeadThatEndsEarlyMakesNoAnswer(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-A: 1\r\nContent-Length: 12\r\n\r\n"
+	for end := range len(head) {
+		requireNoAnswer(t, head[:end])
+	}
+}
