platform: a refusal of a move that may have lost its body is none

What callers could see, with runs carried on: a stream without framing ended as complete after half of its events.

Cause: an engine that has stopped a run and can't copy it answers the move 503 with the handle of the memory; without a handle the run goes on where it is. A 503 without a length whose body was lost reads as the latter, and then the end of the stream counted as that of the answer.

--- a/internal/netopt/answer.go
+++ b/internal/netopt/answer.go
@@ -33,6 +33,12 @@
 	return nil
 }
 
+// Framed reports whether the body of an answer has a length or is chunked. One that is not framed ends with its
+// connection.
+func Framed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
 // checkedTransport returns no answer whose head is invalid.
 type checkedTransport struct{ *http.Transport }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -442,9 +442,7 @@
 
 // Framed reports whether the answer has a length or is chunked. One that is not framed ends
 // with its connection.
-func (a *Answer) Framed() bool {
-	return a.Response.ContentLength >= 0 || len(a.Response.TransferEncoding) > 0
-}
+func (a *Answer) Framed() bool { return netopt.Framed(a.Response) }
 
 // Reused reports whether the connection has carried an earlier call, of which the answer may be.
 func (a *Answer) Reused() bool { return a.conn.reused }
--- a/serving/carry_test.go
+++ b/serving/carry_test.go
@@ -153,15 +153,26 @@
 }
 
 func TestStreamThatEndsWhileItsMoveIsUnknownIsNotComplete(t *testing.T) {
-	l := deployLeaving(t, func(l *leaving, w http.ResponseWriter) {
-		l.close("")
-		hijack(w, "")
-	})
-	l.opening = "HTTP/1.1 200 OK\r\nX-Response-Signature: first\r\nX-Request-Id: id-1\r\n\r\n" + stream(1, 3)
-	got := l.call(context.Background(), "stream", nil)
-	require.Error(t, got.err)
-	require.Equal(t, stream(1, 3), got.body)
-	require.Empty(t, l.places)
+	for name, moved := range map[string]string{
+		"no answer":                      "",
+		"no status":                      "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
+		"blank in a field's name":        "HTTP/1.1 200 OK\r\nX Bad: 1\r\nContent-Length: 27\r\n\r\n" + handle,
+		"head ends early":                "HTTP/1.1 200 OK\r\nContent-Length: 2",
+		"body ends early":                "HTTP/1.1 200 OK\r\n\r\n" + handle[:len(handle)/2],
+		"refusal that may lack a handle": "HTTP/1.1 503 Full\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := deployLeaving(t, func(l *leaving, w http.ResponseWriter) {
+				l.close("")
+				hijack(w, moved)
+			})
+			l.opening = "HTTP/1.1 200 OK\r\nX-Response-Signature: first\r\nX-Request-Id: id-1\r\n\r\n" + stream(1, 3)
+			got := l.call(context.Background(), "stream", nil)
+			require.Error(t, got.err)
+			require.Equal(t, stream(1, 3), got.body)
+			require.Empty(t, l.places)
+		})
+	}
 }
 
 func TestCopyIsFreedWhenTheCallerLeaves(t *testing.T) {
