serving: tests of second attempts that get no answer

A second attempt beside a slow first one was answered without a status, with a blank in a field's name, or with half a head. Now the first attempt's answer arrives.

--- a/serving/hedge_test.go
+++ b/serving/hedge_test.go
@@ -243,6 +243,29 @@
 	require.Equal(t, 1, h.hedges("failed"))
 }
 
+func TestHedgeWithoutAnAnswerDoesNotWin(t *testing.T) {
+	for name, broken := range map[string]behaviour{"no status": noStatus, "blank in a field's name": badName, "head ends early": halfHead} {
+		t.Run(name, func(t *testing.T) {
+			h := deployHedged(t, 3, 1, "safe")
+			hedgeEnded := make(chan struct{})
+			h.become(func(d *deployment, run int64, w http.ResponseWriter, r *http.Request) {
+				if run == 1 {
+					<-hedgeEnded
+					time.Sleep(20 * time.Millisecond)
+					answers(d, run, w, r)
+					return
+				}
+				broken(d, run, w, r)
+				close(hedgeEnded)
+			})
+			got := h.call(context.Background(), "safe", nil)
+			require.Equal(t, 200, got.status)
+			require.Contains(t, got.body, "from i-")
+			require.EqualValues(t, 2, h.runs.Load())
+		})
+	}
+}
+
 func TestRetryAfterAHedge(t *testing.T) {
 	h := deployHedged(t, 4, 1, "safe")
 	h.routes(func(route *catalog.Route) { route.MaxAttempts = 3 })
