--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -22,8 +22,6 @@
 	headBound = 4 << 20
 )
 
-const jsonHead = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"
-
 // endless answers with start and then with unit until the caller closes, and reports the bytes that it has sent.
 func endless(t *testing.T, start, unit string) (address string, sent <-chan int) {
 	block := strings.Repeat(unit, 64<<10/len(unit))
@@ -31,10 +29,8 @@
 	address = answerWith(t, func(conn *net.TCPConn) {
 		_ = conn.SetWriteBuffer(64 << 10)
 		total, err := io.WriteString(conn, start)
-		for err == nil && total < endlessBytes {
-			var n int
+		for n := 0; err == nil && total < endlessBytes; total += n {
 			n, err = io.WriteString(conn, block)
-			total += n
 		}
 		bytes <- total
 		_, _ = conn.Read(make([]byte, 1))
@@ -42,90 +38,76 @@
 	return address, bytes
 }
 
-// drainStream reads a stream until it fails.
-func drainStream(ctx context.Context, address string) error {
-	stream, err := upstream.NewPool("test").Get(address).Chat(ctx, "id", 0, nil)
-	if err != nil {
-		return err
-	}
-	defer stream.Close()
-	for err == nil {
-		_, err = stream.Next()
-	}
-	return err
-}
+func errorOf[T any](_ T, err error) error { return err }
 
-// drainPeer reads the answer of a peer until it fails.
-func drainPeer(ctx context.Context, address string) error {
-	answer, err := peer.NewClient("key", upstream.NewPool("test")).Chat(ctx, address, api.PeerChat{})
-	if err != nil {
-		return err
-	}
-	defer answer.Close()
+// drain reads an answer that has begun until it fails.
+func drain[T any](next func() (T, error), err error) error {
 	for err == nil {
-		_, err = answer.Next()
+		_, err = next()
 	}
 	return err
 }
 
 // Guards against a node that keeps whatever an upstream or a peer sends, until it has no memory left.
 func TestAnswerWithoutEndIsGivenUp(t *testing.T) {
-	conn := func(address string) *upstream.Conn { return upstream.NewPool("test").Get(address) }
-	nodes := func() *peer.Client { return peer.NewClient("key", upstream.NewPool("test")) }
-	load := func(ctx context.Context, address string) error { _, err := conn(address).Load(ctx); return err }
+	const (
+		head = "HTTP/1.1 200 OK\r\n"
+		text = head + "\r\n" + `{"data":"`
+	)
+	type call func(ctx context.Context, address string, engine *upstream.Conn, node *peer.Client) error
+	load := func(ctx context.Context, _ string, e *upstream.Conn, _ *peer.Client) error {
+		return errorOf(e.Load(ctx))
+	}
+	stream := func(ctx context.Context, _ string, e *upstream.Conn, _ *peer.Client) error {
+		s, err := e.Chat(ctx, "id", 0, nil)
+		return drain(s.Next, err)
+	}
 	for name, c := range map[string]struct {
 		start, unit string
 		bound       int
-		call        func(ctx context.Context, address string) error
+		call        call
 	}{
-		"head":        {"HTTP/1.1 200 OK\r\nX-A: ", "a", headBound, load},
-		"fields":      {"HTTP/1.1 200 OK\r\n", "X-A: a\r\n", headBound, load},
-		"once, head":  {"HTTP/1.1 200 OK\r\nX-A: ", "a", headBound, onceTo(t)},
-		"load":        {jsonHead + `{"a":"`, "a", endlessBytes, load},
-		"load, lists": {jsonHead + `{"models":[`, `{},`, endlessBytes, load},
-		"cache events": {jsonHead + `{"events":[`, `{},`, endlessBytes, func(ctx context.Context, address string) error {
-			_, err := conn(address).CacheEvents(ctx, 0)
-			return err
+		"field":      {head + "X-A: ", "a", headBound, load},
+		"fields":     {head, "X-A: a\r\n", headBound, load},
+		"load":       {text, "a", endlessBytes, load},
+		"load, list": {head + "\r\n" + `{"models":[`, `{},`, endlessBytes, load},
+		"event":      {head + "\r\ndata: ", "a", endlessBytes, stream},
+		"events":     {head + "\r\n", "data: {}\n\n", endlessBytes, stream},
+		"once, field": {head + "X-A: ", "a", headBound, func(_ context.Context, a string, _ *upstream.Conn, _ *peer.Client) error {
+			return errorOf(post(t, upstream.NewOnceSender("test").Do, a, nil))
+		}},
+		"cache events": {text, "a", endlessBytes, func(ctx context.Context, _ string, e *upstream.Conn, _ *peer.Client) error {
+			return errorOf(e.CacheEvents(ctx, 0))
+		}},
+		"order": {text, "a", endlessBytes, func(ctx context.Context, _ string, e *upstream.Conn, _ *peer.Client) error {
+			return errorOf(e.SendOrder(ctx, api.EngineOrder{}))
 		}},
-		"order": {jsonHead + `{"a":"`, "a", endlessBytes, func(ctx context.Context, address string) error {
-			_, err := conn(address).SendOrder(ctx, api.EngineOrder{})
-			return err
+		"KV cache": {text, "a", endlessBytes, func(ctx context.Context, _ string, e *upstream.Conn, _ *peer.Client) error {
+			return errorOf(e.ExportKV(ctx, "id"))
 		}},
-		"KV cache": {jsonHead + `{"data":"`, "a", endlessBytes, func(ctx context.Context, address string) error {
-			_, err := conn(address).ExportKV(ctx, "id")
-			return err
+		"heartbeat": {text, "a", endlessBytes, func(ctx context.Context, a string, _ *upstream.Conn, n *peer.Client) error {
+			return errorOf(n.Heartbeat(ctx, a, api.Heartbeat{}))
 		}},
-		"event":  {"HTTP/1.1 200 OK\r\n\r\ndata: ", "a", endlessBytes, drainStream},
-		"events": {"HTTP/1.1 200 OK\r\n\r\n", "data: {}\n\n", endlessBytes, drainStream},
-		"heartbeat of a peer": {jsonHead + `{"a":"`, "a", endlessBytes, func(ctx context.Context, address string) error {
-			_, err := nodes().Heartbeat(ctx, address, api.Heartbeat{})
-			return err
+		"prompt at a peer": {text, "a", endlessBytes, func(ctx context.Context, a string, _ *upstream.Conn, n *peer.Client) error {
+			return errorOf(n.LookUpPrompt(ctx, a, api.PeerPrompt{}))
 		}},
-		"prompt at a peer": {jsonHead + `{"a":"`, "a", endlessBytes, func(ctx context.Context, address string) error {
-			_, err := nodes().LookUpPrompt(ctx, address, api.PeerPrompt{})
-			return err
+		"service call at a peer": {text, "a", endlessBytes, func(ctx context.Context, a string, _ *upstream.Conn, n *peer.Client) error {
+			return errorOf(n.CallService(ctx, a, api.PeerService{}))
 		}},
-		"service call at a peer": {jsonHead + `{"a":"`, "a", endlessBytes, func(ctx context.Context, address string) error {
-			_, err := nodes().CallService(ctx, address, api.PeerService{})
-			return err
+		"line of a peer": {text, "a", endlessBytes, func(ctx context.Context, a string, _ *upstream.Conn, n *peer.Client) error {
+			answer, err := n.Chat(ctx, a, api.PeerChat{})
+			return drain(answer.Next, err)
 		}},
-		"line of a peer": {jsonHead + `{"a":"`, "a", endlessBytes, drainPeer},
 	} {
 		t.Run(name, func(t *testing.T) {
 			address, sent := endless(t, c.start, c.unit)
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
-			require.Error(t, c.call(ctx, address))
+			pool := upstream.NewPool("test")
+			require.Error(t, c.call(ctx, address, pool.Get(address), peer.NewClient("key", pool)))
 			require.NoError(t, ctx.Err(), "the call must end by itself")
+			cancel()
 			require.Less(t, <-sent, c.bound)
 		})
 	}
 }
-
-// onceTo returns a call of a request that may not be repeated.
-func onceTo(t *testing.T) func(ctx context.Context, address string) error {
-	return func(_ context.Context, address string) error {
-		_, err := post(t, upstream.NewOnceSender("test").Do, address, nil)
-		return err
-	}
-}
