quarantine: a group of crashes counts upstream by upstream

Cause: crashes of a part within 200 ms counted as one, so that a group with its repeats was one crash and three groups were needed.

Crashes were seen within 3 ms and travelled to the other node in 1 to 2 ms, which excludes detection and propagation.

Fix: a part without any success is refused after five crashes, however close in time, unless nearly as many upstreams ended at the same time that ran nothing with it: a fault of hosts ends those too. Three crashes apart in time still suffice. Such a refusal is tried after 3 s, as that of a common part.

--- a/edge/crashes_test.go
+++ b/edge/crashes_test.go
@@ -22,6 +22,8 @@
 	// maxFurtherRuns the number that may nevertheless reach upstreams later than the contact bound.
 	maxCrashes     = 5
 	maxFurtherRuns = 3
+	// groupSize is the number of requests of a group.
+	groupSize = 6
 	// engineRestart is how long an engine is away after a crash.
 	engineRestart = time.Second
 )
@@ -36,14 +38,17 @@
 	t     *testing.T
 	store storeServer
 
-	mu       sync.Mutex
-	nodes    []*Edge
-	stops    []func()
-	started  int
-	crashes  []time.Time
-	arrivals []crashArrival
-	served   []time.Time
-	failed   []time.Time
+	mu      sync.Mutex
+	nodes   []*Edge
+	stops   []func()
+	engines []*platformtest.Engine
+	started int
+	// crashPart is the part of a prompt on which engines crash.
+	crashPart string
+	crashes   []time.Time
+	arrivals  []crashArrival
+	served    []time.Time
+	failed    []time.Time
 }
 
 type crashArrival struct {
@@ -198,6 +203,19 @@
 	require.Eventually(f.t, func() bool { return f.crashedAt(3) != (time.Time{}) }, eventually, 10*time.Millisecond)
 }
 
+// sendGroups sends groups of requests with the bad part, each at once to all nodes and longer than the
+// contact bound after the one before.
+func (f *crashFleet) sendGroups(count int, parts func() []string) {
+	var requests sync.WaitGroup
+	for range count {
+		for i := range groupSize {
+			requests.Go(func() { f.request(f.nodes[i%len(f.nodes)], "bad", append(parts(), badPart)...) })
+		}
+		time.Sleep(contactBound + time.Second)
+	}
+	requests.Wait()
+}
+
 // badAfter returns how many requests with the bad part reached engines after a time.
 func (f *crashFleet) badAfter(from time.Time) (count int) {
 	f.mu.Lock()
@@ -266,3 +284,17 @@
 	require.LessOrEqual(t, f.badAfter(restarted), 1, "requests with the part reach engines again")
 	require.Greater(t, f.servedShare(restarted), 0.98)
 }
+
+// Groups of requests with a part that crashes engines are so close in time that each group counts as one crash.
+func TestGroupsOfPromptsCrashEngines(t *testing.T) {
+	t.Parallel()
+	f := newCrashFleet(t, 3, 12)
+	sound := func() []string { return []string{"system", fmt.Sprintf("subject%d", rand.IntN(3))} }
+	f.load("sound", 40, sound)
+	time.Sleep(time.Second)
+	f.sendGroups(2, sound)
+	fifth := f.crashedAt(maxCrashes)
+	require.NotZero(t, fifth)
+	require.LessOrEqual(t, f.badAfter(fifth.Add(contactBound)), maxFurtherRuns, "requests with the part are still sent to engines")
+	require.Greater(t, f.servedShare(fifth.Add(contactBound)), 0.98, "sound requests with the same key and first parts")
+}
--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -13,17 +13,20 @@
 	partCrashes       = 3
 	provenPartCrashes = 9
 	requestCrashes    = 2
-	// crashSpacing is the time within which crashes count as one, since a fault of hosts ends many
+	// groupCrashes is the number of crashes, however close in time, after which requests with a part are
+	// refused unless a fault of hosts may have caused them. The platform tolerates as many.
+	groupCrashes = 5
+	// crashSpacing is the time within which crashes may have one cause, since a fault of hosts ends many
 	// upstreams at once.
 	crashSpacing = 200 * time.Millisecond
 	// maxSuspectUpstreams bounds the upstreams that are kept of one suspect.
 	maxSuspectUpstreams = 16
-	// firstTrialDelay is how long after its refusal a trait is tried again; commonTrialDelay is that for
-	// parts that many prompts have. nextTrialDelay is how long after a trial without a result it is
-	// tried again, and failedTrialDelay after one that crashed its upstream, after maxTrials and after
-	// another node's trial.
+	// firstTrialDelay is how long after its refusal a trait is tried again; earlyTrialDelay is that for
+	// parts that many prompts have, and after a group of crashes. nextTrialDelay is how long after a trial
+	// without a result it is tried again, and failedTrialDelay after one that crashed its upstream, after
+	// maxTrials and after another node's trial.
 	firstTrialDelay  = 30 * time.Second
-	commonTrialDelay = 3 * time.Second
+	earlyTrialDelay  = 3 * time.Second
 	nextTrialDelay   = 10 * time.Second
 	failedTrialDelay = 10 * time.Minute
 	maxTrials        = 2
@@ -195,8 +198,15 @@
 		var worst *Suspect
 		worstCrashes := 0
 		for _, suspect := range a.suspects {
-			count := a.unexplainedCrashes(suspect, explained)
-			if !suspect.RefusedAt.IsZero() || count < suspect.requiredCrashes() {
+			if !suspect.RefusedAt.IsZero() {
+				continue
+			}
+			times := a.unexplainedCrashes(suspect, explained)
+			count := len(times)
+			if suspect.Position > 0 {
+				count = apartInTime(times)
+			}
+			if count < suspect.requiredCrashes() && !a.isGroupOfCrashes(suspect, times, explained) {
 				continue
 			}
 			if worst == nil || moreSuspicious(suspect, worst, count, worstCrashes) {
@@ -213,8 +223,9 @@
 // refuse refuses a trait from now on.
 func (a *Attribution) refuse(suspect *Suspect, now time.Time) {
 	suspect.RefusedAt, suspect.changedAt, suspect.nextTrialAt = now, now, now.Add(firstTrialDelay)
-	if suspect.Position == 1 || !suspect.ClearedAt.IsZero() {
-		suspect.nextTrialAt = now.Add(commonTrialDelay)
+	isGroup := suspect.Position > 0 && apartInTime(a.unexplainedCrashes(suspect, nil)) < suspect.requiredCrashes()
+	if suspect.Position == 1 || !suspect.ClearedAt.IsZero() || isGroup {
+		suspect.nextTrialAt = now.Add(earlyTrialDelay)
 	}
 }
 
@@ -262,19 +273,21 @@
 	return explained
 }
 
-// unexplainedCrashes returns the number of crashes since the trait's last complete response that no
-// refused part explains. Those of parts count only if they are apart in time.
-func (a *Attribution) unexplainedCrashes(suspect *Suspect, explained map[string]bool) int {
+// unexplainedCrashes returns the times, in order, of the crashes since the trait's last complete response
+// that no refused part explains.
+func (a *Attribution) unexplainedCrashes(suspect *Suspect, explained map[string]bool) []time.Time {
 	var times []time.Time
 	for _, upstream := range suspect.Upstreams {
 		if at := a.crashes[upstream]; at.After(suspect.ClearedAt) && !explained[upstream] {
 			times = append(times, at)
 		}
 	}
-	if suspect.Position == 0 {
-		return len(times)
-	}
 	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
+
+// apartInTime returns how many of the sorted times are apart from the one counted before.
+func apartInTime(times []time.Time) int {
 	count := 0
 	var counted time.Time
 	for _, at := range times {
@@ -285,6 +298,29 @@
 	return count
 }
 
+// isGroupOfCrashes reports whether the trait is a part without any success that explains a group of
+// crashes, however close in time, better than a fault of hosts does: few upstreams ended with them that
+// ran no request with the part.
+func (a *Attribution) isGroupOfCrashes(suspect *Suspect, times []time.Time, explained map[string]bool) bool {
+	return suspect.Position > 0 && suspect.ClearedAt.IsZero() && len(times) >= groupCrashes &&
+		2*a.bystanders(suspect, times, explained) < len(times)
+}
+
+// bystanders returns the number of upstreams that crashed at nearly the same time as those of the
+// suspect, ran no request with its trait, and are not explained by a refused part.
+func (a *Attribution) bystanders(suspect *Suspect, times []time.Time, explained map[string]bool) int {
+	count := 0
+	for upstream, at := range a.crashes {
+		if explained[upstream] || slices.Contains(suspect.Upstreams, upstream) {
+			continue
+		}
+		if slices.ContainsFunc(times, func(crash time.Time) bool { return at.Sub(crash).Abs() < crashSpacing }) {
+			count++
+		}
+	}
+	return count
+}
+
 // Refused returns the traits whose requests are refused.
 func (a *Attribution) Refused() []Suspect {
 	var refused []Suspect
--- a/quarantine/attribution_test.go
+++ b/quarantine/attribution_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -28,6 +29,14 @@
 	system, subject, bad, other = 1, 2, 3, 4
 )
 
+// group returns crashes of some upstreams, from a number on, at the same time under prompts with the bad part.
+func group(at time.Duration, from, count int) (steps []step) {
+	for i := from; i < from+count; i++ {
+		steps = append(steps, step{at, fmt.Sprintf("g%d", i), badPrompt(uint64(i))})
+	}
+	return steps
+}
+
 // badPrompt returns the traits of a request with the bad part.
 func badPrompt(own uint64) []quarantine.Trait {
 	return []quarantine.Trait{request(1000 + own), part(system, 1), part(subject, 2), part(bad, 3)}
@@ -48,6 +57,11 @@
 		{"the most specific of three parts", []step{{1 * second, "a", badPrompt(1)}, {2 * second, "b", badPrompt(2)}, {3 * second, "c", badPrompt(3)}}, []uint64{bad}},
 		{"one crash that many nodes see", []step{{1 * second, "a", badPrompt(1)}, {1 * second, "a", badPrompt(2)}, {1 * second, "a", badPrompt(3)}}, nil},
 		{"many upstreams at once", []step{{1 * second, "a", badPrompt(1)}, {1 * second, "b", badPrompt(2)}, {1 * second, "c", badPrompt(3)}}, nil},
+		{"five upstreams at once", group(second, 0, 5), []uint64{bad}},
+		{"groups of upstreams", slices.Concat(group(second, 0, 3), group(8*second, 3, 2)), []uint64{bad}},
+		{"as many upstreams that ran nothing with the part", slices.Concat([]step{
+			{1 * second, "h0", []quarantine.Trait{part(other, 5)}}, {1 * second, "h1", []quarantine.Trait{part(other, 6)}}, {1 * second, "h2", []quarantine.Trait{part(other, 7)}},
+		}, group(second, 0, 5)), nil},
 		{"a sound part between successes", []step{
 			{1 * second, "a", soundPrompt(1)},
 			{2 * second, "", soundPrompt(2)},
