quarantine: credit of a part that succeeded before runs out

Cause: a part with which a request had completed at any time within the retention was refused after nine crashes apart in time, however long ago that success was and whatever succeeded since.

Fix: five crashes since the last success of a proven part suffice once it has not succeeded for 2 s and requests without it do succeed after the fifth. When all upstreams end, nothing succeeds, and a sound part keeps its credit. Five crashes, 2 s and a tick are below the bound of 3 s after the fifth.

--- a/edge/crashes_test.go
+++ b/edge/crashes_test.go
@@ -65,7 +65,7 @@
 func (f *crashFleet) RequestExecuted(platformtest.Execution) {}
 
 func newCrashFleet(t *testing.T, nodes, engines int) *crashFleet {
-	f := &crashFleet{t: t, store: newStore(t)}
+	f := &crashFleet{t: t, store: newStore(t), crashPart: badPart}
 	f.store.PublishConfig([]byte(streamConfig))
 	for range engines {
 		f.startEngine()
@@ -123,7 +123,10 @@
 		ID: id, Service: "s", DataCentre: "z", Slots: 64, Work: 20 * time.Millisecond, Events: 8, Pause: 20 * time.Millisecond, Recorder: f,
 	})
 	require.NoError(f.t, err)
-	engine.SetFaults(platformtest.EngineFaults{CrashPart: badPart})
+	f.mu.Lock()
+	engine.SetFaults(platformtest.EngineFaults{CrashPart: f.crashPart})
+	f.engines = append(f.engines, engine)
+	f.mu.Unlock()
 	engine.OnCrash(func() {
 		f.mu.Lock()
 		f.crashes = append(f.crashes, time.Now())
@@ -139,6 +142,16 @@
 	f.store.register(id, engine.Address())
 }
 
+// setCrashPart sets the part of a prompt on which engines crash from now on; empty for none.
+func (f *crashFleet) setCrashPart(part string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashPart = part
+	for _, engine := range f.engines {
+		engine.SetFaults(platformtest.EngineFaults{CrashPart: part})
+	}
+}
+
 // request sends a request with the given parts and one of its own to a node.
 func (f *crashFleet) request(e *Edge, kind string, parts ...string) {
 	own := fmt.Sprintf("%s-%d", kind, rand.Uint64())
@@ -285,16 +298,30 @@
 	require.Greater(t, f.servedShare(restarted), 0.98)
 }
 
-// Groups of requests with a part that crashes engines are so close in time that each group counts as one crash.
+// Groups of requests with a part that crashes engines are so close in time that each group counts as one
+// crash; a part with which requests completed before has three times the credit.
 func TestGroupsOfPromptsCrashEngines(t *testing.T) {
 	t.Parallel()
-	f := newCrashFleet(t, 3, 12)
-	sound := func() []string { return []string{"system", fmt.Sprintf("subject%d", rand.IntN(3))} }
-	f.load("sound", 40, sound)
-	time.Sleep(time.Second)
-	f.sendGroups(2, sound)
-	fifth := f.crashedAt(maxCrashes)
-	require.NotZero(t, fifth)
-	require.LessOrEqual(t, f.badAfter(fifth.Add(contactBound)), maxFurtherRuns, "requests with the part are still sent to engines")
-	require.Greater(t, f.servedShare(fifth.Add(contactBound)), 0.98, "sound requests with the same key and first parts")
+	for name, served := range map[string]bool{"never served": false, "served before": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newCrashFleet(t, 3, 12)
+			sound := func() []string { return []string{"system", fmt.Sprintf("subject%d", rand.IntN(3))} }
+			f.load("sound", 40, sound)
+			time.Sleep(time.Second)
+			if served {
+				f.setCrashPart("")
+				for _, node := range f.nodes {
+					f.request(node, "bad", append(sound(), badPart)...)
+				}
+				f.setCrashPart(badPart)
+				time.Sleep(time.Second)
+			}
+			f.sendGroups(2, sound)
+			fifth := f.crashedAt(maxCrashes)
+			require.NotZero(t, fifth)
+			require.LessOrEqual(t, f.badAfter(fifth.Add(contactBound)), maxFurtherRuns, "requests with the part are still sent to engines")
+			require.Greater(t, f.servedShare(fifth.Add(contactBound)), 0.98, "sound requests with the same key and first parts")
+		})
+	}
 }
--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -8,7 +8,7 @@
 
 const (
 	// partCrashes is the number of crashes, apart in time, after which requests with a part of a
-	// prompt are refused, and provenPartCrashes that for a part with which requests have completed
+	// prompt are refused, and provenPartCrashes that for a part with which requests have succeeded
 	// before; requestCrashes is that for a request that is sent again.
 	partCrashes       = 3
 	provenPartCrashes = 9
@@ -19,6 +19,9 @@
 	// crashSpacing is the time within which crashes may have one cause, since a fault of hosts ends many
 	// upstreams at once.
 	crashSpacing = 200 * time.Millisecond
+	// provenSilence is how long no request with a proven part must have succeeded before a group of
+	// crashes counts against it. It is shorter than the platform's contact bound.
+	provenSilence = 2 * time.Second
 	// maxSuspectUpstreams bounds the upstreams that are kept of one suspect.
 	maxSuspectUpstreams = 16
 	// firstTrialDelay is how long after its refusal a trait is tried again; earlyTrialDelay is that for
@@ -172,17 +175,22 @@
 	return true
 }
 
-// Tick applies this node's successes, and forgets what is older than the retention time.
+// Tick applies this node's successes, refuses what has not succeeded for long enough since a group of
+// crashes, and forgets what is older than the retention time.
 func (a *Attribution) Tick(now time.Time) {
+	pending := false
 	for hash, suspect := range a.suspects {
 		if now.Sub(suspect.CrashedAt) > retention {
 			delete(a.suspects, hash)
 			continue
 		}
-		if !suspect.Cleared() {
-			a.clear(suspect, a.successes.Last(hash), now)
+		if !suspect.Cleared() && !a.clear(suspect, a.successes.Last(hash), now) {
+			pending = pending || suspect.RefusedAt.IsZero() && len(suspect.Upstreams) >= groupCrashes
 		}
 	}
+	if pending {
+		a.decide(now)
+	}
 	for upstream, at := range a.crashes {
 		if now.Sub(at) > retention {
 			delete(a.crashes, upstream)
@@ -206,7 +214,7 @@
 			if suspect.Position > 0 {
 				count = apartInTime(times)
 			}
-			if count < suspect.requiredCrashes() && !a.isGroupOfCrashes(suspect, times, explained) {
+			if count < suspect.requiredCrashes() && !a.isGroupOfCrashes(suspect, times, explained, now) {
 				continue
 			}
 			if worst == nil || moreSuspicious(suspect, worst, count, worstCrashes) {
@@ -273,8 +281,8 @@
 	return explained
 }
 
-// unexplainedCrashes returns the times, in order, of the crashes since the trait's last complete response
-// that no refused part explains.
+// unexplainedCrashes returns the times, in order, of the crashes since the trait's last success that no
+// refused part explains.
 func (a *Attribution) unexplainedCrashes(suspect *Suspect, explained map[string]bool) []time.Time {
 	var times []time.Time
 	for _, upstream := range suspect.Upstreams {
@@ -298,12 +306,19 @@
 	return count
 }
 
-// isGroupOfCrashes reports whether the trait is a part without any success that explains a group of
-// crashes, however close in time, better than a fault of hosts does: few upstreams ended with them that
-// ran no request with the part.
-func (a *Attribution) isGroupOfCrashes(suspect *Suspect, times []time.Time, explained map[string]bool) bool {
-	return suspect.Position > 0 && suspect.ClearedAt.IsZero() && len(times) >= groupCrashes &&
-		2*a.bystanders(suspect, times, explained) < len(times)
+// isGroupOfCrashes reports whether the trait is a part that explains a group of crashes, however close
+// in time, better than a fault of hosts does: few upstreams ended with them that ran no request with the
+// part, and if requests with it have succeeded before, only others do so now. When all upstreams end,
+// nothing succeeds.
+func (a *Attribution) isGroupOfCrashes(suspect *Suspect, times []time.Time, explained map[string]bool, now time.Time) bool {
+	if suspect.Position == 0 || len(times) < groupCrashes || 2*a.bystanders(suspect, times, explained) >= len(times) {
+		return false
+	}
+	if suspect.ClearedAt.IsZero() {
+		return true
+	}
+	othersSucceed := a.successes.LastPart().Sub(times[groupCrashes-1]) > crashSpacing
+	return now.Sub(suspect.ClearedAt) >= provenSilence && othersSucceed
 }
 
 // bystanders returns the number of upstreams that crashed at nearly the same time as those of the
--- a/quarantine/attribution_test.go
+++ b/quarantine/attribution_test.go
@@ -62,6 +62,17 @@
 		{"as many upstreams that ran nothing with the part", slices.Concat([]step{
 			{1 * second, "h0", []quarantine.Trait{part(other, 5)}}, {1 * second, "h1", []quarantine.Trait{part(other, 6)}}, {1 * second, "h2", []quarantine.Trait{part(other, 7)}},
 		}, group(second, 0, 5)), nil},
+		{"a part that succeeded long ago, beside others that succeed", slices.Concat(
+			[]step{{0, "", badPrompt(1)}}, group(5*second, 0, 5), []step{{5500 * time.Millisecond, "", []quarantine.Trait{part(system, 1), part(subject, 2)}}},
+		), []uint64{bad}},
+		{"a part that succeeded shortly before, beside others that succeed", slices.Concat(
+			[]step{{4 * second, "", badPrompt(1)}}, group(5*second, 0, 5), []step{{5500 * time.Millisecond, "", []quarantine.Trait{part(other, 5)}}},
+		), nil},
+		{"a part that succeeded long ago, while nothing succeeds", slices.Concat([]step{{0, "", badPrompt(1)}}, group(5*second, 0, 8), []step{{30 * second, "", nil}}), nil},
+		{"a proven part, crash after crash", slices.Concat(
+			[]step{{0, "", badPrompt(1)}}, group(4*second, 0, 1), group(8*second, 1, 1), group(12*second, 2, 1), group(16*second, 3, 1), group(20*second, 4, 1),
+			[]step{{21 * second, "", []quarantine.Trait{part(system, 1), part(subject, 2)}}},
+		), []uint64{bad}},
 		{"a sound part between successes", []step{
 			{1 * second, "a", soundPrompt(1)},
 			{2 * second, "", soundPrompt(2)},
