serving: an answer that goes on is evidence for the parts of its prompt

Cause: only the end of an answer counted as a success of its parts. Streams on other engines that had gone on for seconds proved nothing, and those that were under way before the refusal lifted it only at their end.

Fix: an answer that has gone on for maxCrashDelay, after which a crash of its upstream is not put down to it anyway, counts as a success of its parts, once. The end of such an answer is none any more: it would clear crashes under requests that began long after this one. The whole request succeeds when it completes, as before.

--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -56,6 +56,8 @@
 	eventBytes int64
 	// sentAt is when the request was sent, firstEventAt when the first event of a stream arrived.
 	sentAt, firstEventAt time.Time
+	// outlived is set once the answer has gone on for longer than a crash that its prompt causes takes.
+	outlived bool
 	// continues is set if the caller has a part of the stream from another upstream.
 	continues bool
 	// confirmed is set once the answer is known to have ended because it is complete.
--- a/serving/stream.go
+++ b/serving/stream.go
@@ -99,6 +99,7 @@
 	x.tracked.RecordToken(now)
 	x.eventCount++
 	x.carried.recordEvents(x.eventCount)
+	x.recordOutlived()
 }
 
 // forwardEvent forwards one event, unless a resumed stream repeats an event that the caller already
--- a/serving/traits.go
+++ b/serving/traits.go
@@ -9,6 +9,9 @@
 	"github.com/persimmonline/persimmonline/refusal"
 )
 
+// wholeTraits is the number of traits, the first ones, that stand for the request as a whole.
+const wholeTraits = 1
+
 // traitsOf returns what a request may have in common with others that crash upstreams: the request as
 // a whole, regardless of its id, and the parts of its prompt but the last, which is its own.
 func traitsOf(request *Request) []quarantine.Trait {
--- a/serving/unframed.go
+++ b/serving/unframed.go
@@ -56,9 +56,25 @@
 // recordSuccess records that the upstream has completed the request, for crashes only if that is certain.
 func (x *exchange) recordSuccess() {
 	x.sample.complete()
-	if x.confirmed {
-		x.run.handler.Successes.Record(x.run.traits, x.run.handler.MonotonicNow())
+	if !x.confirmed {
+		return
 	}
+	traits := x.run.traits
+	if x.outlived {
+		traits = traits[:wholeTraits]
+	}
+	x.run.handler.Successes.Record(traits, x.run.handler.MonotonicNow())
+}
+
+// recordOutlived records, once, that the parts of the prompt have not crashed the upstream that writes the
+// answer. The end of a long answer is no further evidence: it would count against crashes under requests
+// that began after this one.
+func (x *exchange) recordOutlived() {
+	if x.outlived || !x.writingForLong() {
+		return
+	}
+	x.outlived = true
+	x.run.handler.Successes.Record(x.run.traits[wholeTraits:], x.run.handler.MonotonicNow())
 }
 
 // serves reports whether an upstream is expected to go on serving a service.
