quarantine: a later part frees a first part that was refused for the same crashes

Cause: crashes that a refused part explains counted against no other part, also if the refused one is the less specific of the two. So the first part, once refused, covered up for the part that crashes engines, which was not refused, and no rule freed a part.

Evidence: TestLaterPartFreesACommonOne fails on the commit before with the first part refused and the later one not, on both nodes.

Fix: a refused part explains crashes for parts of its rank and below, and one that is refused is freed once parts of higher rank explain so many of its crashes that too few are left. A refusal that a peer still sends is taken over and freed in the same decision. A part with enough crashes of its own stays refused (TestCommonPartStaysRefusedForOtherCrashes).

--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -199,33 +199,59 @@
 }
 
 // decide refuses the traits that explain the crashes, the most suspicious one first. Crashes that it
-// explains count against no other.
+// explains count against no less suspicious one, which is free again if it was refused for them.
 func (a *Attribution) decide(now time.Time) {
-	for {
-		explained := a.explained()
-		var worst *Suspect
-		worstCrashes := 0
-		for _, suspect := range a.suspects {
-			if !suspect.RefusedAt.IsZero() {
-				continue
-			}
-			times := a.unexplainedCrashes(suspect, explained)
-			count := len(times)
-			if suspect.Position > 0 {
-				count = apartInTime(times)
-			}
-			if count < suspect.requiredCrashes() && !a.isGroupOfCrashes(suspect, times, explained, now) {
-				continue
-			}
-			if worst == nil || moreSuspicious(suspect, worst, count, worstCrashes) {
-				worst, worstCrashes = suspect, count
-			}
+	for a.freeExplained(now) || a.refuseWorst(now) {
+	}
+}
+
+// refuseWorst refuses the most suspicious trait with enough crashes, and reports whether there was one.
+func (a *Attribution) refuseWorst(now time.Time) bool {
+	refused := a.refusedParts()
+	var worst *Suspect
+	worstCrashes := 0
+	for _, suspect := range a.suspects {
+		if !suspect.RefusedAt.IsZero() {
+			continue
 		}
-		if worst == nil {
-			return
+		count, enough := a.countCrashes(suspect, refused, now)
+		if enough && (worst == nil || moreSuspicious(suspect, worst, count, worstCrashes)) {
+			worst, worstCrashes = suspect, count
 		}
-		a.refuse(worst, now)
 	}
+	if worst == nil {
+		return false
+	}
+	a.refuse(worst, now)
+	return true
+}
+
+// freeExplained frees a trait that was refused for crashes which a more suspicious part explains, and
+// reports whether there was one.
+func (a *Attribution) freeExplained(now time.Time) bool {
+	refused := a.refusedParts()
+	for _, suspect := range a.suspects {
+		if suspect.RefusedAt.IsZero() {
+			continue
+		}
+		all, unexplained := a.unexplainedCrashes(suspect, nil), a.unexplainedCrashes(suspect, refused)
+		if _, enough := a.countCrashes(suspect, refused, now); !enough && len(unexplained) < len(all) {
+			suspect.RefusedAt, suspect.Trials, suspect.changedAt = time.Time{}, 0, now
+			return true
+		}
+	}
+	return false
+}
+
+// countCrashes returns the number of crashes that count against the trait beside those that refused parts
+// explain, and whether they are enough to refuse it.
+func (a *Attribution) countCrashes(suspect *Suspect, refused []*Suspect, now time.Time) (count int, enough bool) {
+	times := a.unexplainedCrashes(suspect, refused)
+	count = len(times)
+	if suspect.Position > 0 {
+		count = apartInTime(times)
+	}
+	return count, count >= suspect.requiredCrashes() || a.isGroupOfCrashes(suspect, times, refused, now)
 }
 
 // refuse refuses a trait from now on.
@@ -249,44 +275,54 @@
 	}
 }
 
-// moreSuspicious orders two suspects: parts before whole requests, then those without any complete
-// response, then the more specific one, which is later in the prompt, then by crashes.
-func moreSuspicious(a, b *Suspect, aCrashes, bCrashes int) bool {
-	rank := func(s *Suspect, crashes int) []int {
-		isPart, neverCleared := 0, 0
-		if s.Position > 0 {
-			isPart = 1
-		}
-		if s.ClearedAt.IsZero() {
-			neverCleared = 1
-		}
-		return []int{isPart, neverCleared, s.Position, crashes}
+// rank orders suspects: parts before whole requests, then those without any success, then the more
+// specific one, which is later in the prompt.
+func (s *Suspect) rank() []int {
+	isPart, neverSucceeded := 0, 0
+	if s.Position > 0 {
+		isPart = 1
 	}
-	if order := slices.Compare(rank(a, aCrashes), rank(b, bCrashes)); order != 0 {
+	if s.ClearedAt.IsZero() {
+		neverSucceeded = 1
+	}
+	return []int{isPart, neverSucceeded, s.Position}
+}
+
+// moreSuspicious orders two suspects by rank, then by crashes.
+func moreSuspicious(a, b *Suspect, aCrashes, bCrashes int) bool {
+	if order := cmp.Or(slices.Compare(a.rank(), b.rank()), cmp.Compare(aCrashes, bCrashes)); order != 0 {
 		return order > 0
 	}
 	return a.Hash < b.Hash
 }
 
-// explained returns the upstreams whose crash is explained by a part that is refused.
-func (a *Attribution) explained() map[string]bool {
-	explained := map[string]bool{}
+// refusedParts returns the parts that are refused.
+func (a *Attribution) refusedParts() []*Suspect {
+	var refused []*Suspect
 	for _, suspect := range a.suspects {
 		if suspect.Position > 0 && !suspect.RefusedAt.IsZero() {
-			for _, upstream := range suspect.Upstreams {
-				explained[upstream] = true
-			}
+			refused = append(refused, suspect)
 		}
 	}
-	return explained
+	return refused
+}
+
+// explains reports whether a refused part explains the crashes that it has in common with another
+// suspect. Of two refused parts only the one of higher rank does.
+func (s *Suspect) explains(other *Suspect) bool {
+	order := slices.Compare(s.rank(), other.rank())
+	return order > 0 || order == 0 && other.RefusedAt.IsZero()
 }
 
-// unexplainedCrashes returns the times, in order, of the crashes since the trait's last success that no
-// refused part explains.
-func (a *Attribution) unexplainedCrashes(suspect *Suspect, explained map[string]bool) []time.Time {
+// unexplainedCrashes returns the times, in order, of the crashes since the trait's last success that none
+// of the refused parts explains.
+func (a *Attribution) unexplainedCrashes(suspect *Suspect, refused []*Suspect) []time.Time {
 	var times []time.Time
 	for _, upstream := range suspect.Upstreams {
-		if at := a.crashes[upstream]; at.After(suspect.ClearedAt) && !explained[upstream] {
+		explained := slices.ContainsFunc(refused, func(part *Suspect) bool {
+			return part.explains(suspect) && slices.Contains(part.Upstreams, upstream)
+		})
+		if at := a.crashes[upstream]; at.After(suspect.ClearedAt) && !explained {
 			times = append(times, at)
 		}
 	}
@@ -310,8 +346,8 @@
 // in time, better than a fault of hosts does: few upstreams ended with them that ran no request with the
 // part, and if requests with it have succeeded before, only others do so now. When all upstreams end,
 // nothing succeeds.
-func (a *Attribution) isGroupOfCrashes(suspect *Suspect, times []time.Time, explained map[string]bool, now time.Time) bool {
-	if suspect.Position == 0 || len(times) < groupCrashes || 2*a.bystanders(suspect, times, explained) >= len(times) {
+func (a *Attribution) isGroupOfCrashes(suspect *Suspect, times []time.Time, refused []*Suspect, now time.Time) bool {
+	if suspect.Position == 0 || len(times) < groupCrashes || 2*a.bystanders(suspect, times, refused) >= len(times) {
 		return false
 	}
 	if suspect.ClearedAt.IsZero() {
@@ -322,11 +358,12 @@
 }
 
 // bystanders returns the number of upstreams that crashed at nearly the same time as those of the
-// suspect, ran no request with its trait, and are not explained by a refused part.
-func (a *Attribution) bystanders(suspect *Suspect, times []time.Time, explained map[string]bool) int {
+// suspect, and ran no request with its trait or with a refused part.
+func (a *Attribution) bystanders(suspect *Suspect, times []time.Time, refused []*Suspect) int {
 	count := 0
 	for upstream, at := range a.crashes {
-		if explained[upstream] || slices.Contains(suspect.Upstreams, upstream) {
+		ranIt := func(s *Suspect) bool { return slices.Contains(s.Upstreams, upstream) }
+		if ranIt(suspect) || slices.ContainsFunc(refused, ranIt) {
 			continue
 		}
 		if slices.ContainsFunc(times, func(crash time.Time) bool { return at.Sub(crash).Abs() < crashSpacing }) {
--- a/quarantine/attribution_test.go
+++ b/quarantine/attribution_test.go
@@ -304,3 +304,42 @@
 		}
 	}
 }
+
+// A first part stays refused although a later part that became known after it explains the same crashes.
+func TestLaterPartFreesACommonOne(t *testing.T) {
+	a, b := quarantine.NewAttribution(quarantine.NewSuccesses()), quarantine.NewAttribution(quarantine.NewSuccesses())
+	now := start
+	for i := range 3 {
+		now = now.Add(time.Second)
+		a.RecordCrash(fmt.Sprintf("u%d", i), []quarantine.Trait{part(system, 1)}, now)
+	}
+	b.Merge(a.Outgoing(now), now)
+	require.Equal(t, []uint64{system}, refusedHashes(a))
+	require.Equal(t, []uint64{system}, refusedHashes(b))
+	for i := range 3 {
+		a.RecordCrash(fmt.Sprintf("u%d", i), badPrompt(uint64(i)), now)
+	}
+	require.Equal(t, []uint64{bad}, refusedHashes(a))
+	b.Merge(a.Outgoing(now), now)
+	require.Equal(t, []uint64{bad}, refusedHashes(b))
+	for range 3 {
+		now = now.Add(time.Second)
+		a.Merge(b.Outgoing(now), now)
+		b.Merge(a.Outgoing(now), now)
+		require.Equal(t, []uint64{bad}, refusedHashes(a), "what others still refuse is not taken over")
+	}
+}
+
+// A first part is free although other crashes that the later part does not explain count against it.
+func TestCommonPartStaysRefusedForOtherCrashes(t *testing.T) {
+	a := quarantine.NewAttribution(quarantine.NewSuccesses())
+	now := start
+	for i := range 6 {
+		now = now.Add(time.Second)
+		a.RecordCrash(fmt.Sprintf("u%d", i), []quarantine.Trait{part(system, 1)}, now)
+	}
+	for i := range 3 {
+		a.RecordCrash(fmt.Sprintf("u%d", i), badPrompt(uint64(i)), now)
+	}
+	require.ElementsMatch(t, []uint64{system, bad}, refusedHashes(a))
+}
