quarantine: crashes that a node learns late are as old as they are

Callers could see: a part that had succeeded in the meantime refused, by a node that was cut off or read the store's records, for crashes from before that success; or a part that crashes engines one by one taken for a group.

Cause: a suspect travelled with the time of its last crash alone, which the receiver took for that of all its upstreams.

Fix: the times of the crashes travel with the upstreams, between nodes and in the store.

--- a/api/edge_gen.go
+++ b/api/edge_gen.go
@@ -377,6 +377,10 @@
 	// Upstreams that crashed while they ran it, by id and incarnation; empty if it
 	// has completed since.
 	Upstreams []string `json:"upstreams"`
+
+	// UpstreamsAgesMS are the times since the crashes of Upstreams, in the same
+	// order, in milliseconds.
+	UpstreamsAgesMS []int64 `json:"upstreams_ages_ms"`
 }
 
 // EdgeUpstream is an upstream of the registry.
--- a/edge/crashes.go
+++ b/edge/crashes.go
@@ -193,7 +193,11 @@
 		return fmt.Errorf("decode refused trait: %w", err)
 	}
 	c.recordedTraits[hash] = true
-	recorded.Suspicion.AgeMS += max(0, c.edge.clock.now().UnixMilli()-recorded.RefusedAtMS)
+	passed := max(0, c.edge.clock.now().UnixMilli()-recorded.RefusedAtMS)
+	recorded.Suspicion.AgeMS += passed
+	for i := range recorded.Suspicion.UpstreamsAgesMS {
+		recorded.Suspicion.UpstreamsAgesMS[i] += passed
+	}
 	c.applySuspicions([]api.EdgeSuspicion{recorded.Suspicion}, now)
 	c.publishNow = true
 	return nil
@@ -213,8 +217,11 @@
 		Fingerprint: suspect.Hash, Position: suspect.Position, Upstreams: suspect.Upstreams,
 		AgeMS: ageMS(suspect.CrashedAt, now), Trials: suspect.Trials, Refused: !suspect.RefusedAt.IsZero(),
 	}
+	for _, at := range suspect.Crashes {
+		suspicion.UpstreamsAgesMS = append(suspicion.UpstreamsAgesMS, ageMS(at, now))
+	}
 	if suspect.Cleared() {
-		suspicion.Upstreams, suspicion.AgeMS = []string{}, ageMS(suspect.ClearedAt, now)
+		suspicion.Upstreams, suspicion.UpstreamsAgesMS, suspicion.AgeMS = []string{}, nil, ageMS(suspect.ClearedAt, now)
 	}
 	return suspicion
 }
@@ -234,6 +241,9 @@
 		} else {
 			suspect.CrashedAt = at
 		}
+		for _, age := range suspicion.UpstreamsAgesMS {
+			suspect.Crashes = append(suspect.Crashes, timeOfAge(age, now))
+		}
 		if suspicion.Refused {
 			suspect.RefusedAt = now
 		}
--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -50,6 +50,9 @@
 	Trait
 	// Upstreams that crashed, the latest last; empty in a message that only clears the trait.
 	Upstreams []string
+	// Crashes are the times of their crashes, in the same order; CrashedAt stands for those that a message
+	// lacks.
+	Crashes []time.Time
 	// CrashedAt is the time of the last crash, ClearedAt that of the last complete response.
 	CrashedAt, ClearedAt time.Time
 	// RefusedAt is when the trait was refused; zero if it is not.
@@ -82,24 +85,28 @@
 // RecordCrash records that an upstream crashed while it ran a request with some traits.
 func (a *Attribution) RecordCrash(upstream string, traits []Trait, now time.Time) {
 	for _, trait := range traits {
-		a.add(trait, []string{upstream}, now, now)
+		a.add(Suspect{Trait: trait, Upstreams: []string{upstream}, CrashedAt: now}, now)
 	}
 	a.decide(now)
 }
 
-// add adds crashed upstreams to a suspect, and returns it.
-func (a *Attribution) add(trait Trait, upstreams []string, at, now time.Time) *Suspect {
-	suspect := a.suspects[trait.Hash]
+// add adds crashed upstreams to the suspect of a trait, and returns it.
+func (a *Attribution) add(crashed Suspect, now time.Time) *Suspect {
+	suspect := a.suspects[crashed.Hash]
 	if suspect == nil {
-		suspect = &Suspect{Trait: trait, ClearedAt: a.successes.Last(trait.Hash)}
-		a.suspects[trait.Hash] = suspect
+		suspect = &Suspect{Trait: crashed.Trait, ClearedAt: a.successes.Last(crashed.Hash)}
+		a.suspects[crashed.Hash] = suspect
 		a.evictOldest(suspect)
 	}
-	suspect.Position = max(suspect.Position, trait.Position)
-	for _, upstream := range upstreams {
+	suspect.Position = max(suspect.Position, crashed.Position)
+	for i, upstream := range crashed.Upstreams {
 		if slices.Contains(suspect.Upstreams, upstream) {
 			continue
 		}
+		at := crashed.CrashedAt
+		if i < len(crashed.Crashes) && crashed.Crashes[i].Before(at) {
+			at = crashed.Crashes[i]
+		}
 		if _, known := a.crashes[upstream]; !known {
 			a.crashes[upstream] = at
 		}
@@ -153,7 +160,7 @@
 	if now.Sub(received.CrashedAt) > retention {
 		return false
 	}
-	suspect := a.add(received.Trait, received.Upstreams, received.CrashedAt, now)
+	suspect := a.add(received, now)
 	// A node that has seen such requests complete goes by the crashes that it knows.
 	if !received.RefusedAt.IsZero() && suspect.RefusedAt.IsZero() && suspect.ClearedAt.IsZero() {
 		a.refuse(suspect, now)
@@ -378,12 +385,22 @@
 	var refused []Suspect
 	for _, suspect := range a.suspects {
 		if !suspect.RefusedAt.IsZero() {
-			refused = append(refused, *suspect)
+			refused = append(refused, a.withCrashes(suspect))
 		}
 	}
 	return refused
 }
 
+// withCrashes returns a copy of a suspect with the times of its crashes.
+func (a *Attribution) withCrashes(suspect *Suspect) Suspect {
+	described := *suspect
+	described.Crashes = make([]time.Time, 0, len(suspect.Upstreams))
+	for _, upstream := range suspect.Upstreams {
+		described.Crashes = append(described.Crashes, a.crashes[upstream])
+	}
+	return described
+}
+
 // TrialDue reports whether one request with a refused trait may run to see whether it still crashes
 // its upstream.
 func (s *Suspect) TrialDue(now time.Time) bool {
@@ -411,7 +428,7 @@
 	var outgoing []Suspect
 	for _, suspect := range a.suspects {
 		if !suspect.RefusedAt.IsZero() || now.Sub(suspect.changedAt) < announceTime {
-			outgoing = append(outgoing, *suspect)
+			outgoing = append(outgoing, a.withCrashes(suspect))
 		}
 	}
 	slices.SortFunc(outgoing, func(a, b Suspect) int {
--- a/quarantine/attribution_test.go
+++ b/quarantine/attribution_test.go
@@ -343,3 +343,21 @@
 	}
 	require.ElementsMatch(t, []uint64{system, bad}, refusedHashes(a))
 }
+
+// A node that learns late of crashes takes them to be as new as the last one, and counts them against a part that has
+// succeeded since.
+func TestCrashesThatAreLearnedLateAreAsOldAsTheyAre(t *testing.T) {
+	a, now := crashed(t)
+	for i := range 2 {
+		a.RecordCrash(fmt.Sprintf("v%d", i), badPrompt(uint64(i)), now.Add(time.Duration(i)*time.Second))
+	}
+	successes := quarantine.NewSuccesses()
+	b := quarantine.NewAttribution(successes)
+	successes.Record(badPrompt(7), now.Add(2*time.Second))
+	now = now.Add(10 * time.Second)
+	a.RecordCrash("w", badPrompt(8), now)
+	b.Merge(a.Outgoing(now), now)
+	successes.Record(soundPrompt(9), now.Add(time.Second))
+	b.Tick(now.Add(time.Second))
+	require.Empty(t, b.Refused(), "one upstream has crashed since a request with the part completed")
+}
