quarantine: crashes from before a part's last success do not count

Callers saw: in TestFaultOfHostsIsBlamedOnACommonPart, where three of twelve engines end at once six times, a node refused the first part of all prompts for about 0.1 s, in 3 of 13 runs, though requests with it had succeeded 14 ms before; one or two sound requests were refused.

Cause: a suspect kept the first success after its last crash and no newer one. When the node learned of crashes that others had seen and cleared seconds ago, all those after that first success counted.

Evidence: a trace of the refusal: cleared 2.9 s ago, crashes 3.0, 2.0, 1.0 and 0.0 s ago, last success 14 ms ago.

Fix: the last success is looked up again when crashes are added.

--- a/edge/crashes_test.go
+++ b/edge/crashes_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +15,7 @@
 
 	"github.com/persimmonline/persimmonline/platform"
 	"github.com/persimmonline/persimmonline/platform/platformtest"
+	"github.com/persimmonline/persimmonline/refusal"
 )
 
 const (
@@ -45,10 +47,15 @@
 	started int
 	// crashPart is the part of a prompt on which engines crash.
 	crashPart string
-	crashes   []time.Time
-	arrivals  []crashArrival
-	served    []time.Time
-	failed    []time.Time
+	// events is the number of events of an answer, pause the time between them.
+	events   int
+	pause    time.Duration
+	crashes  []time.Time
+	arrivals []crashArrival
+	served   []time.Time
+	failed   []time.Time
+	// blamed is the number of sound requests refused as ones that crash engines.
+	blamed int
 }
 
 type crashArrival struct {
@@ -65,7 +72,12 @@
 func (f *crashFleet) RequestExecuted(platformtest.Execution) {}
 
 func newCrashFleet(t *testing.T, nodes, engines int) *crashFleet {
-	f := &crashFleet{t: t, store: newStore(t), crashPart: badPart}
+	return newCrashFleetOf(t, nodes, engines, 8, 20*time.Millisecond)
+}
+
+// newCrashFleetOf is like newCrashFleet; it sets the number of events of an answer and the pause between them.
+func newCrashFleetOf(t *testing.T, nodes, engines, events int, pause time.Duration) *crashFleet {
+	f := &crashFleet{t: t, store: newStore(t), crashPart: badPart, events: events, pause: pause}
 	f.store.PublishConfig([]byte(streamConfig))
 	for range engines {
 		f.startEngine()
@@ -120,7 +132,7 @@
 	id := fmt.Sprintf("i-%d", f.started)
 	f.mu.Unlock()
 	engine, err := platformtest.StartEngine("127.0.0.1", platformtest.EngineSettings{
-		ID: id, Service: "s", DataCentre: "z", Slots: 64, Work: 20 * time.Millisecond, Events: 8, Pause: 20 * time.Millisecond, Recorder: f,
+		ID: id, Service: "s", DataCentre: "z", Slots: 64, Work: 20 * time.Millisecond, Events: f.events, Pause: f.pause, Recorder: f,
 	})
 	require.NoError(f.t, err)
 	f.mu.Lock()
@@ -142,6 +154,23 @@
 	f.store.register(id, engine.Address())
 }
 
+// endEngines ends some engines at the same moment, and starts others in their place some time after.
+func (f *crashFleet) endEngines(count int) {
+	f.mu.Lock()
+	ended := f.engines[:count]
+	f.engines = slices.Clone(f.engines[count:])
+	f.mu.Unlock()
+	for _, engine := range ended {
+		go engine.Crash()
+		time.AfterFunc(engineRestart, func() {
+			if f.t.Context().Err() == nil {
+				f.store.Put(platform.TopicRegistry, engine.ID(), nil)
+				f.startEngine()
+			}
+		})
+	}
+}
+
 // setCrashPart sets the part of a prompt on which engines crash from now on; empty for none.
 func (f *crashFleet) setCrashPart(part string) {
 	f.mu.Lock()
@@ -170,6 +199,7 @@
 	r.Header.Set("Authorization", "Bearer k")
 	response, err := http.DefaultClient.Do(r)
 	ok := err == nil && response.StatusCode == http.StatusOK
+	blamed := err == nil && response.Header.Get("X-Persimmon-Code") == string(refusal.CodeCrashesUpstreams)
 	if err == nil {
 		_, err = io.Copy(io.Discard, response.Body)
 		_ = response.Body.Close()
@@ -179,6 +209,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if blamed {
+		f.blamed++
+	}
 	if ok && err == nil {
 		f.served = append(f.served, time.Now())
 	} else {
@@ -325,3 +358,39 @@
 		})
 	}
 }
+
+// A fault of hosts that ends many engines at once, again and again, is put down to a part of all prompts.
+func TestFaultOfHostsIsBlamedOnACommonPart(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name         string
+		ended, times int
+		pause        time.Duration
+		served       float64
+		events       int
+		eventPause   time.Duration
+	}{
+		{"half, three times", 6, 3, 2 * time.Second, 0.97, 8, 20 * time.Millisecond},
+		{"a quarter, six times", 3, 6, time.Second, 0.97, 8, 20 * time.Millisecond},
+		{"half, long streams from the start", 6, 1, 2 * time.Second, 0, 25, 100 * time.Millisecond},
+		{"all, twice", 12, 2, 3 * time.Second, 0, 8, 20 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newCrashFleetOf(t, 5, 12, c.events, c.eventPause)
+			began := time.Now()
+			f.load("sound", 80, func() []string { return []string{"system", fmt.Sprintf("subject%d", rand.IntN(5))} })
+			time.Sleep(2 * time.Second)
+			for range c.times {
+				f.endEngines(c.ended)
+				time.Sleep(c.pause)
+			}
+			time.Sleep(time.Second)
+			f.mu.Lock()
+			blamed := f.blamed
+			f.mu.Unlock()
+			require.Zero(t, blamed, "sound requests refused")
+			require.GreaterOrEqual(t, f.servedShare(began), c.served)
+		})
+	}
+}
--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -94,10 +94,11 @@
 func (a *Attribution) add(crashed Suspect, now time.Time) *Suspect {
 	suspect := a.suspects[crashed.Hash]
 	if suspect == nil {
-		suspect = &Suspect{Trait: crashed.Trait, ClearedAt: a.successes.Last(crashed.Hash)}
+		suspect = &Suspect{Trait: crashed.Trait}
 		a.suspects[crashed.Hash] = suspect
 		a.evictOldest(suspect)
 	}
+	a.applySuccess(suspect, now)
 	suspect.Position = max(suspect.Position, crashed.Position)
 	for i, upstream := range crashed.Upstreams {
 		if slices.Contains(suspect.Upstreams, upstream) {
@@ -182,6 +183,15 @@
 	return true
 }
 
+// applySuccess applies this node's last success with a suspect's trait.
+func (a *Attribution) applySuccess(suspect *Suspect, now time.Time) {
+	switch at := a.successes.Last(suspect.Hash); {
+	case !at.After(suspect.ClearedAt):
+	case suspect.Cleared() || !a.clear(suspect, at, now):
+		suspect.ClearedAt = at
+	}
+}
+
 // Tick applies this node's successes, refuses what has not succeeded for long enough since a group of
 // crashes, and forgets what is older than the retention time.
 func (a *Attribution) Tick(now time.Time) {
@@ -191,9 +201,11 @@
 			delete(a.suspects, hash)
 			continue
 		}
-		if !suspect.Cleared() && !a.clear(suspect, a.successes.Last(hash), now) {
-			pending = pending || suspect.RefusedAt.IsZero() && len(suspect.Upstreams) >= groupCrashes
+		if suspect.Cleared() {
+			continue
 		}
+		a.applySuccess(suspect, now)
+		pending = pending || !suspect.Cleared() && suspect.RefusedAt.IsZero() && len(suspect.Upstreams) >= groupCrashes
 	}
 	if pending {
 		a.decide(now)
--- a/quarantine/attribution_test.go
+++ b/quarantine/attribution_test.go
@@ -361,3 +361,21 @@
 	b.Tick(now.Add(time.Second))
 	require.Empty(t, b.Refused(), "one upstream has crashed since a request with the part completed")
 }
+
+// Crashes from before a part's last success count against it, since only the first success after a crash was noted.
+func TestCrashesBeforeTheLastSuccessDoNotCount(t *testing.T) {
+	successes := quarantine.NewSuccesses()
+	a, b := quarantine.NewAttribution(quarantine.NewSuccesses()), quarantine.NewAttribution(successes)
+	b.RecordCrash("u", soundPrompt(1), start)
+	now := start
+	for i := range 12 {
+		now = now.Add(250 * time.Millisecond)
+		a.RecordCrash(fmt.Sprintf("u%d", i), []quarantine.Trait{part(system, 1)}, now)
+		now = now.Add(250 * time.Millisecond)
+		successes.Record(soundPrompt(2), now)
+		b.Tick(now)
+	}
+	b.RecordCrash("v", soundPrompt(3), now)
+	b.Merge(a.Outgoing(now), now)
+	require.Empty(t, b.Refused())
+}
