quarantine: a fault of hosts is not put down to whole requests

Crashes at one moment count apart unless at least half as many upstreams ended with them that ran nothing with the trait; then they count as one. What was refused before these became known is free again, unless a trial was made.

Three new rows of TestTraitsThatAreRefused: "a request that comes again and again, under a fault of hosts" fails on the commit before; the one of parts whose bystanders become known later fails without the second half of the fix.

--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -245,8 +245,8 @@
 	return true
 }
 
-// freeExplained frees a trait that was refused for crashes which a more suspicious part explains, and
-// reports whether there was one.
+// freeExplained frees a trait that was refused for crashes which a more suspicious part explains, or a
+// fault of hosts that has become known since, and reports whether there was one.
 func (a *Attribution) freeExplained(now time.Time) bool {
 	refused := a.refusedParts()
 	for _, suspect := range a.suspects {
@@ -254,7 +254,8 @@
 			continue
 		}
 		all, unexplained := a.unexplainedCrashes(suspect, nil), a.unexplainedCrashes(suspect, refused)
-		if _, enough := a.countCrashes(suspect, refused, now); !enough && len(unexplained) < len(all) {
+		explained := len(unexplained) < len(all) || suspect.Trials == 0 && a.isFaultOfHosts(suspect, unexplained, refused)
+		if _, enough := a.countCrashes(suspect, refused, now); !enough && explained {
 			suspect.RefusedAt, suspect.Trials, suspect.changedAt = time.Time{}, 0, now
 			return true
 		}
@@ -266,10 +267,7 @@
 // explain, and whether they are enough to refuse it.
 func (a *Attribution) countCrashes(suspect *Suspect, refused []*Suspect, now time.Time) (count int, enough bool) {
 	times := a.unexplainedCrashes(suspect, refused)
-	count = len(times)
-	if suspect.Position > 0 {
-		count = apartInTime(times)
-	}
+	count = apartInTime(times)
 	return count, count >= suspect.requiredCrashes() || a.isGroupOfCrashes(suspect, times, refused, now)
 }
 
@@ -361,21 +359,30 @@
 	return count
 }
 
-// isGroupOfCrashes reports whether the trait is a part that explains a group of crashes, however close
-// in time, better than a fault of hosts does: few upstreams ended with them that ran no request with the
-// part, and if requests with it have succeeded before, only others do so now. When all upstreams end,
-// nothing succeeds.
+// isGroupOfCrashes reports whether the trait explains a group of crashes, however close in time, better
+// than a fault of hosts does. If requests with a part have succeeded before, only others must do so now:
+// when all upstreams end, nothing succeeds.
 func (a *Attribution) isGroupOfCrashes(suspect *Suspect, times []time.Time, refused []*Suspect, now time.Time) bool {
-	if suspect.Position == 0 || len(times) < groupCrashes || 2*a.bystanders(suspect, times, refused) >= len(times) {
+	required := groupCrashes
+	if suspect.Position == 0 {
+		required = requestCrashes
+	}
+	if len(times) < required || a.isFaultOfHosts(suspect, times, refused) {
 		return false
 	}
-	if suspect.ClearedAt.IsZero() {
+	if suspect.Position == 0 || suspect.ClearedAt.IsZero() {
 		return true
 	}
 	othersSucceed := a.successes.LastPart().Sub(times[groupCrashes-1]) > crashSpacing
 	return now.Sub(suspect.ClearedAt) >= provenSilence && othersSucceed
 }
 
+// isFaultOfHosts reports whether at least half as many upstreams as crashed at some times under requests
+// with the trait crashed with them for another reason.
+func (a *Attribution) isFaultOfHosts(suspect *Suspect, times []time.Time, refused []*Suspect) bool {
+	return 2*a.bystanders(suspect, times, refused) >= max(1, len(times))
+}
+
 // bystanders returns the number of upstreams that crashed at nearly the same time as those of the
 // suspect, and ran no request with its trait or with a refused part.
 func (a *Attribution) bystanders(suspect *Suspect, times []time.Time, refused []*Suspect) int {
--- a/quarantine/attribution_test.go
+++ b/quarantine/attribution_test.go
@@ -91,6 +91,16 @@
 			{3 * second, "c", []quarantine.Trait{part(other, 5)}},
 		}, []uint64{bad}},
 		{"a request that is sent again", []step{{1 * second, "a", []quarantine.Trait{request(7)}}, {1 * second, "b", []quarantine.Trait{request(7)}}}, []uint64{7}},
+		{"a request that comes again and again, under a fault of hosts", []step{
+			{1 * second, "a", []quarantine.Trait{request(7)}}, {1 * second, "b", []quarantine.Trait{request(7)}}, {1 * second, "c", []quarantine.Trait{request(8)}},
+		}, nil},
+		{"the same, after one more crash", []step{
+			{1 * second, "a", []quarantine.Trait{request(7)}}, {1 * second, "b", []quarantine.Trait{request(7)}}, {1 * second, "c", []quarantine.Trait{request(8)}},
+			{2 * second, "d", []quarantine.Trait{request(7)}},
+		}, []uint64{7}},
+		{"upstreams that ran nothing with the part, known after the others", slices.Concat(group(second, 0, 5), []step{
+			{1 * second, "h0", []quarantine.Trait{part(other, 5)}}, {1 * second, "h1", []quarantine.Trait{part(other, 6)}}, {1 * second, "h2", []quarantine.Trait{part(other, 7)}},
+		}), nil},
 		{"a request that has completed since", []step{
 			{1 * second, "a", []quarantine.Trait{request(7)}}, {2 * second, "b", []quarantine.Trait{request(7)}}, {3 * second, "", []quarantine.Trait{request(7)}},
 		}, nil},
