--- a/soak/crashes_test.go
+++ b/soak/crashes_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/persimmonline/persimmonline/platform/platformtest"
@@ -17,10 +18,13 @@
 	// requests with it.
 	crashPart = "crash"
 	badPrefix = "b-"
-	// badInterval is the interval at which they are sent, and engineRestart the time after which
-	// another engine takes the place of one that crashed.
-	badInterval   = 120 * time.Millisecond
-	engineRestart = time.Second
+	// badInterval is the interval at which they are sent one by one, badGroup the number of those that are
+	// sent at once each badGroupInterval, and engineRestart the time after which another engine takes the
+	// place of one that crashed.
+	badInterval      = 120 * time.Millisecond
+	badGroup         = 6
+	badGroupInterval = contactSpan + 500*time.Millisecond
+	engineRestart    = time.Second
 	// crashesBeforeBound is the number of crashes after which the bound begins, and maxFurtherRuns the
 	// number of requests that may nevertheless reach engines later than the contact span.
 	crashesBeforeBound = 5
@@ -36,20 +40,32 @@
 // requests were under way, but not for the checks of these requests.
 var badPrompts = fault{badPromptsName, false, func(ctx context.Context, w *world, random *rand.Rand) {
 	w.crashOnPart(ctx)
+	size, interval := 1, badInterval
+	if random.IntN(2) == 0 {
+		size, interval = badGroup, badGroupInterval
+	}
 	until := time.Now().Add(2*contactSpan + 4*time.Second)
+	var sending sync.WaitGroup
 	for ctx.Err() == nil && time.Now().Before(until) {
-		sleep(ctx, badInterval)
+		sleep(ctx, interval)
 		rotation := *w.callers.rotation.Load()
-		conn := dial(rotation[random.IntN(len(rotation))])
-		if conn == nil {
-			continue
+		for range size {
+			s := &sentRequest{id: fmt.Sprintf("%s%d", badPrefix, w.callers.lastID.Add(1)), kind: nonResumable, method: http.MethodPost}
+			s.target = fmt.Sprintf("/%s/x?n=%d", s.kind, random.IntN(1000))
+			s.prefix = fmt.Sprintf("%s,%s:30,%s:20", sharedParts(random), crashPart, s.id)
+			address := rotation[random.IntN(len(rotation))]
+			sending.Go(func() {
+				if conn := dial(address); conn != nil {
+					w.callers.send(conn, s)
+					conn.close()
+				}
+			})
+		}
+		if size == 1 {
+			sending.Wait()
 		}
-		s := &sentRequest{id: fmt.Sprintf("%s%d", badPrefix, w.callers.lastID.Add(1)), kind: nonResumable, method: http.MethodPost}
-		s.target = fmt.Sprintf("/%s/x?n=%d", s.kind, random.IntN(1000))
-		s.prefix = fmt.Sprintf("%s,%s:30,%s:20", sharedParts(random), crashPart, s.id)
-		w.callers.send(conn, s)
-		conn.close()
 	}
+	sending.Wait()
 	w.observed.mu.Lock()
 	defer w.observed.mu.Unlock()
 	w.observed.badPromptsEndAt = time.Now()
