--- a/edge/crashes.go
+++ b/edge/crashes.go
@@ -56,7 +56,7 @@
 			c.attribution.RecordCrash(upstream.Key(), traits, now)
 			c.edge.logger.Warn().Err(err).Str("upstream", upstream.ID).Any("traits", traits).
 				Msg("upstream died while running a request")
-			c.refreshRefusals(c.attribution.Refused())
+			c.refreshRefusals(c.attribution.Refused(), now)
 			c.publishNow = true
 			c.edge.peers.wake()
 		})
@@ -74,19 +74,20 @@
 }
 
 // refreshRefusals logs the traits that are refused from now on, or no longer, and keeps them for views.
-func (c *control) refreshRefusals(suspects []quarantine.Suspect) {
+func (c *control) refreshRefusals(suspects []quarantine.Suspect, now time.Time) {
 	refused := map[uint64]bool{}
 	for _, suspect := range suspects {
 		refused[suspect.Hash] = true
 		if !c.refusedTraits[suspect.Hash] {
 			c.edge.logger.Warn().Uint64("trait", suspect.Hash).Int("position", suspect.Position).
-				Strs("upstreams", suspect.Upstreams).Msg("requests that crash upstreams are refused")
+				Strs("upstreams", suspect.Upstreams).Ints64("crash_ages_ms", crashAgesMS(&suspect, now)).
+				Int64("success_age_ms", ageMS(suspect.ClearedAt, now)).Msg("requests that crash upstreams are refused")
 		}
 	}
 	for hash := range c.refusedTraits {
 		if !refused[hash] {
 			delete(c.trials, hash)
-			c.edge.logger.Warn().Uint64("trait", hash).Msg("requests are no longer refused: one has completed")
+			c.edge.logger.Warn().Uint64("trait", hash).Msg("requests are no longer refused: one has succeeded, or something else explains the crashes")
 		}
 	}
 	c.refusedTraits = refused
@@ -129,7 +130,7 @@
 func (c *control) tickAttribution(now time.Time) {
 	c.attribution.Tick(now)
 	refused := c.attribution.Refused()
-	c.refreshRefusals(refused)
+	c.refreshRefusals(refused, now)
 	c.updateTrials(refused, now)
 	c.recordRefusals(refused, now)
 }
@@ -217,15 +218,22 @@
 		Fingerprint: suspect.Hash, Position: suspect.Position, Upstreams: suspect.Upstreams,
 		AgeMS: ageMS(suspect.CrashedAt, now), Trials: suspect.Trials, Refused: !suspect.RefusedAt.IsZero(),
 	}
-	for _, at := range suspect.Crashes {
-		suspicion.UpstreamsAgesMS = append(suspicion.UpstreamsAgesMS, ageMS(at, now))
-	}
+	suspicion.UpstreamsAgesMS = crashAgesMS(suspect, now)
 	if suspect.Cleared() {
 		suspicion.Upstreams, suspicion.UpstreamsAgesMS, suspicion.AgeMS = []string{}, nil, ageMS(suspect.ClearedAt, now)
 	}
 	return suspicion
 }
 
+// crashAgesMS returns the times since the crashes of a suspect's upstreams.
+func crashAgesMS(suspect *quarantine.Suspect, now time.Time) []int64 {
+	ages := make([]int64, 0, len(suspect.Crashes))
+	for _, at := range suspect.Crashes {
+		ages = append(ages, ageMS(at, now))
+	}
+	return ages
+}
+
 // applySuspicions merges a peer's suspects.
 func (c *control) applySuspicions(received []api.EdgeSuspicion, now time.Time) {
 	if len(received) == 0 {
@@ -250,5 +258,5 @@
 		suspects = append(suspects, suspect)
 	}
 	c.attribution.Merge(suspects, now)
-	c.refreshRefusals(c.attribution.Refused())
+	c.refreshRefusals(c.attribution.Refused(), now)
 }
