--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -53,7 +53,7 @@
 	// Crashes are the times of their crashes, in the same order; CrashedAt stands for those that a message
 	// lacks.
 	Crashes []time.Time
-	// CrashedAt is the time of the last crash, ClearedAt that of the last complete response.
+	// CrashedAt is the time of the last crash, ClearedAt that of the last success.
 	CrashedAt, ClearedAt time.Time
 	// RefusedAt is when the trait was refused; zero if it is not.
 	RefusedAt time.Time
@@ -63,13 +63,13 @@
 	nextTrialAt, changedAt time.Time
 }
 
-// Cleared reports whether a request with the trait has completed since the last crash.
+// Cleared reports whether a request with the trait has succeeded since the last crash.
 func (s *Suspect) Cleared() bool { return s.ClearedAt.After(s.CrashedAt) }
 
 // Attribution finds what the requests that crash upstreams have in common. An upstream that crashes
 // ends all exchanges that it had under way, most of them sound, so that a trait is refused only if
-// upstreams crashed again and again while no request with it completed. It is not safe for
-// concurrent use.
+// upstreams crashed again and again while no request with it succeeded, and no fault of hosts explains
+// that. It is not safe for concurrent use.
 type Attribution struct {
 	successes *Successes
 	suspects  map[uint64]*Suspect
@@ -173,8 +173,7 @@
 	return suspect.changedAt.Equal(now)
 }
 
-// clear applies a complete response to a request with the trait, and reports whether it came after the
-// last crash.
+// clear applies a success of a request with the trait, and reports whether it came after the last crash.
 func (a *Attribution) clear(suspect *Suspect, at, now time.Time) bool {
 	if !at.After(suspect.CrashedAt) {
 		return false
