quarantine: a crash is judged without a look at every pair of upstreams

What refused parts explain is now looked up by upstream, other crashes are counted in a sorted list, suspects with a single crash are skipped, and what a fault of hosts frees is freed at the next tick. Decisions are the same but for that delay of 0.1 s at most.

--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -204,9 +204,11 @@
 			continue
 		}
 		a.applySuccess(suspect, now)
-		pending = pending || !suspect.Cleared() && suspect.RefusedAt.IsZero() && len(suspect.Upstreams) >= groupCrashes
+		isGroup := suspect.RefusedAt.IsZero() && len(suspect.Upstreams) >= groupCrashes
+		pending = pending || !suspect.Cleared() && (isGroup || suspect.newlyRefused(now))
 	}
 	if pending {
+		a.freeAfterFaultOfHosts(now)
 		a.decide(now)
 	}
 	for upstream, at := range a.crashes {
@@ -225,15 +227,16 @@
 
 // refuseWorst refuses the most suspicious trait with enough crashes, and reports whether there was one.
 func (a *Attribution) refuseWorst(now time.Time) bool {
-	refused := a.refusedParts()
+	e := a.explanations()
 	var worst *Suspect
 	worstCrashes := 0
 	for _, suspect := range a.suspects {
-		if !suspect.RefusedAt.IsZero() {
+		if !suspect.RefusedAt.IsZero() || len(suspect.Upstreams) < requestCrashes || suspect.Cleared() {
 			continue
 		}
-		count, enough := a.countCrashes(suspect, refused, now)
-		if enough && (worst == nil || moreSuspicious(suspect, worst, count, worstCrashes)) {
+		times := a.unexplainedCrashes(suspect, e)
+		count := apartInTime(times)
+		if a.isEnough(suspect, times, e, now) && (worst == nil || moreSuspicious(suspect, worst, count, worstCrashes)) {
 			worst, worstCrashes = suspect, count
 		}
 	}
@@ -244,36 +247,57 @@
 	return true
 }
 
-// freeExplained frees a trait that was refused for crashes which a more suspicious part explains, or a
-// fault of hosts that has become known since, and reports whether there was one.
+// freeExplained frees traits that were refused for crashes which a more suspicious part explains, and
+// reports whether there were any.
 func (a *Attribution) freeExplained(now time.Time) bool {
-	refused := a.refusedParts()
+	e := a.explanations()
+	freed := false
+	for _, suspect := range a.suspects {
+		isExplained := func(upstream string) bool { return e.explain(upstream, suspect) }
+		if suspect.RefusedAt.IsZero() || !slices.ContainsFunc(suspect.Upstreams, isExplained) {
+			continue
+		}
+		if !a.isEnough(suspect, a.unexplainedCrashes(suspect, e), e, now) {
+			suspect.free(now)
+			freed = true
+		}
+	}
+	return freed
+}
+
+// freeAfterFaultOfHosts frees traits that were refused for a group of crashes before it became known which
+// other upstreams ended with it.
+func (a *Attribution) freeAfterFaultOfHosts(now time.Time) {
+	e := a.explanations()
 	for _, suspect := range a.suspects {
-		if suspect.RefusedAt.IsZero() {
+		if !suspect.newlyRefused(now) {
 			continue
 		}
-		all, unexplained := a.unexplainedCrashes(suspect, nil), a.unexplainedCrashes(suspect, refused)
-		explained := len(unexplained) < len(all) || suspect.Trials == 0 && a.isFaultOfHosts(suspect, unexplained, refused)
-		if _, enough := a.countCrashes(suspect, refused, now); !enough && explained {
-			suspect.RefusedAt, suspect.Trials, suspect.changedAt = time.Time{}, 0, now
-			return true
+		times := a.unexplainedCrashes(suspect, e)
+		if a.isFaultOfHosts(suspect, times, e) && !a.isEnough(suspect, times, e, now) {
+			suspect.free(now)
 		}
 	}
-	return false
 }
 
-// countCrashes returns the number of crashes that count against the trait beside those that refused parts
-// explain, and whether they are enough to refuse it.
-func (a *Attribution) countCrashes(suspect *Suspect, refused []*Suspect, now time.Time) (count int, enough bool) {
-	times := a.unexplainedCrashes(suspect, refused)
-	count = apartInTime(times)
-	return count, count >= suspect.requiredCrashes() || a.isGroupOfCrashes(suspect, times, refused, now)
+// newlyRefused reports whether the trait is refused for crashes of which others may not be known yet.
+func (s *Suspect) newlyRefused(now time.Time) bool {
+	return !s.RefusedAt.IsZero() && s.Trials == 0 && now.Sub(s.CrashedAt) < announceTime
+}
+
+// free ends the refusal of a trait that has not succeeded since.
+func (s *Suspect) free(now time.Time) { s.RefusedAt, s.Trials, s.changedAt = time.Time{}, 0, now }
+
+// isEnough reports whether crashes at some times, which no refused part explains, are enough to refuse a
+// trait.
+func (a *Attribution) isEnough(suspect *Suspect, times []time.Time, e *explanations, now time.Time) bool {
+	return apartInTime(times) >= suspect.requiredCrashes() || a.isGroupOfCrashes(suspect, times, e, now)
 }
 
 // refuse refuses a trait from now on.
 func (a *Attribution) refuse(suspect *Suspect, now time.Time) {
 	suspect.RefusedAt, suspect.changedAt, suspect.nextTrialAt = now, now, now.Add(firstTrialDelay)
-	isGroup := suspect.Position > 0 && apartInTime(a.unexplainedCrashes(suspect, nil)) < suspect.requiredCrashes()
+	isGroup := suspect.Position > 0 && apartInTime(a.unexplainedCrashes(suspect, &explanations{})) < suspect.requiredCrashes()
 	if suspect.Position == 1 || !suspect.ClearedAt.IsZero() || isGroup {
 		suspect.nextTrialAt = now.Add(earlyTrialDelay)
 	}
@@ -293,52 +317,61 @@
 
 // rank orders suspects: parts before whole requests, then those without any success, then the more
 // specific one, which is later in the prompt.
-func (s *Suspect) rank() []int {
-	isPart, neverSucceeded := 0, 0
-	if s.Position > 0 {
-		isPart = 1
-	}
+func (s *Suspect) rank() int {
+	const provenRanks, partRanks = 1 << 20, 1 << 21
+	rank := min(s.Position, provenRanks-1)
 	if s.ClearedAt.IsZero() {
-		neverSucceeded = 1
+		rank += provenRanks
+	}
+	if s.Position > 0 {
+		rank += partRanks
 	}
-	return []int{isPart, neverSucceeded, s.Position}
+	return rank
 }
 
 // moreSuspicious orders two suspects by rank, then by crashes.
 func moreSuspicious(a, b *Suspect, aCrashes, bCrashes int) bool {
-	if order := cmp.Or(slices.Compare(a.rank(), b.rank()), cmp.Compare(aCrashes, bCrashes)); order != 0 {
+	if order := cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(aCrashes, bCrashes)); order != 0 {
 		return order > 0
 	}
 	return a.Hash < b.Hash
 }
 
-// refusedParts returns the parts that are refused.
-func (a *Attribution) refusedParts() []*Suspect {
-	var refused []*Suspect
+// explanations are what the refused parts explain.
+type explanations struct {
+	// ranks are the highest ranks of the refused parts that each upstream ran when it crashed.
+	ranks map[string]int
+	// others are the times, in order, of the crashes of upstreams that ran none; nil until they are needed.
+	others []time.Time
+}
+
+// explanations returns what the parts that are refused now explain.
+func (a *Attribution) explanations() *explanations {
+	e := &explanations{ranks: map[string]int{}}
 	for _, suspect := range a.suspects {
-		if suspect.Position > 0 && !suspect.RefusedAt.IsZero() {
-			refused = append(refused, suspect)
+		if suspect.Position == 0 || suspect.RefusedAt.IsZero() {
+			continue
+		}
+		for _, upstream := range suspect.Upstreams {
+			e.ranks[upstream] = max(e.ranks[upstream], suspect.rank())
 		}
 	}
-	return refused
+	return e
 }
 
-// explains reports whether a refused part explains the crashes that it has in common with another
-// suspect. Of two refused parts only the one of higher rank does.
-func (s *Suspect) explains(other *Suspect) bool {
-	order := slices.Compare(s.rank(), other.rank())
-	return order > 0 || order == 0 && other.RefusedAt.IsZero()
+// explain reports whether refused parts explain the crash of an upstream for a suspect: those of its rank
+// or a higher one, or of a higher one only if it is refused itself.
+func (e *explanations) explain(upstream string, suspect *Suspect) bool {
+	order := cmp.Compare(e.ranks[upstream], suspect.rank())
+	return order > 0 || order == 0 && suspect.RefusedAt.IsZero()
 }
 
-// unexplainedCrashes returns the times, in order, of the crashes since the trait's last success that none
-// of the refused parts explains.
-func (a *Attribution) unexplainedCrashes(suspect *Suspect, refused []*Suspect) []time.Time {
+// unexplainedCrashes returns the times, in order, of the crashes since the trait's last success that no
+// refused part explains.
+func (a *Attribution) unexplainedCrashes(suspect *Suspect, e *explanations) []time.Time {
 	var times []time.Time
 	for _, upstream := range suspect.Upstreams {
-		explained := slices.ContainsFunc(refused, func(part *Suspect) bool {
-			return part.explains(suspect) && slices.Contains(part.Upstreams, upstream)
-		})
-		if at := a.crashes[upstream]; at.After(suspect.ClearedAt) && !explained {
+		if at := a.crashes[upstream]; at.After(suspect.ClearedAt) && !e.explain(upstream, suspect) {
 			times = append(times, at)
 		}
 	}
@@ -361,12 +394,12 @@
 // isGroupOfCrashes reports whether the trait explains a group of crashes, however close in time, better
 // than a fault of hosts does. If requests with a part have succeeded before, only others must do so now:
 // when all upstreams end, nothing succeeds.
-func (a *Attribution) isGroupOfCrashes(suspect *Suspect, times []time.Time, refused []*Suspect, now time.Time) bool {
+func (a *Attribution) isGroupOfCrashes(suspect *Suspect, times []time.Time, e *explanations, now time.Time) bool {
 	required := groupCrashes
 	if suspect.Position == 0 {
 		required = requestCrashes
 	}
-	if len(times) < required || a.isFaultOfHosts(suspect, times, refused) {
+	if len(times) < required || a.isFaultOfHosts(suspect, times, e) {
 		return false
 	}
 	if suspect.Position == 0 || suspect.ClearedAt.IsZero() {
@@ -378,26 +411,51 @@
 
 // isFaultOfHosts reports whether at least half as many upstreams as crashed at some times under requests
 // with the trait crashed with them for another reason.
-func (a *Attribution) isFaultOfHosts(suspect *Suspect, times []time.Time, refused []*Suspect) bool {
-	return 2*a.bystanders(suspect, times, refused) >= max(1, len(times))
+func (a *Attribution) isFaultOfHosts(suspect *Suspect, times []time.Time, e *explanations) bool {
+	return 2*a.bystanders(suspect, times, e) >= max(1, len(times))
 }
 
 // bystanders returns the number of upstreams that crashed at nearly the same time as those of the
 // suspect, and ran no request with its trait or with a refused part.
-func (a *Attribution) bystanders(suspect *Suspect, times []time.Time, refused []*Suspect) int {
+func (a *Attribution) bystanders(suspect *Suspect, times []time.Time, e *explanations) int {
+	if e.others == nil {
+		e.others = make([]time.Time, 0, len(a.crashes))
+		for upstream, at := range a.crashes {
+			if e.ranks[upstream] == 0 {
+				e.others = append(e.others, at)
+			}
+		}
+		slices.SortFunc(e.others, time.Time.Compare)
+	}
 	count := 0
-	for upstream, at := range a.crashes {
-		ranIt := func(s *Suspect) bool { return slices.Contains(s.Upstreams, upstream) }
-		if ranIt(suspect) || slices.ContainsFunc(refused, ranIt) {
-			continue
+	var counted time.Time
+	for _, at := range times {
+		from := at.Add(-crashSpacing)
+		if from.Before(counted) {
+			from = counted
 		}
-		if slices.ContainsFunc(times, func(crash time.Time) bool { return at.Sub(crash).Abs() < crashSpacing }) {
-			count++
+		counted = at.Add(crashSpacing)
+		count += countBetween(e.others, from, counted)
+	}
+	for _, upstream := range suspect.Upstreams {
+		at := a.crashes[upstream]
+		isNear := func(crash time.Time) bool {
+			return !at.Before(crash.Add(-crashSpacing)) && at.Before(crash.Add(crashSpacing))
+		}
+		if e.ranks[upstream] == 0 && slices.ContainsFunc(times, isNear) {
+			count--
 		}
 	}
 	return count
 }
 
+// countBetween returns how many of the sorted times are not before one time and before another.
+func countBetween(times []time.Time, from, to time.Time) int {
+	first, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
+	last, _ := slices.BinarySearchFunc(times, to, time.Time.Compare)
+	return max(0, last-first)
+}
+
 // Refused returns the traits whose requests are refused.
 func (a *Attribution) Refused() []Suspect {
 	var refused []Suspect
--- a/quarantine/attribution_test.go
+++ b/quarantine/attribution_test.go
@@ -95,7 +95,9 @@
 			{1 * second, "a", []quarantine.Trait{request(7)}}, {1 * second, "b", []quarantine.Trait{request(7)}}, {1 * second, "c", []quarantine.Trait{request(8)}},
 		}, nil},
 		{"the same, after one more crash", []step{
-			{1 * second, "a", []quarantine.Trait{request(7)}}, {1 * second, "b", []quarantine.Trait{request(7)}}, {1 * second, "c", []quarantine.Trait{request(8)}},
+			{1 * second, "a", []quarantine.Trait{request(7)}},
+			{1 * second, "b", []quarantine.Trait{request(7)}},
+			{1 * second, "c", []quarantine.Trait{request(8)}},
 			{2 * second, "d", []quarantine.Trait{request(7)}},
 		}, []uint64{7}},
 		{"upstreams that ran nothing with the part, known after the others", slices.Concat(group(second, 0, 5), []step{
