quarantine: three crashes at once suffice while other prompts succeed

Callers saw: all nodes are lost after a first group of requests with a part that crashes engines, and forget its crashes.

Cause: what is below the bound of a group counted as one crash again, though other prompts succeeded all the while.

Nothing succeeds in the loss of all upstreams, and a fault of hosts that ends as many others still makes them one crash. Five are enough at once, as before.

The row "three upstreams at once, while others succeed" fails on the commit before.

--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -14,7 +14,8 @@
 	provenPartCrashes = 9
 	requestCrashes    = 2
 	// groupCrashes is the number of crashes, however close in time, after which requests with a part are
-	// refused unless a fault of hosts may have caused them. The platform tolerates as many.
+	// refused unless a fault of hosts may have caused them; partCrashes suffice for one without any
+	// success while others succeed. The platform tolerates as many.
 	groupCrashes = 5
 	// crashSpacing is the time within which crashes may have one cause, since a fault of hosts ends many
 	// upstreams at once.
@@ -204,7 +205,7 @@
 			continue
 		}
 		a.applySuccess(suspect, now)
-		isGroup := suspect.RefusedAt.IsZero() && len(suspect.Upstreams) >= groupCrashes
+		isGroup := suspect.RefusedAt.IsZero() && suspect.Position > 0 && len(suspect.Upstreams) >= partCrashes
 		pending = pending || !suspect.Cleared() && (isGroup || suspect.newlyRefused(now))
 	}
 	if pending {
@@ -392,20 +393,23 @@
 }
 
 // isGroupOfCrashes reports whether the trait explains a group of crashes, however close in time, better
-// than a fault of hosts does. If requests with a part have succeeded before, only others must do so now:
-// when all upstreams end, nothing succeeds.
+// than a fault of hosts does. If there are few of them, or requests with the part have succeeded before,
+// only others must succeed now: when all upstreams end, nothing does.
 func (a *Attribution) isGroupOfCrashes(suspect *Suspect, times []time.Time, e *explanations, now time.Time) bool {
-	required := groupCrashes
-	if suspect.Position == 0 {
+	required := partCrashes
+	switch {
+	case suspect.Position == 0:
 		required = requestCrashes
+	case !suspect.ClearedAt.IsZero():
+		required = groupCrashes
 	}
 	if len(times) < required || a.isFaultOfHosts(suspect, times, e) {
 		return false
 	}
-	if suspect.Position == 0 || suspect.ClearedAt.IsZero() {
+	if suspect.Position == 0 || len(times) >= groupCrashes && suspect.ClearedAt.IsZero() {
 		return true
 	}
-	othersSucceed := a.successes.LastPart().Sub(times[groupCrashes-1]) > crashSpacing
+	othersSucceed := a.successes.LastPart().Sub(times[required-1]) > crashSpacing
 	return now.Sub(suspect.ClearedAt) >= provenSilence && othersSucceed
 }
 
--- a/quarantine/attribution_test.go
+++ b/quarantine/attribution_test.go
@@ -58,6 +58,12 @@
 		{"one crash that many nodes see", []step{{1 * second, "a", badPrompt(1)}, {1 * second, "a", badPrompt(2)}, {1 * second, "a", badPrompt(3)}}, nil},
 		{"many upstreams at once", []step{{1 * second, "a", badPrompt(1)}, {1 * second, "b", badPrompt(2)}, {1 * second, "c", badPrompt(3)}}, nil},
 		{"five upstreams at once", group(second, 0, 5), []uint64{bad}},
+		{"three upstreams at once, while others succeed", slices.Concat(
+			group(second, 0, 3), []step{{1500 * time.Millisecond, "", []quarantine.Trait{part(system, 1), part(subject, 2)}}},
+		), []uint64{bad}},
+		{"three upstreams at once, and others that succeed at the same time", slices.Concat(
+			group(second, 0, 3), []step{{1100 * time.Millisecond, "", []quarantine.Trait{part(system, 1), part(subject, 2)}}},
+		), nil},
 		{"groups of upstreams", slices.Concat(group(second, 0, 3), group(8*second, 3, 2)), []uint64{bad}},
 		{"as many upstreams that ran nothing with the part", slices.Concat([]step{
 			{1 * second, "h0", []quarantine.Trait{part(other, 5)}}, {1 * second, "h1", []quarantine.Trait{part(other, 6)}}, {1 * second, "h2", []quarantine.Trait{part(other, 7)}},
