quarantine: decisions end

Cause: what upstreams crashed beside a trait's depended on what was refused. So a trait was freed since a more suspicious part explained some of its crashes, and was refused again in the same decision for those that were left, without end, in the goroutine that owns a node's control state. Besides, a whole request that had completed before counted as explained by no part at all, and was never refused.

Fix: whether a fault of hosts explains crashes no longer depends on what is refused.

--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -220,7 +220,8 @@
 }
 
 // decide refuses the traits that explain the crashes, the most suspicious one first. Crashes that it
-// explains count against no less suspicious one, which is free again if it was refused for them.
+// explains count against no less suspicious one, which is free again if it was refused for them. It ends,
+// since only refused parts of higher rank free a trait, and what they leave is less than what it needs.
 func (a *Attribution) decide(now time.Time) {
 	for a.freeExplained(now) || a.refuseWorst(now) {
 	}
@@ -274,8 +275,7 @@
 		if !suspect.newlyRefused(now) {
 			continue
 		}
-		times := a.unexplainedCrashes(suspect, e)
-		if a.isFaultOfHosts(suspect, times, e) && !a.isEnough(suspect, times, e, now) {
+		if a.isFaultOfHosts(suspect, e) && !a.isEnough(suspect, a.unexplainedCrashes(suspect, e), e, now) {
 			suspect.free(now)
 		}
 	}
@@ -342,8 +342,8 @@
 type explanations struct {
 	// ranks are the highest ranks of the refused parts that each upstream ran when it crashed.
 	ranks map[string]int
-	// others are the times, in order, of the crashes of upstreams that ran none; nil until they are needed.
-	others []time.Time
+	// crashes are the times of all crashes, in order; nil until they are needed.
+	crashes []time.Time
 }
 
 // explanations returns what the parts that are refused now explain.
@@ -363,8 +363,9 @@
 // explain reports whether refused parts explain the crash of an upstream for a suspect: those of its rank
 // or a higher one, or of a higher one only if it is refused itself.
 func (e *explanations) explain(upstream string, suspect *Suspect) bool {
-	order := cmp.Compare(e.ranks[upstream], suspect.rank())
-	return order > 0 || order == 0 && suspect.RefusedAt.IsZero()
+	rank, known := e.ranks[upstream]
+	order := cmp.Compare(rank, suspect.rank())
+	return known && (order > 0 || order == 0 && suspect.RefusedAt.IsZero())
 }
 
 // unexplainedCrashes returns the times, in order, of the crashes since the trait's last success that no
@@ -403,7 +404,7 @@
 	case !suspect.ClearedAt.IsZero():
 		required = groupCrashes
 	}
-	if len(times) < required || a.isFaultOfHosts(suspect, times, e) {
+	if len(times) < required || a.isFaultOfHosts(suspect, e) {
 		return false
 	}
 	if suspect.Position == 0 || len(times) >= groupCrashes && suspect.ClearedAt.IsZero() {
@@ -413,23 +414,23 @@
 	return now.Sub(suspect.ClearedAt) >= provenSilence && othersSucceed
 }
 
-// isFaultOfHosts reports whether at least half as many upstreams as crashed at some times under requests
-// with the trait crashed with them for another reason.
-func (a *Attribution) isFaultOfHosts(suspect *Suspect, times []time.Time, e *explanations) bool {
+// isFaultOfHosts reports whether at least half as many upstreams as crashed since the last success under
+// requests with the trait crashed at nearly the same times under others. It does not depend on what is
+// refused, so that a trait that is freed is not refused again in the same decision.
+func (a *Attribution) isFaultOfHosts(suspect *Suspect, e *explanations) bool {
+	times := a.unexplainedCrashes(suspect, &explanations{})
 	return 2*a.bystanders(suspect, times, e) >= max(1, len(times))
 }
 
-// bystanders returns the number of upstreams that crashed at nearly the same time as those of the
-// suspect, and ran no request with its trait or with a refused part.
+// bystanders returns the number of upstreams that crashed at nearly the same time as those of the suspect,
+// and ran no request with its trait.
 func (a *Attribution) bystanders(suspect *Suspect, times []time.Time, e *explanations) int {
-	if e.others == nil {
-		e.others = make([]time.Time, 0, len(a.crashes))
-		for upstream, at := range a.crashes {
-			if e.ranks[upstream] == 0 {
-				e.others = append(e.others, at)
-			}
+	if e.crashes == nil {
+		e.crashes = make([]time.Time, 0, len(a.crashes))
+		for _, at := range a.crashes {
+			e.crashes = append(e.crashes, at)
 		}
-		slices.SortFunc(e.others, time.Time.Compare)
+		slices.SortFunc(e.crashes, time.Time.Compare)
 	}
 	count := 0
 	var counted time.Time
@@ -439,14 +440,14 @@
 			from = counted
 		}
 		counted = at.Add(crashSpacing)
-		count += countBetween(e.others, from, counted)
+		count += countBetween(e.crashes, from, counted)
 	}
 	for _, upstream := range suspect.Upstreams {
-		at := a.crashes[upstream]
+		at, known := a.crashes[upstream]
 		isNear := func(crash time.Time) bool {
 			return !at.Before(crash.Add(-crashSpacing)) && at.Before(crash.Add(crashSpacing))
 		}
-		if e.ranks[upstream] == 0 && slices.ContainsFunc(times, isNear) {
+		if known && slices.ContainsFunc(times, isNear) {
 			count--
 		}
 	}
--- a/quarantine/attribution_test.go
+++ b/quarantine/attribution_test.go
@@ -97,6 +97,9 @@
 			{3 * second, "c", []quarantine.Trait{part(other, 5)}},
 		}, []uint64{bad}},
 		{"a request that is sent again", []step{{1 * second, "a", []quarantine.Trait{request(7)}}, {1 * second, "b", []quarantine.Trait{request(7)}}}, []uint64{7}},
+		{"a request that had completed, sent again", []step{
+			{0, "", []quarantine.Trait{request(7)}}, {1 * second, "a", []quarantine.Trait{request(7)}}, {2 * second, "b", []quarantine.Trait{request(7)}},
+		}, []uint64{7}},
 		{"a request that comes again and again, under a fault of hosts", []step{
 			{1 * second, "a", []quarantine.Trait{request(7)}}, {1 * second, "b", []quarantine.Trait{request(7)}}, {1 * second, "c", []quarantine.Trait{request(8)}},
 		}, nil},
