quarantine: successes at peers prove a part

Cause: a node that had served no request with a second part for a second judged that part by its own successes alone, 30 ms after the first crash, as one that never succeeded.

Now the message on a suspect has the age of its last success, which proves the part at nodes that know of none and frees it there, and a group of five is judged 200 ms after the fifth crash, in which time the messages of all nodes arrive. What a peer refuses is still taken over at a node without a success of its own.

TestSuccessesAtPeersProveAPart fails before (a refusal at once, and none of the successes known). The table of TestTraitsThatAreRefused asks for the same traits 200 ms after the last step, since groups are judged then.

--- a/api/edge_gen.go
+++ b/api/edge_gen.go
@@ -371,6 +371,10 @@
 	// Refused is set if requests with it are refused.
 	Refused bool `json:"refused"`
 
+	// SuccessAgeMS is the time since a request with it last succeeded, in
+	// milliseconds; a day if none did.
+	SuccessAgeMS int64 `json:"success_age_ms"`
+
 	// Trials is the number of requests that ran although it was refused.
 	Trials int `json:"trials"`
 
--- a/edge/crashes.go
+++ b/edge/crashes.go
@@ -216,7 +216,7 @@
 func suspicionOf(suspect *quarantine.Suspect, now time.Time) api.EdgeSuspicion {
 	suspicion := api.EdgeSuspicion{
 		Fingerprint: suspect.Hash, Position: suspect.Position, Upstreams: suspect.Upstreams,
-		AgeMS: ageMS(suspect.CrashedAt, now), Trials: suspect.Trials, Refused: !suspect.RefusedAt.IsZero(),
+		AgeMS: ageMS(suspect.CrashedAt, now), SuccessAgeMS: ageMS(suspect.ClearedAt, now), Trials: suspect.Trials, Refused: !suspect.RefusedAt.IsZero(),
 	}
 	suspicion.UpstreamsAgesMS = crashAgesMS(suspect, now)
 	if suspect.Cleared() {
@@ -244,10 +244,11 @@
 		suspect := quarantine.Suspect{
 			Trait: quarantine.Trait{Hash: suspicion.Fingerprint, Position: suspicion.Position}, Upstreams: suspicion.Upstreams, Trials: suspicion.Trials,
 		}
-		if at := timeOfAge(suspicion.AgeMS, now); len(suspicion.Upstreams) == 0 {
-			suspect.ClearedAt = at
-		} else {
-			suspect.CrashedAt = at
+		if suspicion.SuccessAgeMS < unknownAgeMS {
+			suspect.ClearedAt = timeOfAge(suspicion.SuccessAgeMS, now)
+		}
+		if len(suspicion.Upstreams) > 0 {
+			suspect.CrashedAt = timeOfAge(suspicion.AgeMS, now)
 		}
 		for _, age := range suspicion.UpstreamsAgesMS {
 			suspect.Crashes = append(suspect.Crashes, timeOfAge(age, now))
--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -54,7 +54,8 @@
 	// Crashes are the times of their crashes, in the same order; CrashedAt stands for those that a message
 	// lacks.
 	Crashes []time.Time
-	// CrashedAt is the time of the last crash, ClearedAt that of the last success.
+	// CrashedAt is the time of the last crash, ClearedAt that of the last success; of those at other nodes,
+	// only the first that comes before the crashes is known.
 	CrashedAt, ClearedAt time.Time
 	// RefusedAt is when the trait was refused; zero if it is not.
 	RefusedAt time.Time
@@ -167,6 +168,9 @@
 	if !received.RefusedAt.IsZero() && suspect.RefusedAt.IsZero() && suspect.ClearedAt.IsZero() {
 		a.refuse(suspect, now)
 	}
+	if received.RefusedAt.IsZero() && suspect.ClearedAt.IsZero() && !received.ClearedAt.IsZero() {
+		a.recordPeerSuccess(suspect, received.ClearedAt, now)
+	}
 	if received.Trials > suspect.Trials {
 		suspect.recordTrials(received.Trials, now)
 		suspect.nextTrialAt = now.Add(failedTrialDelay)
@@ -174,6 +178,19 @@
 	return suspect.changedAt.Equal(now)
 }
 
+// recordPeerSuccess records that requests with a suspect's trait succeeded at another node before the crashes.
+// A trait that was refused as one without any success is free again.
+func (a *Attribution) recordPeerSuccess(suspect *Suspect, at, now time.Time) {
+	suspect.ClearedAt, suspect.changedAt = at, now
+	if at.After(suspect.CrashedAt) { // Ages in messages grow by the time that these take.
+		suspect.ClearedAt = suspect.CrashedAt
+	}
+	e := a.explanations()
+	if suspect.newlyRefused(now) && !a.isEnough(suspect, a.unexplainedCrashes(suspect, e), e, now) {
+		suspect.free(now)
+	}
+}
+
 // clear applies a success of a request with the trait, and reports whether it came after the last crash.
 func (a *Attribution) clear(suspect *Suspect, at, now time.Time) bool {
 	if !at.After(suspect.CrashedAt) {
@@ -407,7 +424,9 @@
 	if len(times) < required || a.isFaultOfHosts(suspect, e) {
 		return false
 	}
-	if suspect.Position == 0 || len(times) >= groupCrashes && suspect.ClearedAt.IsZero() {
+	// Peers tell of successes and of other upstreams that crashed within the spacing.
+	isComplete := len(times) >= groupCrashes && now.Sub(times[groupCrashes-1]) >= crashSpacing
+	if suspect.Position == 0 || isComplete && suspect.ClearedAt.IsZero() {
 		return true
 	}
 	othersSucceed := a.successes.LastPart().Sub(times[required-1]) > crashSpacing
--- a/quarantine/attribution_test.go
+++ b/quarantine/attribution_test.go
@@ -27,6 +27,8 @@
 
 const (
 	system, subject, bad, other = 1, 2, 3, 4
+	// groupSpacing is the time after which a group of crashes is complete.
+	groupSpacing = 200 * time.Millisecond
 )
 
 // group returns crashes of some upstreams, from a number on, at the same time under prompts with the bad part.
@@ -127,6 +129,7 @@
 			}
 			a.Tick(start.Add(s.at))
 		}
+		a.Tick(start.Add(c.steps[len(c.steps)-1].at + groupSpacing))
 		require.Equal(t, c.want, refusedHashes(a), c.name)
 	}
 }
@@ -400,3 +403,40 @@
 	b.Merge(a.Outgoing(now), now)
 	require.Empty(t, b.Refused())
 }
+
+// A node refuses a sound part for a group of crashes, although peers know of successes and it does not.
+func TestSuccessesAtPeersProveAPart(t *testing.T) {
+	const tick = 50 * time.Millisecond
+	crash := start.Add(time.Second)
+	for _, c := range []struct {
+		name string
+		// learned is how long after the crashes a message tells of a success before them.
+		learned       time.Duration
+		refusedByPeer bool
+		want          []uint64
+	}{
+		{"within the time of a group", 150 * time.Millisecond, false, nil},
+		{"later", time.Second, false, nil},
+		{"from a peer that refuses the part", 150 * time.Millisecond, true, []uint64{bad}},
+	} {
+		a := quarantine.NewAttribution(quarantine.NewSuccesses())
+		message := quarantine.Suspect{Trait: part(bad, 3), CrashedAt: crash, ClearedAt: crash.Add(-tick)}
+		for i := range 5 {
+			message.Upstreams = append(message.Upstreams, fmt.Sprintf("u%d", i))
+			a.RecordCrash(message.Upstreams[i], []quarantine.Trait{part(bad, 3)}, crash)
+		}
+		now := crash
+		for ; now.Before(crash.Add(c.learned)); now = now.Add(tick) {
+			a.Tick(now)
+			require.Equal(t, now.Sub(crash) >= groupSpacing, len(a.Refused()) > 0, c.name)
+		}
+		if c.refusedByPeer {
+			message.RefusedAt = now
+		}
+		a.Merge([]quarantine.Suspect{message}, now)
+		for ; now.Before(crash.Add(1900 * time.Millisecond)); now = now.Add(tick) {
+			a.Tick(now)
+			require.Equal(t, c.want, refusedHashes(a), c.name)
+		}
+	}
+}
