edge: an upstream that crashed is probed twice

Requests with a part that crashes engines were not refused after two groups of them: the third one still reached engines.

Cause: after an exchange broke off, one connection attempt at once decided whether the upstream had crashed. While a host closes what the process had open, its address may still accept connections, and the crash counted against no part.

Now a second attempt follows 150 ms later, and the crash counts from the time at which the exchange broke off, so that crashes at one moment stay close in time.

--- a/edge/crashes.go
+++ b/edge/crashes.go
@@ -22,9 +22,11 @@
 )
 
 const (
-	// deathProbeTimeout bounds the connection attempt that checks whether an upstream is still alive
-	// after it broke off an exchange.
+	// deathProbeTimeout bounds each of the connection attempts that check whether an upstream is still
+	// alive after it broke off an exchange, and deathProbeSettle is the time before the second one, in
+	// which a host under load closes all that a process had open.
 	deathProbeTimeout = 300 * time.Millisecond
+	deathProbeSettle  = 150 * time.Millisecond
 	// recordDelay is how long a trait must have been refused before that is recorded in the store.
 	recordDelay = time.Second
 	// refusedKeyPrefix begins the keys of refused traits in the topic of nodes; the hash follows in
@@ -37,15 +39,10 @@
 // upstream's process has ended without notice: a connection that the network reset, an upstream that
 // can't be reached and one that was leaving say nothing about the request.
 func (c *control) ExchangeBroken(upstream *routing.Upstream, traits []quarantine.Trait) {
+	brokenAt := time.Now()
 	go func() {
-		ctx, cancel := context.WithTimeout(c.edge.ctx, deathProbeTimeout)
-		defer cancel()
-		conn, err := netopt.Dialer(deathProbeTimeout).DialContext(ctx, "tcp", upstream.Address)
+		err := probeDeath(c.edge.ctx, upstream.Address)
 		if err == nil {
-			_ = conn.Close()
-			return
-		}
-		if !errors.Is(err, syscall.ECONNREFUSED) {
 			return
 		}
 		c.tryPost(func(now time.Time) {
@@ -53,7 +50,7 @@
 				return
 			}
 			c.edge.metrics.upstreamCrashes.Inc()
-			c.attribution.RecordCrash(upstream.Key(), traits, now)
+			c.attribution.RecordCrash(upstream.Key(), traits, brokenAt)
 			c.edge.logger.Warn().Err(err).Str("upstream", upstream.ID).Any("traits", traits).
 				Msg("upstream died while running a request")
 			c.refreshRefusals(c.attribution.Refused(), now)
@@ -63,6 +60,29 @@
 	}()
 }
 
+// probeDeath returns the error of a connection attempt that shows that the process at an address has ended;
+// nil if none does. An address may accept connections for a moment after the process has broken off others.
+func probeDeath(ctx context.Context, address string) error {
+	for _, delay := range []time.Duration{0, deathProbeSettle} {
+		sleep(ctx, delay)
+		if err := probe(ctx, address); errors.Is(err, syscall.ECONNREFUSED) {
+			return err
+		}
+	}
+	return nil
+}
+
+// probe makes a connection attempt.
+func probe(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, deathProbeTimeout)
+	defer cancel()
+	conn, err := netopt.Dialer(deathProbeTimeout).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("probe upstream: %w", err)
+	}
+	return conn.Close()
+}
+
 // endedOnNotice reports whether an upstream was leaving, or its entry was removed.
 func (c *control) endedOnNotice(upstream *routing.Upstream) bool {
 	for _, member := range c.registry.Upstreams() {
--- a/edge/crashes_test.go
+++ b/edge/crashes_test.go
@@ -48,12 +48,14 @@
 	// crashPart is the part of a prompt on which engines crash.
 	crashPart string
 	// events is the number of events of an answer, pause the time between them.
-	events   int
-	pause    time.Duration
-	crashes  []time.Time
-	arrivals []crashArrival
-	served   []time.Time
-	failed   []time.Time
+	events int
+	pause  time.Duration
+	// closeDelay is the time for which the address of an engine that has crashed still accepts connections.
+	closeDelay time.Duration
+	crashes    []time.Time
+	arrivals   []crashArrival
+	served     []time.Time
+	failed     []time.Time
 	// blamed is the number of sound requests refused as ones that crash engines.
 	blamed int
 }
@@ -77,13 +79,19 @@
 
 // newCrashFleetOf is like newCrashFleet; it sets the number of events of an answer and the pause between them.
 func newCrashFleetOf(t *testing.T, nodes, engines, events int, pause time.Duration) *crashFleet {
-	f := &crashFleet{t: t, store: newStore(t), crashPart: badPart, events: events, pause: pause}
+	f := &crashFleet{t: t, crashPart: badPart, events: events, pause: pause}
+	f.start(nodes, engines)
+	return f
+}
+
+// start starts the store, the engines and the nodes.
+func (f *crashFleet) start(nodes, engines int) {
+	f.store = newStore(f.t)
 	f.store.PublishConfig([]byte(streamConfig))
 	for range engines {
 		f.startEngine()
 	}
 	f.startNodes(nodes)
-	return f
 }
 
 // startNodes starts nodes in place of those that ran before, and waits until they are ready.
@@ -139,10 +147,21 @@
 	engine.SetFaults(platformtest.EngineFaults{CrashPart: f.crashPart})
 	f.engines = append(f.engines, engine)
 	f.mu.Unlock()
+	address := engine.Address()
+	var proxy *platformtest.Proxy
+	if f.closeDelay > 0 {
+		proxy, err = platformtest.StartProxy(address)
+		require.NoError(f.t, err)
+		f.t.Cleanup(proxy.Close)
+		address = proxy.Address()
+	}
 	engine.OnCrash(func() {
 		f.mu.Lock()
 		f.crashes = append(f.crashes, time.Now())
 		f.mu.Unlock()
+		if proxy != nil {
+			time.AfterFunc(f.closeDelay, proxy.Close)
+		}
 		time.AfterFunc(engineRestart, func() {
 			if f.t.Context().Err() == nil {
 				f.store.Put(platform.TopicRegistry, id, nil)
@@ -151,7 +170,7 @@
 		})
 	})
 	f.t.Cleanup(engine.Crash)
-	f.store.register(id, engine.Address())
+	f.store.register(id, address)
 }
 
 // endEngines ends some engines at the same moment, and starts others in their place some time after.
@@ -305,7 +324,19 @@
 // Requests with one part in common, no two alike, crash engine after engine.
 func TestPromptPartCrashesEngineAfterEngine(t *testing.T) {
 	t.Parallel()
-	f := newCrashFleet(t, 3, 6)
+	requireBadPartEnds(t, newCrashFleet(t, 3, 6))
+}
+
+// The address of an engine that crashes accepts connections for a moment, which made it count as alive.
+func TestAddressOfACrashedEngineClosesLate(t *testing.T) {
+	t.Parallel()
+	f := &crashFleet{t: t, crashPart: badPart, events: 8, pause: 20 * time.Millisecond, closeDelay: 50 * time.Millisecond}
+	f.start(3, 6)
+	requireBadPartEnds(t, f)
+}
+
+// requireBadPartEnds lets requests with the bad part crash engines, and checks that they end and sound ones do not.
+func requireBadPartEnds(t *testing.T, f *crashFleet) {
 	f.crashEngines()
 	time.Sleep(contactBound + 2*time.Second)
 	last := f.crashedAt(maxCrashes)
