--- a/serving/stream.go
+++ b/serving/stream.go
@@ -142,6 +142,17 @@
 	return x.eventCount > 0 && time.Since(x.firstEventAt) > maxCrashDelay
 }
 
+// recordOutlived records, once, that the parts of the prompt have not crashed the upstream that writes the
+// answer. The end of a long answer is no further evidence: it would count against crashes under requests
+// that began after this one.
+func (x *exchange) recordOutlived() {
+	if x.outlived || !x.writingForLong() {
+		return
+	}
+	x.outlived = true
+	x.run.handler.Successes.Record(x.run.traits[wholeTraits:], x.run.handler.MonotonicNow())
+}
+
 // classifyStreamEnd distinguishes the regular end of a stream from a broken one, and from that of a run that
 // was moved.
 func (x *exchange) classifyStreamEnd(rest []byte, err error) (outcome, error) {
--- a/serving/unframed.go
+++ b/serving/unframed.go
@@ -66,17 +66,6 @@
 	x.run.handler.Successes.Record(traits, x.run.handler.MonotonicNow())
 }
 
-// recordOutlived records, once, that the parts of the prompt have not crashed the upstream that writes the
-// answer. The end of a long answer is no further evidence: it would count against crashes under requests
-// that began after this one.
-func (x *exchange) recordOutlived() {
-	if x.outlived || !x.writingForLong() {
-		return
-	}
-	x.outlived = true
-	x.run.handler.Successes.Record(x.run.traits[wholeTraits:], x.run.handler.MonotonicNow())
-}
-
 // serves reports whether an upstream is expected to go on serving a service.
 func (v *View) serves(service string, upstream *routing.Upstream) bool {
 	if upstream.Gate.Leaving() {
