peer: a line of an answer is bounded by the size of an event

A peer that sends one line without end held up the node that reads the answer for about four seconds and made it hold 64 MiB.

Cause: a line was bounded as an answer that is decoded whole is, although it holds one event, which an upstream may send up to 1 MiB of. Encoded again it grows up to sixfold, so that 8 MiB suffice.

The test now bounds what the peer has sent by 16 MiB, in place of 192; before, 72 MB were sent.

--- a/peer/answer.go
+++ b/peer/answer.go
@@ -22,6 +22,9 @@
 	// SilenceTimeout is the time without a line after which a connection to a peer is
 	// considered silent.
 	SilenceTimeout = 3 * keepaliveInterval
+	// maxLineBytes bounds a line of an answer. The longest holds an event of an upstream, of 1 MiB at most,
+	// which grows up to sixfold as it is encoded.
+	maxLineBytes = 8 << 20
 )
 
 // Answer is the answer of the node that holds a request, encoded as JSON lines of
@@ -56,7 +59,7 @@
 func (a *Answer) Next() (Event, error) {
 	const step = "read answer of owner"
 	var line api.PeerEvent
-	a.line.N = maxAnswerBytes
+	a.line.N = maxLineBytes
 	if err := a.decoder.Decode(&line); err != nil {
 		return Event{}, &upstream.Error{Step: step, Peer: a.address, Sent: retry.MaybeSent, Err: err}
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -38,7 +38,7 @@
 	handoverTimeout = 3 * time.Second
 	// promptTimeout bounds the look-up of a prompt.
 	promptTimeout = 300 * time.Millisecond
-	// maxAnswerBytes bounds an answer, and each line of a streamed one; the longest is that of a service call.
+	// maxAnswerBytes bounds an answer that is decoded whole; the longest is that of a service call.
 	maxAnswerBytes = 64 << 20
 	// maxErrorBytes bounds the part of an error answer that is included in an error.
 	maxErrorBytes = 512
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -20,6 +20,8 @@
 	endlessBytes = 192 << 20
 	// headBound is the largest head that a node may read, with the buffers of a connection.
 	headBound = 4 << 20
+	// lineBound is the same for a line of a streamed answer.
+	lineBound = 16 << 20
 )
 
 // endless answers with start and then with unit until the caller closes, and reports the bytes that it has sent.
@@ -94,7 +96,7 @@
 		"service call at a peer": {text, "a", endlessBytes, func(ctx context.Context, a string, _ *upstream.Conn, n *peer.Client) error {
 			return errorOf(n.CallService(ctx, a, api.PeerService{}))
 		}},
-		"line of a peer": {text, "a", endlessBytes, func(ctx context.Context, a string, _ *upstream.Conn, n *peer.Client) error {
+		"line of a peer": {text, "a", lineBound, func(ctx context.Context, a string, _ *upstream.Conn, n *peer.Client) error {
 			answer, err := n.Chat(ctx, a, api.PeerChat{})
 			return drain(answer.Next, err)
 		}},
