--- a/quarantine/attribution_test.go
+++ b/quarantine/attribution_test.go
@@ -153,6 +153,16 @@
 	return a, now
 }
 
+// crashApart records crashes under the first part, a second apart, and returns the time of the last.
+func crashApart(a *quarantine.Attribution, count int) time.Time {
+	now := start
+	for i := range count {
+		now = now.Add(time.Second)
+		a.RecordCrash(fmt.Sprintf("u%d", i), []quarantine.Trait{part(system, 1)}, now)
+	}
+	return now
+}
+
 // Sound suspects of many crashes push the part that is refused out of messages.
 func TestRefusedPartIsPushedOutOfMessages(t *testing.T) {
 	a, now := crashed(t)
@@ -234,11 +244,7 @@
 // A part that many prompts have stays refused for long.
 func TestCommonPartIsTriedSoon(t *testing.T) {
 	a := quarantine.NewAttribution(quarantine.NewSuccesses())
-	now := start
-	for i := range 3 {
-		now = now.Add(time.Second)
-		a.RecordCrash(fmt.Sprintf("u%d", i), []quarantine.Trait{part(system, 1)}, now)
-	}
+	now := crashApart(a, 3)
 	suspect := a.Refused()[0]
 	require.False(t, suspect.TrialDue(now.Add(2*time.Second)))
 	require.True(t, suspect.TrialDue(now.Add(3*time.Second)))
@@ -268,11 +274,7 @@
 	fresh, successes := quarantine.NewAttribution(quarantine.NewSuccesses()), quarantine.NewSuccesses()
 	successes.Record(soundPrompt(1), start)
 	proven := quarantine.NewAttribution(successes)
-	now := start
-	for i := range 3 {
-		now = now.Add(time.Second)
-		fresh.RecordCrash(fmt.Sprintf("u%d", i), []quarantine.Trait{part(system, 1)}, now)
-	}
+	now := crashApart(fresh, 3)
 	require.Equal(t, []uint64{system}, refusedHashes(fresh))
 	proven.Merge(fresh.Outgoing(now), now)
 	require.Empty(t, proven.Refused())
@@ -332,11 +334,7 @@
 // A first part stays refused although a later part that became known after it explains the same crashes.
 func TestLaterPartFreesACommonOne(t *testing.T) {
 	a, b := quarantine.NewAttribution(quarantine.NewSuccesses()), quarantine.NewAttribution(quarantine.NewSuccesses())
-	now := start
-	for i := range 3 {
-		now = now.Add(time.Second)
-		a.RecordCrash(fmt.Sprintf("u%d", i), []quarantine.Trait{part(system, 1)}, now)
-	}
+	now := crashApart(a, 3)
 	b.Merge(a.Outgoing(now), now)
 	require.Equal(t, []uint64{system}, refusedHashes(a))
 	require.Equal(t, []uint64{system}, refusedHashes(b))
@@ -357,11 +355,7 @@
 // A first part is free although other crashes that the later part does not explain count against it.
 func TestCommonPartStaysRefusedForOtherCrashes(t *testing.T) {
 	a := quarantine.NewAttribution(quarantine.NewSuccesses())
-	now := start
-	for i := range 6 {
-		now = now.Add(time.Second)
-		a.RecordCrash(fmt.Sprintf("u%d", i), []quarantine.Trait{part(system, 1)}, now)
-	}
+	now := crashApart(a, 6)
 	for i := range 3 {
 		a.RecordCrash(fmt.Sprintf("u%d", i), badPrompt(uint64(i)), now)
 	}
