edge: the age of a cleared suspect travels once, and a probe has one timeout

Since the age of the last success has a field of its own, age_ms of a cleared suspect repeated it and no node read it. The dialer of a probe bounds the handshake already.

--- a/api/edge_gen.go
+++ b/api/edge_gen.go
@@ -359,7 +359,7 @@
 // EdgeSuspicion is a request, or a part of prompts, suspected of crashing
 // upstreams.
 type EdgeSuspicion struct {
-	// AgeMS is the time since the last crash or since it completed, in milliseconds.
+	// AgeMS is the time since the last crash, in milliseconds.
 	AgeMS int64 `json:"age_ms"`
 
 	// Fingerprint of the request or the part.
--- a/edge/crashes.go
+++ b/edge/crashes.go
@@ -74,8 +74,6 @@
 
 // probe makes a connection attempt.
 func probe(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, deathProbeTimeout)
-	defer cancel()
 	conn, err := netopt.Dialer(deathProbeTimeout).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return fmt.Errorf("probe upstream: %w", err)
@@ -236,11 +234,11 @@
 func suspicionOf(suspect *quarantine.Suspect, now time.Time) api.EdgeSuspicion {
 	suspicion := api.EdgeSuspicion{
 		Fingerprint: suspect.Hash, Position: suspect.Position, Upstreams: suspect.Upstreams,
-		AgeMS: ageMS(suspect.CrashedAt, now), SuccessAgeMS: ageMS(suspect.ClearedAt, now), Trials: suspect.Trials, Refused: !suspect.RefusedAt.IsZero(),
+		AgeMS: ageMS(suspect.CrashedAt, now), UpstreamsAgesMS: crashAgesMS(suspect, now), SuccessAgeMS: ageMS(suspect.ClearedAt, now),
+		Trials: suspect.Trials, Refused: !suspect.RefusedAt.IsZero(),
 	}
-	suspicion.UpstreamsAgesMS = crashAgesMS(suspect, now)
 	if suspect.Cleared() {
-		suspicion.Upstreams, suspicion.UpstreamsAgesMS, suspicion.AgeMS = []string{}, nil, ageMS(suspect.ClearedAt, now)
+		suspicion.Upstreams, suspicion.UpstreamsAgesMS = []string{}, nil
 	}
 	return suspicion
 }
@@ -263,13 +261,11 @@
 	for _, suspicion := range received {
 		suspect := quarantine.Suspect{
 			Trait: quarantine.Trait{Hash: suspicion.Fingerprint, Position: suspicion.Position}, Upstreams: suspicion.Upstreams, Trials: suspicion.Trials,
+			CrashedAt: timeOfAge(suspicion.AgeMS, now),
 		}
 		if suspicion.SuccessAgeMS < unknownAgeMS {
 			suspect.ClearedAt = timeOfAge(suspicion.SuccessAgeMS, now)
 		}
-		if len(suspicion.Upstreams) > 0 {
-			suspect.CrashedAt = timeOfAge(suspicion.AgeMS, now)
-		}
 		for _, age := range suspicion.UpstreamsAgesMS {
 			suspect.Crashes = append(suspect.Crashes, timeOfAge(age, now))
 		}
