--- a/review/world3/hostile.go
+++ b/review/world3/hostile.go
@@ -201,23 +201,24 @@
 func playStalled(w *world, trouble bool) error {
 	n := w.nodes[0]
 	time.Sleep(12 * time.Second)
-	if !trouble {
-		time.Sleep(crowdTime)
-		return nil
-	}
-	w.note("DISRUPTION: at %s %d clients send a chunked body that stops just short of its end", n.name, stalledClients)
+	end := time.Now().Add(crowdTime)
 	var opened, number atomic.Int64
-	group := w.crowd(n, stalledClients, time.Now().Add(crowdTime), 200*time.Millisecond, &opened, func(conn net.Conn) error {
-		i := number.Add(1)
-		_, err := fmt.Fprintf(conn, "POST /review/7 HTTP/1.1\r\nHost: %s\r\nX-Request-Id: h%d\r\nX-Deadline-Ms: 15000\r\nAuthorization: Bearer %s\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n1\r\n",
-			host, i, keys[int(i)%len(keys)])
-		return err
-	})
+	group := &sync.WaitGroup{}
+	if trouble {
+		w.note("DISRUPTION: at %s %d clients send a chunked body that stops just short of its end", n.name, stalledClients)
+		group = w.crowd(n, stalledClients, end, 200*time.Millisecond, &opened, func(conn net.Conn) error {
+			i := number.Add(1)
+			_, err := fmt.Fprintf(conn, "POST /review/7 HTTP/1.1\r\nHost: %s\r\nX-Request-Id: h%d\r\nX-Deadline-Ms: 15000\r\nAuthorization: Bearer %s\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n1\r\n",
+				host, i, keys[int(i)%len(keys)])
+			return err
+		})
+	}
 	time.Sleep(time.Second)
 	answeredBefore, sentBefore := n.answered.Load(), n.sent.Load()
-	group.Wait()
+	time.Sleep(time.Until(end))
 	answered, sent := n.answered.Load()-answeredBefore, n.sent.Load()-sentBefore
-	w.note("the clients have gone; they had opened %d connections; since a second after their start %d of %d requests of ordinary callers at %s were answered",
+	group.Wait()
+	w.note("the clients had opened %d connections; since a second after their start %d of %d requests of ordinary callers at %s were answered",
 		opened.Load(), answered, sent, n.name)
 	if answered*answeredDivisor < sent {
 		w.broken = append(w.broken, fmt.Sprintf("%d of %d requests of ordinary callers at %s were answered, in any way, while others stalled their bodies",
--- a/review/world3/world.go
+++ b/review/world3/world.go
@@ -31,6 +31,7 @@
 	store                      *store
 	cloud                      *cloud
 	engines                    []*engine
+	models                     []*model
 	nodes                      []*node
 	config                     []byte
 	ended                      atomic.Bool
@@ -68,7 +69,11 @@
 func run() int {
 	name := flag.String("case", "", "scenario")
 	folder := flag.String("folder", "", "folder of the case")
+	modelID := flag.String("model", "", "id of the model engine to run")
 	flag.Parse()
+	if *modelID != "" {
+		return runModel(*modelID)
+	}
 	s, known := scenarios[*name]
 	if !known {
 		fmt.Fprintln(os.Stderr, "unknown scenario")
@@ -109,6 +114,9 @@
 	for _, n := range w.nodes {
 		n.powerOff()
 	}
+	for _, m := range w.models {
+		_ = m.process.Process.Kill() // It may have been taken away.
+	}
 	time.Sleep(200 * time.Millisecond)
 	w.note("answered with success: %d, otherwise: %d", w.served.Load(), w.failed.Load())
 	if err != nil {
@@ -147,7 +155,7 @@
 const (
 	host    = "ficu95.example"
 	service = "rake-app"
-	// modelService has engines, which no script lets a request reach.
+	// modelService is that of the model engines.
 	modelService = "persim-pool"
 )
 
@@ -168,10 +176,6 @@
 			return err
 		}
 		w.engines = append(w.engines, e)
-		if e, err = w.startEngine(fmt.Sprintf("i-%d", i+5), modelService, zones[i]); err != nil {
-			return err
-		}
-		w.engines = append(w.engines, e)
 	}
 	for _, e := range w.engines {
 		e.beat()
@@ -190,7 +194,10 @@
 		},
 		"services": []any{
 			map[string]any{"name": service, "healthPath": "/healthz", "maxConnections": 96, "protocol": "h1", "tls": false},
-			map[string]any{"name": modelService, "healthPath": "/healthz", "maxConnections": 360, "protocol": "h1", "tls": false},
+			map[string]any{
+				"name": modelService, "healthPath": "/healthz", "maxConnections": 360, "protocol": "h1", "tls": false,
+				"engine": map[string]any{"slots": 64, "kvCapacity": 607437, "kvBytes": 163840, "linkMbps": 1100000.0, "moves": true, "stride": 6, "models": []any{map[string]any{"name": "m"}}},
+			},
 		},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []any{
