edge, platform: the era of the store is read, logged and measured

The platform's store names its era in the header Store-Era of all its responses; the era rises when the store comes back from an older copy. Nothing read it, so neither a log line nor a metric told a restore from an outage, and an offset was taken for the identity of a record.

No decision changes.

--- a/edge/control.go
+++ b/edge/control.go
@@ -73,6 +73,8 @@
 	rawConfig         []byte
 	// configConfirmedAt is when the store last confirmed that the configuration is the newest.
 	configConfirmedAt time.Time
+	// storeEra is the store's era as far as this loop knows; 0 if the store has named none.
+	storeEra int64
 	// newerVersion is the newer version that a peer last announced, at newerVersionAt.
 	newerVersion   int64
 	newerVersionAt time.Time
@@ -226,6 +228,7 @@
 func (c *control) tick(now time.Time) {
 	c.recentlyStalled(now)
 	c.lastTickAt = now
+	c.observeStoreEra()
 	c.handleChanges(c.registry.Tick(now))
 	for key, until := range c.suspectUntil {
 		if now.After(until) {
@@ -246,6 +249,20 @@
 	c.publishNow = true
 }
 
+// observeStoreEra takes note of the store's era.
+func (c *control) observeStoreEra() {
+	era := c.edge.store.Era()
+	if era <= c.storeEra {
+		return
+	}
+	if c.storeEra != 0 {
+		c.edge.logger.Warn().Int64("era", era).Int64("known_era", c.storeEra).Str("dependency", "store").
+			Msg("store came back from an older copy")
+	}
+	c.storeEra = era
+	c.edge.metrics.storeEra.Set(float64(era))
+}
+
 // recentlyStalled detects a stall, and reports whether this node was recently suspended or blocked, so
 // that messages may have been delayed in its sockets.
 func (c *control) recentlyStalled(now time.Time) bool {
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -203,15 +203,15 @@
 // readNewest reads and applies the newest record of each key; reading continues after them.
 func (f *feed) readNewest(ctx context.Context) error {
 	f.lastCall = storeCall{call: callNewest}
-	records, end, err := f.edge.store.Newest(ctx, f.topic, f.timeout.current(f.currentBound(), time.Now()))
+	newest, err := f.edge.store.Newest(ctx, f.topic, f.timeout.current(f.currentBound(), time.Now()))
 	if err != nil {
 		return err
 	}
-	f.lastCall.end, f.lastCall.records = end, len(records)
-	upTo := newestOffset(records)
-	f.applyNewest(records, upTo)
-	f.cursor.applyNewest(upTo, end, time.Now())
-	f.edge.logger.Info().Str("topic", f.topic).Int("records", len(records)).Int64("newest", upTo).Int64("end", end).
+	f.lastCall.end, f.lastCall.records = newest.End, len(newest.Records)
+	upTo := newestOffset(newest.Records)
+	f.applyNewest(newest.Records, upTo)
+	f.cursor.applyNewest(upTo, newest.End, time.Now())
+	f.edge.logger.Info().Str("topic", f.topic).Int("records", len(newest.Records)).Int64("newest", upTo).Int64("end", newest.End).
 		Int64("missed", f.cursor.trimmedEnd).Int("looks", f.cursor.newestRepeats).Msg("newest records read")
 	return nil
 }
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -15,6 +15,8 @@
 type metrics struct {
 	registry      *prometheus.Registry
 	configVersion prometheus.Gauge
+	// storeEra is the highest era that the store has named.
+	storeEra      prometheus.Gauge
 	storeFailures *prometheus.CounterVec
 	storeCalls    *prometheus.HistogramVec
 	eventWait     prometheus.Histogram
@@ -38,6 +40,9 @@
 		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "persimmonline_edge_config_version", Help: "Version of the configuration in force.",
 		}),
+		storeEra: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "persimmonline_edge_store_era", Help: "Highest era that the store has named; it rises when the store comes back from an older copy.",
+		}),
 		storeFailures: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "persimmonline_edge_store_failures_total", Help: "Failed reads of the store by topic.",
 		}, []string{"topic"}),
@@ -67,7 +72,7 @@
 		}),
 	}
 	m.addRolloutGauges()
-	registry.MustRegister(m.configVersion, m.storeFailures, m.storeCalls, m.eventWait, m.peerFailures, m.eventsDropped, m.limitedUpstreams, m.upstreamCrashes, m.retryBurst, m.logDropped)
+	registry.MustRegister(m.configVersion, m.storeEra, m.storeFailures, m.storeCalls, m.eventWait, m.peerFailures, m.eventsDropped, m.limitedUpstreams, m.upstreamCrashes, m.retryBurst, m.logDropped)
 	return m
 }
 
--- a/edge/reports.go
+++ b/edge/reports.go
@@ -81,15 +81,15 @@
 // load reads the fixed reports from the store.
 func (r *reports) load() {
 	r.call(func(ctx context.Context) (func(), error) {
-		records, end, err := r.edge.store.Newest(ctx, topicUsage, maxStoreTimeout)
+		newest, err := r.edge.store.Newest(ctx, topicUsage, maxStoreTimeout)
 		if err != nil {
 			return nil, err
 		}
-		if newest := newestOffset(records); newest+1 < end {
-			return nil, fmt.Errorf("read usage reports, newest offset %d, end %d: %w", newest, end, errLagging)
+		if highest := newestOffset(newest.Records); highest+1 < newest.End {
+			return nil, fmt.Errorf("read usage reports, newest offset %d, end %d: %w", highest, newest.End, errLagging)
 		}
 		var fixed api.FixedUsage
-		for _, record := range records {
+		for _, record := range newest.Records {
 			if record.Key != keyUsage {
 				continue
 			}
@@ -97,7 +97,7 @@
 				return nil, fmt.Errorf("decode usage reports: %w", err)
 			}
 		}
-		return func() { r.fixed, r.end, r.loaded = fixed.Reports, end, true }, nil
+		return func() { r.fixed, r.end, r.loaded = fixed.Reports, newest.End, true }, nil
 	})
 }
 
@@ -122,11 +122,11 @@
 	}
 	end := r.end
 	r.call(func(ctx context.Context) (func(), error) {
-		offset, err := r.edge.store.Append(ctx, topicUsage, [][]byte{platform.EncodeKeyed(keyUsage, raw)}, end)
+		position, err := r.edge.store.Append(ctx, topicUsage, [][]byte{platform.EncodeKeyed(keyUsage, raw)}, end)
 		if err != nil {
 			return nil, err
 		}
-		return func() { r.fixed, r.end = fixed, offset+1 }, nil
+		return func() { r.fixed, r.end = fixed, position.Offset+1 }, nil
 	})
 }
 
--- a/edge/rollout_mesh_test.go
+++ b/edge/rollout_mesh_test.go
@@ -29,23 +29,23 @@
 
 var errStoreDown = errors.New("store is down")
 
-func (l *statusLog) Newest(context.Context, string, time.Duration) ([]platform.KeyedRecord, int64, error) {
+func (l *statusLog) Newest(context.Context, string, time.Duration) (platform.Snapshot, error) {
 	if l.down {
-		return nil, 0, errStoreDown
+		return platform.Snapshot{}, errStoreDown
 	}
 	var newest []platform.KeyedRecord
 	for _, record := range l.records {
 		newest = append(newest, record)
 	}
-	return newest, l.end, nil
+	return platform.Snapshot{Records: newest, End: l.end}, nil
 }
 
-func (l *statusLog) Append(_ context.Context, _ string, records [][]byte, at int64) (int64, error) {
+func (l *statusLog) Append(_ context.Context, _ string, records [][]byte, at int64) (platform.Position, error) {
 	if l.down {
-		return 0, errStoreDown
+		return platform.Position{}, errStoreDown
 	}
 	if at >= 0 && at != l.end {
-		return 0, platform.ErrConflict
+		return platform.Position{}, platform.ErrConflict
 	}
 	for _, raw := range records {
 		key := string(raw[1 : 1+raw[0]])
@@ -53,9 +53,9 @@
 		l.end++
 	}
 	if l.loseAnswer {
-		return 0, errStoreDown
+		return platform.Position{}, errStoreDown
 	}
-	return l.end - 1, nil
+	return platform.Position{Offset: l.end - 1}, nil
 }
 
 func (l *statusLog) phase(t *testing.T, service string) rollout.Phase {
--- a/edge/rolloutdecider.go
+++ b/edge/rolloutdecider.go
@@ -51,8 +51,8 @@
 
 // statusStore is the part of the store that holds statuses.
 type statusStore interface {
-	Newest(ctx context.Context, topic string, timeout time.Duration) ([]platform.KeyedRecord, int64, error)
-	Append(ctx context.Context, topic string, records [][]byte, at int64) (int64, error)
+	Newest(ctx context.Context, topic string, timeout time.Duration) (platform.Snapshot, error)
+	Append(ctx context.Context, topic string, records [][]byte, at int64) (platform.Position, error)
 }
 
 // deciding is what the deciding node keeps of an order.
@@ -260,14 +260,14 @@
 	}
 	end := d.end
 	d.call("write", func(ctx context.Context) (func(now time.Time), error) {
-		offset, err := d.store.Append(ctx, platform.TopicStatus, [][]byte{record}, end)
+		position, err := d.store.Append(ctx, platform.TopicStatus, [][]byte{record}, end)
 		if err != nil {
 			return nil, err
 		}
 		return func(now time.Time) {
-			d.end = offset + 1
+			d.end = position.Offset + 1
 			r.edge.logger.Info().Str("service", state.order.Service).Str("to", state.order.To).Str("phase", string(phase)).
-				Int64("asked", state.asked).Int64("sent", state.sent).Int64("offset", offset).Msg("rollout status written")
+				Int64("asked", state.asked).Int64("sent", state.sent).Int64("offset", position.Offset).Msg("rollout status written")
 			if state.deciding != nil {
 				state.deciding.statusAt = now
 			}
@@ -291,16 +291,16 @@
 		return
 	}
 	d.call("read", func(ctx context.Context) (func(now time.Time), error) {
-		records, end, err := d.store.Newest(ctx, platform.TopicStatus, maxStoreTimeout)
+		newest, err := d.store.Newest(ctx, platform.TopicStatus, maxStoreTimeout)
 		if err != nil {
 			return nil, err
 		}
-		if newest := newestOffset(records); newest+1 < end {
-			return nil, fmt.Errorf("read rollout statuses, newest offset %d, end %d: %w", newest, end, errLagging)
+		if highest := newestOffset(newest.Records); highest+1 < newest.End {
+			return nil, fmt.Errorf("read rollout statuses, newest offset %d, end %d: %w", highest, newest.End, errLagging)
 		}
 		return func(now time.Time) {
-			d.loaded, d.endKnown, d.end = true, true, end
-			for _, record := range records {
+			d.loaded, d.endKnown, d.end = true, true, newest.End
+			for _, record := range newest.Records {
 				d.applyStatus(record, now)
 			}
 			d.standIn(now)
