edge: a read position ends with the era of the store

What callers saw: a key that the operator had revoked was served on, for as long as the node ran, if the store had come back from an older copy and its topic ended again where it had ended. Engines that registered after such a restore were not used, and live ones could be dropped.

Cause: the position of a feed is an offset, and offsets are given out again after a restore. A node that waits at the old end skips the records that were given its offsets; one that waits behind the new end counts the store as lagging. A full copy of the registry removed entries that the copy lacked.

Fix: a position belongs to the era of the response that it was read from. A response of a later era makes the feed read its topic anew, from the newest records on; one of an earlier era changes nothing. Entries that a restored registry lacks lapse, as after an outage, and have 2 s to come back.

--- a/edge/feed.go
+++ b/edge/feed.go
@@ -44,6 +44,8 @@
 	onTrimmed func(oldest int64)
 	// onRestart, if not nil, is called when the topic's records were renumbered.
 	onRestart func()
+	// onRestore, if not nil, is called when the store came back from an older copy.
+	onRestore func(era int64)
 	// onCurrent, if not nil, is called when all changes up to now have been read.
 	onCurrent func()
 	// shouldStandBy reports whether the node need not read the topic, because its hub keeps it
@@ -52,7 +54,11 @@
 	// onOutage, if not nil, is called when the store becomes unavailable (true) or available again.
 	onOutage func(active bool)
 
-	cursor cursor
+	// era of the store that cursor belongs to; 0 if unknown.
+	era int64
+	// hasPosition is set once the store has answered.
+	hasPosition bool
+	cursor      cursor
 	// lastReadEmpty is set if the last read returned no records, and so already waited.
 	lastReadEmpty bool
 	failures      int
@@ -139,6 +145,11 @@
 	from := f.cursor.next
 	f.lastCall = storeCall{call: callRead, from: from}
 	page, err := f.edge.store.Read(ctx, f.topic, from, f.readWait(), f.timeout.current(f.currentBound(), time.Now()))
+	if err == nil || errors.Is(err, platform.ErrTrimmed) {
+		if isRestored, err := f.enterEra(page.Era); isRestored || err != nil {
+			return err
+		}
+	}
 	if errors.Is(err, platform.ErrTrimmed) {
 		f.edge.logger.Warn().Str("topic", f.topic).Int64("from", from).Int64("oldest", page.First).
 			Msg("records deleted before they were read")
@@ -170,6 +181,29 @@
 	return nil
 }
 
+// errOldEra means that a response is from an era before that of the read position.
+var errOldEra = errors.New("response from an older era of the store")
+
+// enterEra compares the era of a response with that of the read position. A position is worth nothing in
+// a later era, even if its offset exists there, and the topic is read anew.
+func (f *feed) enterEra(era int64) (isRestored bool, err error) {
+	if era < f.era {
+		return false, fmt.Errorf("read %s in era %d, response of era %d: %w", f.topic, f.era, era, errOldEra)
+	}
+	isRestored = era > f.era && f.hasPosition
+	if isRestored {
+		f.edge.logger.Warn().Str("topic", f.topic).Int64("era", era).Int64("known_era", f.era).Int64("from", f.cursor.next).
+			Msg("topic is read again: the store came back from an older copy")
+		f.cursor.reset()
+		f.lastReadEmpty = false
+		if f.onRestore != nil {
+			f.onRestore(era)
+		}
+	}
+	f.era, f.hasPosition = era, true
+	return isRestored, nil
+}
+
 // errWithheld means that the store reports records after the offset and returns none of them.
 var errWithheld = errors.New("store returned none of the available records")
 
@@ -207,6 +241,9 @@
 	if err != nil {
 		return err
 	}
+	if _, err := f.enterEra(newest.Era); err != nil {
+		return err
+	}
 	f.lastCall.end, f.lastCall.records = newest.End, len(newest.Records)
 	upTo := newestOffset(newest.Records)
 	f.applyNewest(newest.Records, upTo)
--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -148,6 +148,7 @@
 			})
 		},
 		onRestart: func() { c.post(ctx, func(time.Time) { c.registry.ResetOffsets() }) },
+		onRestore: func(int64) { c.post(ctx, c.registry.MarkRestored) },
 		onOutage: func(active bool) {
 			c.post(ctx, func(now time.Time) { c.registry.SetOutage(active, now) })
 		},
--- /dev/null
+++ b/edge/restore_test.go
@@ -0,0 +1,77 @@
+package edge
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/persimmonline/persimmonline/platform/platformtest"
+)
+
+// restore takes a store away and brings it back from a copy as of a time; before it answers again,
+// writeAgain writes what the platform had written since.
+func (s storeServer) restore(asOf time.Time, away time.Duration, writeAgain func(lost []platformtest.Lost)) {
+	s.SetFaults(platformtest.Faults{Down: true})
+	time.Sleep(away)
+	writeAgain(s.Restore(asOf))
+	s.SetFaults(platformtest.Faults{})
+}
+
+// Guards against a position that is kept when its offset is given out again: the topic ends where the node
+// waits, and a record that it skipped revokes a key.
+func TestRevokedKeyIsServedAfterStoreIsRestored(t *testing.T) {
+	store := newStore(t)
+	store.register("i-1", upstream(t, 0))
+	store.configure(1, "k")
+	e, _ := start(t, settings(t, "n1", store.address()))
+	copied := time.Now()
+	store.configure(2, "k")
+	store.configure(3, "k")
+	require.Eventually(t, func() bool { return version(e) == 3 && ready(e) }, eventually, 5*time.Millisecond)
+	store.restore(copied, 0, func([]platformtest.Lost) {
+		store.configure(3, "k")
+		store.configure(4, "other")
+	})
+	require.Eventually(t, func() bool { return call(t, e, "k") == http.StatusUnauthorized }, e.settings.Bounds.ConfigApply, 5*time.Millisecond)
+}
+
+// Guards against engines that are dropped, or that are not learned of, after their entries went back.
+func TestUpstreamIsLostWhenStoreIsRestored(t *testing.T) {
+	store := newStore(t)
+	store.configure(1, "k")
+	e, _ := start(t, settings(t, "n1", store.address()))
+	copied := time.Now()
+	address := upstream(t, 0)
+	store.register("i-1", address)
+	store.register("i-2", upstream(t, 0))
+	require.Eventually(t, func() bool { return len(upstreamIDs(e)) == 2 }, eventually, 5*time.Millisecond)
+	store.restore(copied, 0, func(lost []platformtest.Lost) {
+		require.Len(t, lost, 2)
+		store.register("i-3", upstream(t, 0))
+	})
+	require.Eventually(t, func() bool { return len(upstreamIDs(e)) == 3 }, time.Second, 5*time.Millisecond, "all three are alive")
+	store.register("i-1", address)
+	require.Eventually(t, func() bool { return len(upstreamIDs(e)) == 2 }, eventually, 5*time.Millisecond)
+	require.Equal(t, []string{"i-1", "i-3"}, upstreamIDs(e), "i-2 has not come back")
+}
+
+func upstreamIDs(e *Edge) []string {
+	ids, _ := query(e.ctx, e.control, func(time.Time) (ids []string) {
+		for _, member := range e.control.registry.Upstreams() {
+			ids = append(ids, member.ID)
+		}
+		return ids
+	})
+	return ids
+}
+
+// Guards against a late response of the era before, whose records and end are no longer those of the topic.
+func TestAnswerOfAnOlderEraMovesThePosition(t *testing.T) {
+	f := &feed{era: 4, hasPosition: true, cursor: cursor{next: 7, synced: true}}
+	isRestored, err := f.enterEra(3)
+	require.ErrorIs(t, err, errOldEra)
+	require.False(t, isRestored)
+	require.Equal(t, int64(7), f.cursor.next)
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -451,6 +451,13 @@
 	}
 }
 
+// MarkRestored records that the registry's records were put back to an older copy: entries that the copy
+// lacks may be written again.
+func (r *Registry) MarkRestored(now time.Time) {
+	r.ResetOffsets()
+	r.outageEnd = now
+}
+
 // Leaving reports whether the upstream must not receive new work that another can take.
 func (u *Upstream) Leaving() bool { return !u.LeavingAt.IsZero() }
 
