lease, edge: a fencing token contains the era of the log

With an older copy the token fell, and the cloud refused the new holder.

Cause: the token was the offset of the claim. The restore takes the claim away and gives its offset to the next one. Holders that lived through it acted on a claim that was no longer in the log.

Fix: claims name the era that their writer had read, and the token is that era and the offset. A writer acts only on a claim that it reads back in the era that it named, so the claim was appended in that era and its offset is unique there. A grant ends with its era; the holder claims again at once if nobody else can have held the duty, others wait for the lifetime of a lease. Records without an era count as era 0.

--- a/api/records_gen.go
+++ b/api/records_gen.go
@@ -114,15 +114,19 @@
 	Version int64 `json:"version"`
 }
 
-// LeaseRecord claims, renews or releases a control duty; the offset of the granted
-// claim is the fencing token.
+// LeaseRecord claims, renews or releases a control duty; the fencing token follows
+// from the era and the offset of the granted claim.
 type LeaseRecord struct {
 	// Attempt is unique to one append, so that its writer recognises the record if
 	// the append's answer was lost.
 	Attempt string `json:"attempt"`
 
-	// Fence is the fencing token of the lease that is renewed or released; -1 for a
-	// new claim.
+	// Era of the log in which its writer had read the stream; 0 if the log has no
+	// eras, or for a writer that knows none.
+	Era int64 `json:"era,omitempty,omitzero"`
+
+	// Fence is the offset of the claim that is renewed or released; -1 for a new
+	// claim.
 	Fence int64 `json:"fence"`
 
 	// Holder is the node id.
--- a/edge/control.go
+++ b/edge/control.go
@@ -228,7 +228,7 @@
 func (c *control) tick(now time.Time) {
 	c.recentlyStalled(now)
 	c.lastTickAt = now
-	c.observeStoreEra()
+	c.observeStoreEra(now)
 	c.handleChanges(c.registry.Tick(now))
 	for key, until := range c.suspectUntil {
 		if now.After(until) {
@@ -250,7 +250,7 @@
 }
 
 // observeStoreEra takes note of the store's era.
-func (c *control) observeStoreEra() {
+func (c *control) observeStoreEra(now time.Time) {
 	era := c.edge.store.Era()
 	if era <= c.storeEra {
 		return
@@ -261,6 +261,7 @@
 	}
 	c.storeEra = era
 	c.edge.metrics.storeEra.Set(float64(era))
+	c.duties.enterEra(era, now)
 }
 
 // recentlyStalled detects a stall, and reports whether this node was recently suspended or blocked, so
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -59,6 +59,8 @@
 	demand     map[string]*scaling.Demand
 	// fence is the current fencing token, rejectedFence the last one that was rejected.
 	fence, rejectedFence int64
+	// eraEnteredAt is when the store last came back from an older copy, as far as this node knows.
+	eraEnteredAt time.Time
 	// leaseHeld is set while this node holds the lease; the topic's feed reads it.
 	leaseHeld atomic.Bool
 }
@@ -109,12 +111,44 @@
 				return struct{}{}
 			})
 		},
+		onRestore: func(era int64) {
+			query(ctx, d.control, func(now time.Time) struct{} {
+				d.enterEra(era, now)
+				return struct{}{}
+			})
+		},
 	}
 	return d.dutiesFeed
 }
 
+// enterEra gives up the duties when the store has come back from an older copy; the lease is claimed
+// anew.
+func (d *duties) enterEra(era int64, now time.Time) {
+	if known := d.holder.Table().Era(); era <= known {
+		return
+	} else if known != 0 {
+		d.eraEnteredAt = now
+	}
+	stalled := d.control.recentlyStalled(now)
+	answeredAt := d.lastAnswerAt()
+	awake := !stalled || d.control.stalledAt.Before(answeredAt)
+	d.holder.EnterEra(era, now, now.Sub(answeredAt), awake)
+}
+
+// lastAnswerAt returns when the store last answered a read of the topic.
+func (d *duties) lastAnswerAt() time.Time {
+	if d.dutiesFeed == nil {
+		return time.Time{}
+	}
+	return time.Unix(0, d.dutiesFeed.answeredAt.Load())
+}
+
 // applyPage applies lease records of the log.
 func (d *duties) applyPage(page platform.Page, now time.Time) {
+	d.enterEra(page.Era, now)
+	if page.Era < d.holder.Table().Era() {
+		return
+	}
 	d.markGap(page.First, now)
 	for i, raw := range page.Records {
 		offset := page.First + int64(i)
@@ -182,8 +216,8 @@
 	if d.dutiesFeed == nil || !d.edge.dutyCandidate.Load() {
 		return false
 	}
-	answeredAt := d.dutiesFeed.answeredAt.Load()
-	return answeredAt != 0 && now.UnixNano()-answeredAt < int64(leaseLife(d.edge.settings.Bounds.Lease))
+	answeredAt := d.lastAnswerAt()
+	return answeredAt.After(d.eraEnteredAt) && now.Sub(answeredAt) < leaseLife(d.edge.settings.Bounds.Lease)
 }
 
 // fetchUsage requests the usage counts of all cells from their hubs.
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -42,6 +42,27 @@
 
 func (s storeServer) address() string { return strings.TrimPrefix(s.URL, "http://") }
 
+// cloudServer serves a stand-in of the platform's cloud API on an address.
+type cloudServer struct {
+	*platformtest.Cloud
+	*httptest.Server
+}
+
+func newCloud(t *testing.T) cloudServer {
+	cloud := platformtest.NewCloud()
+	server := httptest.NewServer(cloud)
+	t.Cleanup(server.Close)
+	return cloudServer{cloud, server}
+}
+
+// reportingSettings returns the settings of a node that reports usage after short windows.
+func (c cloudServer) reportingSettings(t *testing.T, name string, store storeServer) platform.Settings {
+	s := settings(t, name, store.address())
+	s.CloudAddress, s.Duties = strings.TrimPrefix(c.URL, "http://"), []string{platform.DutyUsage}
+	s.Bounds.UsageWindow, s.Bounds.UsageDelay, s.Bounds.Lease = 2*time.Second, 400*time.Millisecond, 200*time.Millisecond
+	return s
+}
+
 func (s storeServer) configure(version int, key string) {
 	s.PublishConfig(fmt.Appendf(nil, configText, version, key))
 }
@@ -251,17 +272,10 @@
 // The counts of a window must be the same whichever node reports it, even if the log has deleted
 // the report and every node that had the counts is gone.
 func TestReportOutlivesTheLogAndAllNodes(t *testing.T) {
-	store, cloud := newStore(t), platformtest.NewCloud()
-	cloudServer := httptest.NewServer(cloud)
-	t.Cleanup(cloudServer.Close)
+	store, cloud := newStore(t), newCloud(t)
 	store.configure(1, "k")
 	store.register("i-1", upstream(t, 0))
-	quick := func(name string) platform.Settings {
-		s := settings(t, name, store.address())
-		s.CloudAddress, s.Duties = strings.TrimPrefix(cloudServer.URL, "http://"), []string{platform.DutyUsage}
-		s.Bounds.UsageWindow, s.Bounds.UsageDelay, s.Bounds.Lease = 2*time.Second, 400*time.Millisecond, 200*time.Millisecond
-		return s
-	}
+	quick := func(name string) platform.Settings { return cloud.reportingSettings(t, name, store) }
 	first, stop := start(t, quick("n1"))
 	require.Eventually(t, func() bool { return ready(first) }, eventually, 20*time.Millisecond)
 	require.Eventually(t, func() bool {
--- a/edge/feed.go
+++ b/edge/feed.go
@@ -146,8 +146,11 @@
 	f.lastCall = storeCall{call: callRead, from: from}
 	page, err := f.edge.store.Read(ctx, f.topic, from, f.readWait(), f.timeout.current(f.currentBound(), time.Now()))
 	if err == nil || errors.Is(err, platform.ErrTrimmed) {
-		if isRestored, err := f.enterEra(page.Era); isRestored || err != nil {
+		switch isRestored, err := f.enterEra(page.Era); {
+		case err != nil:
 			return err
+		case isRestored:
+			return f.readOnce(ctx)
 		}
 	}
 	if errors.Is(err, platform.ErrTrimmed) {
--- a/edge/restore_test.go
+++ b/edge/restore_test.go
@@ -75,3 +75,22 @@
 	require.False(t, isRestored)
 	require.Equal(t, int64(7), f.cursor.next)
 }
+
+// Guards against a fencing token that two holders use: the claim of the first is gone, and the store gives
+// out its offset again.
+func TestFencingTokenComesTwiceWhenStoreIsRestored(t *testing.T) {
+	store, cloud := newStore(t), newCloud(t)
+	copied := time.Now()
+	store.configure(1, "k")
+	for _, name := range []string{"n1", "n2", "n3"} {
+		e, stop := start(t, cloud.reportingSettings(t, name, store))
+		calls := cloud.Calls()
+		require.Eventually(t, func() bool { return cloud.Calls() > calls }, eventually, 5*time.Millisecond)
+		stop()
+		store.restore(copied, 0, func([]platformtest.Lost) { store.configure(1, "k") })
+		require.Equal(t, int64(1), version(e))
+	}
+	for _, violation := range cloud.Violations() {
+		require.NotContains(t, violation, "both used")
+	}
+}
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -29,12 +29,19 @@
 	}
 }
 
+// maxUnwitnessedTTLs bounds how long a holder may have read nothing and still know that nobody else
+// has claimed its duty, in lifetimes of a lease.
+const maxUnwitnessedTTLs = 2
+
 // Grant is the right to act on a duty.
 type Grant struct {
-	// Fence is the fencing number.
+	// Fence is the fencing token.
 	Fence int64
 	// Until is when the holder stops acting, by its own clock.
 	Until time.Time
+	// Resumed is set if this holder also held the duty when the log came back from an older copy, and
+	// nobody else has held it since.
+	Resumed bool
 }
 
 // attempt is an append whose record has not been read back yet.
@@ -48,6 +55,12 @@
 	pending []attempt
 	grant   Grant
 	held    bool
+	// claim is the offset of the claim of the grant, renewedAt when the last record that extended it was
+	// written.
+	claim     int64
+	renewedAt time.Time
+	// resumes is set while the holder, which held the duty in the era before, claims it again.
+	resumes bool
 	// claimAfter delays the claim of a free duty; zero when no claim is scheduled.
 	claimAfter time.Time
 	renewAt    time.Time
@@ -91,18 +104,48 @@
 	if d.held && (lease.Fence != d.grant.Fence || lease.Holder == "") {
 		d.held = false
 	}
+	if lease.Era == h.table.era && !h.isSelf(lease) {
+		d.resumes = false
+	}
 	started, isOwn := d.takePending(record.Attempt)
 	if !isOwn || !granted || record.Release || h.stopped {
 		return
 	}
-	until := started.Add(h.timing.TTL - h.timing.Margin)
-	if !d.held || until.After(d.grant.Until) {
-		d.grant = Grant{Fence: lease.Fence, Until: until}
+	if record.Fence == NoOffset {
+		d.claim, d.grant = offset, Grant{Fence: lease.Fence, Resumed: d.resumes}
+		d.resumes = false
+	}
+	if until := started.Add(h.timing.TTL - h.timing.Margin); until.After(d.grant.Until) {
+		d.grant.Until, d.renewedAt = until, started
 	}
 	d.held = true
 	d.renewAt = started.Add(h.timing.RenewInterval)
 }
 
+// isSelf reports whether a lease was granted to this holder.
+func (h *Holder) isSelf(lease Lease) bool {
+	return lease.Holder == h.node && lease.Incarnation == h.incarnation
+}
+
+// EnterEra ends all grants when the log has come back from an older copy, in a higher era: their claims
+// may be gone. A duty that this holder held to the end of the era before is claimed again without a wait.
+// silentFor is the time since the stream was last read in that era, awake whether this holder has run
+// without a pause since.
+func (h *Holder) EnterEra(era int64, now time.Time, silentFor time.Duration, awake bool) {
+	if era <= h.table.era {
+		return
+	}
+	isNext := era == h.table.era+1
+	witnessed := awake && silentFor <= maxUnwitnessedTTLs*h.timing.TTL
+	for name, d := range h.duties {
+		// Another node could claim the duty only a TTL after it had read the last renewal.
+		leased := h.isSelf(h.table.Lease(name)) && (witnessed || now.Before(d.renewedAt.Add(h.timing.TTL)))
+		d.resumes = isNext && (leased || (d.resumes && witnessed))
+		d.held, d.pending, d.claimAfter = false, nil, time.Time{}
+	}
+	h.table.enterEra(era, now, h.timing.TTL)
+}
+
 // takePending removes a pending append and returns its start time.
 func (d *duty) takePending(id string) (time.Time, bool) {
 	for i, pending := range d.pending {
@@ -124,11 +167,11 @@
 	for _, name := range h.names {
 		d := h.duties[name]
 		d.dropPending(now.Add(-h.timing.TTL))
-		fence, due := h.due(name, d, now, jitter)
+		claim, due := h.due(name, d, now, jitter)
 		if !due {
 			continue
 		}
-		records = append(records, h.record(name, fence, newID(), false))
+		records = append(records, h.record(name, claim, newID(), false))
 		d.pending = append(d.pending, attempt{id: records[len(records)-1].Attempt, startedAt: now})
 		d.renewAt = now.Add(h.timing.RenewInterval)
 		d.claimAfter = time.Time{}
@@ -136,17 +179,20 @@
 	return records
 }
 
-// due reports whether a claim or renewal of a duty is to be appended now, and its fencing
-// number.
+// due reports whether a claim or renewal of a duty is to be appended now, and the offset of the claim
+// that is renewed.
 func (h *Holder) due(name string, d *duty, now time.Time, jitter func(time.Duration) time.Duration) (int64, bool) {
 	if d.held && now.Before(d.grant.Until) {
-		return d.grant.Fence, !now.Before(d.renewAt)
+		return d.claim, !now.Before(d.renewAt)
 	}
 	d.held = false
-	if len(d.pending) > 0 || !h.table.Claimable(name, now) {
+	if len(d.pending) > 0 || !(d.resumes || h.table.Claimable(name, now)) {
 		d.claimAfter = time.Time{}
 		return NoOffset, false
 	}
+	if d.resumes {
+		return NoOffset, true
+	}
 	if d.claimAfter.IsZero() {
 		d.claimAfter = now.Add(jitter(h.timing.ClaimJitter))
 	}
@@ -176,7 +222,7 @@
 	for _, name := range h.names {
 		d := h.duties[name]
 		if d.held && now.Before(d.grant.Until) {
-			records = append(records, h.record(name, d.grant.Fence, newID(), true))
+			records = append(records, h.record(name, d.claim, newID(), true))
 		}
 		d.held = false
 	}
@@ -184,14 +230,15 @@
 	return records
 }
 
-func (h *Holder) record(name string, fence int64, id string, release bool) api.LeaseRecord {
+func (h *Holder) record(name string, claim int64, id string, release bool) api.LeaseRecord {
 	return api.LeaseRecord{
 		Name:        name,
 		Holder:      h.node,
 		Incarnation: h.incarnation,
 		Attempt:     id,
 		TTLMS:       h.timing.TTL.Milliseconds(),
-		Fence:       fence,
+		Era:         h.table.era,
+		Fence:       claim,
 		Previous:    h.table.LastOffset(),
 		Release:     release,
 	}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -1,6 +1,7 @@
 package lease_test
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -22,16 +23,30 @@
 	holders []*lease.Holder
 	read    []int
 	ids     int
+	// era of the log, answeredAt when each node last read it.
+	era        int64
+	answeredAt []time.Time
 }
 
 func newCluster(nodes int) *cluster {
-	c := &cluster{now: time.Unix(1000, 0), read: make([]int, nodes)}
+	c := &cluster{now: time.Unix(1000, 0), read: make([]int, nodes), holders: make([]*lease.Holder, nodes), answeredAt: make([]time.Time, nodes)}
 	for i := range nodes {
-		c.holders = append(c.holders, lease.NewHolder("node-"+strconv.Itoa(i), "1", lease.DefaultTiming(), duty))
+		c.restart(i)
 	}
 	return c
 }
 
+func (c *cluster) restart(node int) {
+	c.holders[node] = lease.NewHolder("node-"+strconv.Itoa(node), c.id(), lease.DefaultTiming(), duty)
+	c.read[node] = 0
+}
+
+// restore puts the log back to its first records, in a new era.
+func (c *cluster) restore(records int) {
+	c.era++
+	c.log = slices.Clone(c.log[:records])
+}
+
 func (c *cluster) id() string {
 	c.ids++
 	return strconv.Itoa(c.ids)
@@ -46,7 +61,15 @@
 
 func (c *cluster) appendRecords(records []api.LeaseRecord) { c.log = append(c.log, records...) }
 
-func (c *cluster) readAll(node int) {
+func (c *cluster) readAll(node int) { c.readAwake(node, true) }
+
+// readAwake reads the log with a node that has been awake since its last read, or has not.
+func (c *cluster) readAwake(node int, awake bool) {
+	if holder := c.holders[node]; holder.Table().Era() < c.era {
+		holder.EnterEra(c.era, c.now, c.now.Sub(c.answeredAt[node]), awake)
+		c.read[node] = 0
+	}
+	c.answeredAt[node] = c.now
 	for ; c.read[node] < len(c.log); c.read[node]++ {
 		c.holders[node].Apply(int64(c.read[node]), c.log[c.read[node]], c.now)
 	}
@@ -174,6 +197,128 @@
 	})
 }
 
+// Guards against two holders that use one fencing token after the log came back from an older copy, with
+// appends that were under way, lagging reads, pauses and restarts.
+func TestNoTwoHoldersUseOneToken(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const nodes = 3
+		c := newCluster(nodes)
+		c.era = int64(rapid.IntRange(0, 1).Draw(t, "first era"))
+		usedBy := map[int64]*lease.Holder{}
+		var inFlight []api.LeaseRecord
+		for range rapid.IntRange(20, 150).Draw(t, "steps") {
+			node := rapid.IntRange(0, nodes-1).Draw(t, "node")
+			switch rapid.IntRange(0, 6).Draw(t, "action") {
+			case 0:
+				inFlight = append(inFlight, c.plan(node)...)
+			case 1:
+				c.readAwake(node, rapid.Bool().Draw(t, "awake"))
+			case 2:
+				c.now = c.now.Add(time.Duration(rapid.IntRange(100, 9000).Draw(t, "ms")) * time.Millisecond)
+			case 3:
+				if len(inFlight) > 0 {
+					i := rapid.IntRange(0, len(inFlight)-1).Draw(t, "flying")
+					c.appendRecords(inFlight[i : i+1])
+					inFlight = append(inFlight[:i:i], inFlight[i+1:]...)
+				}
+			case 4:
+				c.step(node)
+			case 5:
+				c.restore(rapid.IntRange(0, len(c.log)).Draw(t, "kept"))
+			case 6:
+				c.restart(node)
+			}
+			for i, holder := range c.holders {
+				token, ok := c.heldFence(i)
+				if known := usedBy[token]; ok && known != nil && known != holder {
+					t.Fatalf("node %d uses token %d of another holder", i, token)
+				}
+				if ok {
+					usedBy[token] = holder
+				}
+			}
+		}
+	})
+}
+
+// Guards against a token that falls: the platform would refuse the holder for good.
+func TestTokenRisesWhenTheLogGoesBack(t *testing.T) {
+	c := newCluster(2)
+	c.era = 1
+	c.appendRecords(make([]api.LeaseRecord, 40))
+	c.step(0)
+	before, held := c.heldFence(0)
+	require.True(t, held)
+	c.restore(0)
+	c.restart(0)
+	c.now = c.now.Add(lease.DefaultTiming().TTL)
+	c.step(1)
+	after, held := c.heldFence(1)
+	require.True(t, held)
+	require.Greater(t, after, before)
+}
+
+// Guards against a duty that a node of a build without eras keeps, though its tokens are refused, and
+// against renewals that such a node does not understand.
+func TestNodeWithoutErasDoesNotKeepTheDuty(t *testing.T) {
+	c := newCluster(1)
+	c.era = 1
+	c.step(0)
+	c.now = c.now.Add(lease.DefaultTiming().RenewInterval)
+	renewal := c.plan(0)
+	require.Len(t, renewal, 1)
+	require.Equal(t, int64(0), renewal[0].Fence, "the offset of the claim")
+	c.appendRecords(c.holders[0].Stop(c.now, c.id))
+	c.restart(0)
+	claim := api.LeaseRecord{Name: duty, Holder: "old", Incarnation: "1", Attempt: "x", TTLMS: 15_000, Fence: lease.NoOffset, Previous: 9}
+	c.appendRecords([]api.LeaseRecord{claim})
+	c.step(0)
+	_, held := c.heldFence(0)
+	require.True(t, held)
+}
+
+func TestHolderGoesOnWhenTheLogGoesBack(t *testing.T) {
+	ttl := lease.DefaultTiming().TTL
+	for name, test := range map[string]struct {
+		away    time.Duration
+		asleep  bool
+		eras    int
+		claimed bool
+		resumes bool
+	}{
+		"at once":                            {away: time.Second, resumes: true},
+		"after its grant has ended":          {away: ttl + time.Second, resumes: true},
+		"asleep, but for less than a lease":  {away: time.Second, asleep: true, resumes: true},
+		"asleep for longer than a lease":     {away: ttl + time.Second, asleep: true},
+		"away for longer than it can vouch":  {away: 3 * ttl},
+		"two restores of which it knows one": {away: time.Second, eras: 1},
+		"another node was faster":            {away: time.Second, claimed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(2)
+			c.era = 1
+			c.step(0)
+			c.readAll(1)
+			c.restore(0)
+			c.era += int64(test.eras)
+			if test.claimed {
+				c.restart(1)
+				c.step(1)
+			}
+			c.now = c.now.Add(test.away)
+			c.readAwake(0, !test.asleep)
+			_, held := c.heldFence(0)
+			require.False(t, held, "the claim is gone")
+			c.step(1)
+			_, taken := c.heldFence(1)
+			require.Equal(t, test.claimed, taken, "others wait")
+			c.step(0)
+			grant := c.holders[0].Held(c.now)[duty]
+			require.Equal(t, test.resumes, grant.Resumed)
+		})
+	}
+}
+
 func TestHolderStopsOnceItReadsThatItWasSuperseded(t *testing.T) {
 	c := newCluster(1)
 	c.step(0)
