lease, edge: a holder whose token is refused gives up the lease

Cause: a holder that got 409 stopped its work but went on renewing its lease, so that no other node could claim the duties, and it kept the token that was refused.

Evidence: TestRefusedHolderBlocksTheDuties failed on: no report within 30 s.

Fix: the holder releases the lease.

--- a/edge/duties.go
+++ b/edge/duties.go
@@ -57,8 +57,8 @@
 	// dutiesFeed reads the topic of duties; nil before the node starts.
 	dutiesFeed *feed
 	demand     map[string]*scaling.Demand
-	// fence is the current fencing token, rejectedFence the last one that was rejected.
-	fence, rejectedFence int64
+	// fence is the current fencing token.
+	fence int64
 	// eraEnteredAt is when the store last came back from an older copy, as far as this node knows.
 	eraEnteredAt time.Time
 	// leaseHeld is set while this node holds the lease; the topic's feed reads it.
@@ -84,7 +84,7 @@
 	timing := lease.Timing{TTL: life, Margin: life / 3, RenewInterval: life / renewalsPerLease, ClaimJitter: life / 10}
 	return &duties{
 		edge: e, control: c, holder: lease.NewHolder(e.settings.Name, e.incarnation, timing, dutyName),
-		reports: newReports(e, c), orders: map[orderKey]order{}, demand: map[string]*scaling.Demand{}, rejectedFence: lease.NoOffset, fence: lease.NoOffset,
+		reports: newReports(e, c), orders: map[orderKey]order{}, demand: map[string]*scaling.Demand{}, fence: lease.NoOffset,
 	}
 }
 
@@ -193,7 +193,7 @@
 	for _, record := range records {
 		d.appendRecord(api.EdgeRecord{Lease: &api.EdgeLease{Record: record, Usage: d.allUsage()}})
 	}
-	if !held || grant.Fence == d.rejectedFence {
+	if !held {
 		return
 	}
 	if grant.Fence != d.fence {
@@ -257,13 +257,15 @@
 	}()
 }
 
-// fenced stops the duties under a fencing token that was rejected because another holder has a
+// fenced gives up the lease under a fencing token that the cloud API rejected because it has seen a
 // higher one.
-func (d *duties) fenced(fence int64) {
-	if d.rejectedFence != fence {
-		d.edge.logger.Warn().Int64("fence", fence).Msg("duties lost: a higher fencing token was seen")
+func (d *duties) fenced(fence int64, now time.Time) {
+	record, ok := d.holder.GiveUp(dutyName, fence, now, uuid.NewString)
+	if !ok {
+		return
 	}
-	d.rejectedFence = fence
+	d.edge.logger.Warn().Int64("fence", fence).Msg("duties lost: a higher fencing token was seen")
+	d.release(record)
 }
 
 // planEngines plans the engines of all scaled services and sends the resulting orders.
@@ -368,7 +370,7 @@
 				unavailable: errors.Is(err, platform.ErrNoEngineAvailable) || (err != nil && last.unavailable),
 			}
 			if errors.Is(err, platform.ErrFenced) {
-				d.fenced(holder.Fence)
+				d.fenced(holder.Fence, now)
 			}
 		})
 	}()
--- a/edge/reports.go
+++ b/edge/reports.go
@@ -161,14 +161,14 @@
 		err := r.edge.cloud.ReportUsage(ctx, holder, report.Window, report.Counts)
 		r.edge.logger.Info().Err(err).Int64("window", report.Window).Interface("counts", report.Counts).
 			Int64("fence", holder.Fence).Msg("usage reported")
-		r.control.post(ctx, func(time.Time) {
+		r.control.post(ctx, func(now time.Time) {
 			switch {
 			case err == nil:
 				r.accepted[report.Window] = true
 				delete(r.accepted, report.Window-2*lateUsageWindows)
 				delete(r.sentAt, report.Window-2*lateUsageWindows)
 			case errors.Is(err, platform.ErrFenced):
-				r.control.duties.fenced(holder.Fence)
+				r.control.duties.fenced(holder.Fence, now)
 			}
 		})
 	}()
--- a/edge/restore_test.go
+++ b/edge/restore_test.go
@@ -94,3 +94,22 @@
 		require.NotContains(t, violation, "both used")
 	}
 }
+
+// Guards against a holder that keeps the lease although the cloud refuses its token: nobody performs the
+// duties any more.
+func TestRefusedHolderBlocksTheDuties(t *testing.T) {
+	store, cloud := newStore(t), newCloud(t)
+	store.configure(1, "k")
+	s := cloud.reportingSettings(t, "n1", store)
+	s.Bounds.Lease = time.Second
+	e, _ := start(t, s)
+	isHeld := func() bool { return e.control.duties.leaseHeld.Load() }
+	require.Eventually(t, isHeld, eventually, 5*time.Millisecond)
+	fence, _ := query(e.ctx, e.control, func(time.Time) int64 { return e.control.duties.fence })
+	cloud.SetFence("/usage", fence+2)
+	window := e.usage.Window(time.Now())
+	require.Eventually(t, func() bool { return cloud.Reports(window) != nil }, eventually, 20*time.Millisecond)
+	for token, calls := range cloud.Refusals() {
+		require.LessOrEqual(t, calls, lateUsageWindows, "token %d", token)
+	}
+}
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -59,6 +59,8 @@
 	// written.
 	claim     int64
 	renewedAt time.Time
+	// claimsFrom is when this holder may claim the duty again after it gave it up.
+	claimsFrom time.Time
 	// resumes is set while the holder, which held the duty in the era before, claims it again.
 	resumes bool
 	// claimAfter delays the claim of a free duty; zero when no claim is scheduled.
@@ -186,7 +188,7 @@
 		return d.claim, !now.Before(d.renewAt)
 	}
 	d.held = false
-	if len(d.pending) > 0 || !(d.resumes || h.table.Claimable(name, now)) {
+	if len(d.pending) > 0 || now.Before(d.claimsFrom) || !(d.resumes || h.table.Claimable(name, now)) {
 		d.claimAfter = time.Time{}
 		return NoOffset, false
 	}
@@ -216,6 +218,18 @@
 	return held
 }
 
+// GiveUp ends the grant with a fencing token that was refused, and returns the record that releases it;
+// ok is false if no such grant is in force. Other nodes may claim the duty at once, this holder after a TTL:
+// its next claim has a higher token.
+func (h *Holder) GiveUp(name string, fence int64, now time.Time, newID func() string) (record api.LeaseRecord, ok bool) {
+	d := h.duties[name]
+	if !d.held || d.grant.Fence != fence {
+		return api.LeaseRecord{}, false
+	}
+	d.held, d.pending, d.claimsFrom = false, nil, now.Add(h.timing.TTL)
+	return h.record(name, d.claim, newID(), true), true
+}
+
 // Stop ends all grants immediately and returns the records that release them.
 func (h *Holder) Stop(now time.Time, newID func() string) []api.LeaseRecord {
 	var records []api.LeaseRecord
