edge: windows that may have been reported before a restore are left out

Cause: the counts of a window are fixed by a record before they are sent. The restore takes the newest of these records away. A holder without memory took such a window for an open one, and fixed what was left of its counts.

Fix: the record names the era in which it was written, and lease records name when a node first saw the era. A holder that finds a record of an earlier era, or none, leaves out the windows that had ended when the era began: a report may have been made with counts that are lost. Later windows can't have been fixed before. A holder that was the only one through the restore knows what it fixed, and goes on with that. Restarts in one era leave nothing out. An append that is answered in another era doesn't count as a fixed window.

--- a/api/edge_gen.go
+++ b/api/edge_gen.go
@@ -125,6 +125,10 @@
 
 // EdgeLease is a lease record with the usage counts that its writer has.
 type EdgeLease struct {
+	// EraSeenMS is when a node first saw the era of the record, in Unix milliseconds;
+	// 0 if unknown.
+	EraSeenMS int64 `json:"era_seen_ms,omitempty,omitzero"`
+
 	// Record of the lease.
 	Record LeaseRecord `json:"record"`
 
@@ -429,6 +433,10 @@
 // FixedUsage holds the reports of the newest windows, oldest first, as they were
 // or will be sent.
 type FixedUsage struct {
+	// Era of the store as of the newest report; 0 if it has none, or if the writer
+	// knows none.
+	Era int64 `json:"era,omitempty,omitzero"`
+
 	// Reports of windows in order.
 	Reports []UsageReport `json:"reports"`
 }
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -61,6 +61,9 @@
 	fence int64
 	// eraEnteredAt is when the store last came back from an older copy, as far as this node knows.
 	eraEnteredAt time.Time
+	// eraSeenAt is when a node first saw the era of the lease's topic, by the monotonic clock; zero if the
+	// store has no eras.
+	eraSeenAt time.Time
 	// leaseHeld is set while this node holds the lease; the topic's feed reads it.
 	leaseHeld atomic.Bool
 }
@@ -124,9 +127,12 @@
 // enterEra gives up the duties when the store has come back from an older copy; the lease is claimed
 // anew.
 func (d *duties) enterEra(era int64, now time.Time) {
-	if known := d.holder.Table().Era(); era <= known {
+	known := d.holder.Table().Era()
+	if era <= known {
 		return
-	} else if known != 0 {
+	}
+	d.eraSeenAt = now
+	if known != 0 {
 		d.eraEnteredAt = now
 	}
 	stalled := d.control.recentlyStalled(now)
@@ -169,9 +175,29 @@
 			d.edge.logger.Info().Str("holder", after.Holder).Int64("fence", after.Fence).Int64("offset", offset).Msg("duty holder changed")
 		}
 		d.edge.mergeUsage(record.Lease.Usage)
+		d.observeEraSeen(record.Lease, now)
 	}
 }
 
+// observeEraSeen applies when the writer of a record knew that the era had begun.
+func (d *duties) observeEraSeen(written *api.EdgeLease, now time.Time) {
+	if written.EraSeenMS == 0 || written.Record.Era != d.holder.Table().Era() {
+		return
+	}
+	if at := now.Add(-d.edge.clock.now().Sub(time.UnixMilli(written.EraSeenMS))); at.Before(d.eraSeenAt) {
+		d.eraSeenAt = at
+	}
+}
+
+// eraBegan returns the estimated wall-clock time by which the store's era had begun; zero if the store has
+// no eras.
+func (d *duties) eraBegan() time.Time {
+	if d.eraSeenAt.IsZero() {
+		return time.Time{}
+	}
+	return d.edge.clock.now().Add(-d.edge.clock.monotonic().Sub(d.eraSeenAt))
+}
+
 // markGap forbids claims for the life of a lease if records below an offset were deleted unread: one of
 // them may be the claim of a live holder.
 func (d *duties) markGap(below int64, now time.Time) {
@@ -191,7 +217,7 @@
 	}
 	records := d.holder.Plan(now, uuid.NewString, rand.N[time.Duration])
 	for _, record := range records {
-		d.appendRecord(api.EdgeRecord{Lease: &api.EdgeLease{Record: record, Usage: d.allUsage()}})
+		d.appendLease(record)
 	}
 	if !held {
 		return
@@ -199,8 +225,8 @@
 	if grant.Fence != d.fence {
 		d.fence = grant.Fence
 		clear(d.orders)
-		d.reports.start(grant.Fence)
-		d.edge.logger.Info().Int64("fence", grant.Fence).Msg("duties acquired")
+		d.reports.start(grant)
+		d.edge.logger.Info().Int64("fence", grant.Fence).Bool("resumed", grant.Resumed).Msg("duties acquired")
 	}
 	if d.edge.hasDuty(platform.DutyUsage) {
 		d.fetchUsage(now)
@@ -242,9 +268,13 @@
 	return d.control.allUsage(usageWindowsFetched)
 }
 
-// appendRecord writes a record to the topic of duties in the background.
-func (d *duties) appendRecord(record api.EdgeRecord) {
-	raw, err := json.Marshal(record)
+// appendLease writes a lease record with the usage counts to the topic of duties in the background.
+func (d *duties) appendLease(record api.LeaseRecord) {
+	written := api.EdgeLease{Record: record, Usage: d.allUsage()}
+	if began := d.eraBegan(); !began.IsZero() {
+		written.EraSeenMS = began.UnixMilli()
+	}
+	raw, err := json.Marshal(api.EdgeRecord{Lease: &written})
 	if err != nil {
 		d.edge.logger.Error().Err(err).Msg("lease record not encoded")
 		return
@@ -265,7 +295,7 @@
 		return
 	}
 	d.edge.logger.Warn().Int64("fence", fence).Msg("duties lost: a higher fencing token was seen")
-	d.release(record)
+	d.appendLease(record)
 }
 
 // planEngines plans the engines of all scaled services and sends the resulting orders.
@@ -378,8 +408,3 @@
 
 // stop returns the records that release the lease.
 func (d *duties) stop(now time.Time) []api.LeaseRecord { return d.holder.Stop(now, uuid.NewString) }
-
-// release writes that the lease is released, so that another node can take over at once.
-func (d *duties) release(record api.LeaseRecord) {
-	d.appendRecord(api.EdgeRecord{Lease: &api.EdgeLease{Record: record, Usage: d.allUsage()}})
-}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -237,7 +237,7 @@
 	signalAge, _ := query(e.ctx, e.control, func(now time.Time) time.Duration {
 		e.control.draining = true
 		for _, record := range e.control.duties.stop(now) {
-			e.control.duties.release(record)
+			e.control.duties.appendLease(record)
 		}
 		e.control.publish(now)
 		e.peers.wake()
--- a/edge/reports.go
+++ b/edge/reports.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/persimmonline/persimmonline/api"
+	"github.com/persimmonline/persimmonline/lease"
 	"github.com/persimmonline/persimmonline/platform"
 )
 
@@ -28,17 +30,30 @@
 // errLagging means that the newest records do not reach the end of their topic.
 var errLagging = errors.New("newest records lag behind the end of their topic")
 
+// errOtherEra means that a record was written after the store had come back from an older copy.
+var errOtherEra = errors.New("record written in another era of the store")
+
 // reports sends the usage of each window. The counts of a window are fixed in the store before
 // they are sent, by a conditional append that fails if another holder has written in the
 // meantime, so that all holders send the same counts. The control loop owns it.
+//
+// When the store has come back from an older copy, the newest records may be gone. A holder that has
+// been the only one all the while still knows them. Any other can't tell an open window from one that was
+// reported with counts which are lost, and leaves out what ended before the store came back.
 type reports struct {
 	edge    *Edge
 	control *control
 	fence   int64
-	// loaded is set while fixed and end match the content of the store.
+	// loaded is set while fixed, era and end match the content of the store.
 	loaded bool
 	// fixed are the reports of the newest windows, oldest first.
 	fixed []api.UsageReport
+	// complete is set while fixed has all that was fixed.
+	complete bool
+	// firstOpen is the first window that is known not to be fixed unless fixed has it.
+	firstOpen int64
+	// era of the store that end belongs to.
+	era int64
 	// end is the offset after the topic's last record.
 	end int64
 	// callInFlight is set while a call to the store is under way.
@@ -52,9 +67,10 @@
 	return &reports{edge: e, control: c, accepted: map[int64]bool{}, sentAt: map[int64]time.Time{}}
 }
 
-// start begins reporting under a new fencing token.
-func (r *reports) start(fence int64) {
-	r.fence, r.loaded = fence, false
+// start begins reporting under a new grant.
+func (r *reports) start(grant lease.Grant) {
+	r.fence, r.loaded = grant.Fence, false
+	r.complete = r.complete && grant.Resumed
 	clear(r.accepted)
 	clear(r.sentAt)
 }
@@ -97,15 +113,45 @@
 				return nil, fmt.Errorf("decode usage reports: %w", err)
 			}
 		}
-		return func() { r.fixed, r.end, r.loaded = fixed.Reports, newest.End, true }, nil
+		return func() { r.adopt(fixed, newest.Era, newest.End) }, nil
 	})
 }
 
+// adopt applies the newest record of the topic, in an era that ends at an offset.
+func (r *reports) adopt(stored api.FixedUsage, era, end int64) {
+	switch {
+	case stored.Era == era:
+		r.fixed = stored.Reports
+	case r.complete:
+		r.fixed = mergeReports(stored.Reports, r.fixed)
+	default:
+		r.fixed, r.firstOpen = nil, r.edge.usage.Window(cmp.Or(r.control.duties.eraBegan(), r.edge.clock.now()))
+		if last := len(stored.Reports) - 1; last >= 0 {
+			r.firstOpen = max(r.firstOpen, stored.Reports[last].Window+1)
+		}
+		r.edge.logger.Warn().Int64("before", r.firstOpen).Int64("era", era).Int64("record_era", stored.Era).
+			Msg("usage windows left out: they may have been reported before the store came back from an older copy")
+	}
+	r.loaded, r.complete, r.era, r.end = true, true, era, end
+}
+
+// mergeReports returns the reports of all windows in order; those of known replace stored ones.
+func mergeReports(stored, known []api.UsageReport) []api.UsageReport {
+	merged := slices.Clone(known)
+	for _, report := range stored {
+		if !slices.ContainsFunc(known, func(k api.UsageReport) bool { return k.Window == report.Window }) {
+			merged = append(merged, report)
+		}
+	}
+	slices.SortFunc(merged, func(a, b api.UsageReport) int { return cmp.Compare(a.Window, b.Window) })
+	return merged
+}
+
 // fixNext fixes the counts of the next window that has ended, if there is one.
 func (r *reports) fixNext() {
 	settle := time.Duration(usageSettleShare * float64(r.edge.settings.Bounds.UsageDelay))
 	ended := r.edge.usage.Window(r.edge.clock.now().Add(-settle)) - 1
-	window := max(ended-lateUsageWindows+1, r.edge.firstWindow)
+	window := max(ended-lateUsageWindows+1, r.edge.firstWindow, r.firstOpen)
 	if len(r.fixed) > 0 {
 		window = max(window, r.fixed[len(r.fixed)-1].Window+1)
 	}
@@ -115,25 +161,29 @@
 	report := api.UsageReport{Window: window}
 	r.edge.withUsage(func() { report.Counts = r.edge.usage.Total(window) })
 	fixed := append(slices.Clone(r.fixed[max(0, len(r.fixed)-lateUsageWindows+1):]), report)
-	raw, err := json.Marshal(api.FixedUsage{Reports: fixed})
+	era, end := r.era, r.end
+	raw, err := json.Marshal(api.FixedUsage{Reports: fixed, Era: era})
 	if err != nil {
 		r.edge.logger.Error().Err(err).Int64("window", window).Msg("usage report not encoded")
 		return
 	}
-	end := r.end
 	r.call(func(ctx context.Context) (func(), error) {
 		position, err := r.edge.store.Append(ctx, topicUsage, [][]byte{platform.EncodeKeyed(keyUsage, raw)}, end)
 		if err != nil {
 			return nil, err
 		}
+		if position.Era != era {
+			return nil, fmt.Errorf("fix usage of window %d in era %d, answer of era %d: %w", window, era, position.Era, errOtherEra)
+		}
 		return func() { r.fixed, r.end = fixed, position.Offset+1 }, nil
 	})
 }
 
-// call makes one call to the store; done runs in the control loop. After a failed call the content
-// of the store is unknown and must be loaded again.
+// call makes one call to the store; done runs in the control loop. After a failed call, or one under
+// another grant, the content of the store is unknown and must be loaded again.
 func (r *reports) call(call func(ctx context.Context) (done func(), err error)) {
 	r.callInFlight = true
+	fence := r.fence
 	ctx := r.edge.ctx
 	go func() {
 		done, err := call(ctx)
@@ -143,7 +193,7 @@
 		}
 		r.control.post(ctx, func(time.Time) {
 			r.callInFlight = false
-			if err != nil {
+			if err != nil || fence != r.fence {
 				r.loaded = false
 				return
 			}
--- a/edge/restore_test.go
+++ b/edge/restore_test.go
@@ -22,6 +22,7 @@
 // Guards against a position that is kept when its offset is given out again: the topic ends where the node
 // waits, and a record that it skipped revokes a key.
 func TestRevokedKeyIsServedAfterStoreIsRestored(t *testing.T) {
+	t.Parallel()
 	store := newStore(t)
 	store.register("i-1", upstream(t, 0))
 	store.configure(1, "k")
@@ -39,6 +40,7 @@
 
 // Guards against engines that are dropped, or that are not learned of, after their entries went back.
 func TestUpstreamIsLostWhenStoreIsRestored(t *testing.T) {
+	t.Parallel()
 	store := newStore(t)
 	store.configure(1, "k")
 	e, _ := start(t, settings(t, "n1", store.address()))
@@ -79,6 +81,7 @@
 // Guards against a fencing token that two holders use: the claim of the first is gone, and the store gives
 // out its offset again.
 func TestFencingTokenComesTwiceWhenStoreIsRestored(t *testing.T) {
+	t.Parallel()
 	store, cloud := newStore(t), newCloud(t)
 	copied := time.Now()
 	store.configure(1, "k")
@@ -98,6 +101,7 @@
 // Guards against a holder that keeps the lease although the cloud refuses its token: nobody performs the
 // duties any more.
 func TestRefusedHolderBlocksTheDuties(t *testing.T) {
+	t.Parallel()
 	store, cloud := newStore(t), newCloud(t)
 	store.configure(1, "k")
 	s := cloud.reportingSettings(t, "n1", store)
@@ -113,3 +117,91 @@
 		require.LessOrEqual(t, calls, lateUsageWindows, "token %d", token)
 	}
 }
+
+// Guards against a window that is reported again with other counts: the record with those of before is gone,
+// and so are all nodes that knew them.
+func TestWindowIsReportedTwiceWhenStoreIsRestored(t *testing.T) {
+	t.Parallel()
+	for _, copied := range []string{"before the first report", "after the first report"} {
+		t.Run(copied, func(t *testing.T) {
+			t.Parallel()
+			store, cloud := newStore(t), newCloud(t)
+			store.configure(1, "k")
+			store.register("i-1", upstream(t, 0))
+			asOf := time.Now()
+			first, stop := start(t, cloud.reportingSettings(t, "n1", store))
+			reportNext(t, first, cloud)
+			if copied == "after the first report" {
+				asOf = time.Now()
+			}
+			reported := reportNext(t, first, cloud)
+			stop()
+			store.restore(asOf, 0, func([]platformtest.Lost) {})
+			second, _ := start(t, cloud.reportingSettings(t, "n2", store))
+			next := reportNext(t, second, cloud)
+			require.Greater(t, next, reported)
+			require.Empty(t, cloud.Violations())
+		})
+	}
+}
+
+// reportNext calls a node until a window is reported that began after now, and returns it.
+func reportNext(t *testing.T, e *Edge, cloud cloudServer) int64 {
+	window := e.usage.Window(time.Now()) + 1
+	require.Eventually(t, func() bool {
+		call(t, e, "k")
+		return cloud.Reports(window) != nil
+	}, eventually, 20*time.Millisecond)
+	return window
+}
+
+// Guards against reports that are left out although the holder of the duties lived through the restores.
+func TestRestoresLeaveNoWindowOut(t *testing.T) {
+	t.Parallel()
+	store, cloud := newStore(t), newCloud(t)
+	store.configure(1, "k")
+	store.register("i-1", upstream(t, 0))
+	var nodes []*Edge
+	for _, name := range []string{"n1", "n2", "n3"} {
+		s := cloud.reportingSettings(t, name, store)
+		s.Bounds.Lease = time.Second
+		e, _ := start(t, s)
+		nodes = append(nodes, e)
+	}
+	first := reportNext(t, nodes[0], cloud)
+	for i, away := range []time.Duration{50 * time.Millisecond, 1700 * time.Millisecond, 600 * time.Millisecond} {
+		store.restore(time.Now().Add(-time.Duration(i+1)*1500*time.Millisecond), away, func(lost []platformtest.Lost) {
+			for _, record := range lost {
+				store.Put(record.Topic, record.Key, record.Value)
+			}
+		})
+		time.Sleep(1200 * time.Millisecond)
+	}
+	last := reportNext(t, nodes[0], cloud)
+	for window := first; window <= last; window++ {
+		require.NotNil(t, cloud.Reports(window), "window %d of %d to %d", window, first, last)
+	}
+	require.Empty(t, cloud.Violations())
+}
+
+// Guards against reports that are left out after a loss of all nodes, when the store has lost nothing.
+func TestRestartsLeaveNoWindowOut(t *testing.T) {
+	t.Parallel()
+	store, cloud := newStore(t), newCloud(t)
+	store.configure(1, "k")
+	store.register("i-1", upstream(t, 0))
+	store.restore(time.Now(), 0, func([]platformtest.Lost) {})
+	var first, last int64
+	for i, name := range []string{"n1", "n2", "n3"} {
+		e, stop := start(t, cloud.reportingSettings(t, name, store))
+		last = reportNext(t, e, cloud)
+		if i == 0 {
+			first = last
+		}
+		stop()
+	}
+	for window := first; window <= last; window++ {
+		require.NotNil(t, cloud.Reports(window), "window %d of %d to %d", window, first, last)
+	}
+	require.Empty(t, cloud.Violations())
+}
