edge: the status of a rollout is written again after a restore

What callers saw: the operator did not find the status of a rollout that was complete or reverted, once the store had come back from an older copy.

Cause: a node that knew that the store had a status never wrote it again; whether it still had it was not checked when statuses were read.

Evidence: TestStatusOfARolloutIsLostWhenStoreIsRestored failed on: no status instead of complete.

Fix: each read of the statuses decides which of them the store has. A holder reads them under each new token, so also after each restore, and writes those that are missing.

--- a/edge/rollout_mesh_test.go
+++ b/edge/rollout_mesh_test.go
@@ -212,6 +212,17 @@
 	m.requireSettled("s", routing.OldGeneration)
 }
 
+// Guards against a status that stays lost after the store has come back from an older copy.
+func TestStatusOfARolloutIsLostWhenStoreIsRestored(t *testing.T) {
+	m := startRollout(t, 5, "n3", 10)
+	m.steps(99)
+	require.Equal(t, rollout.Complete, m.log.phase(t, "s"))
+	clear(m.log.records)
+	m.log.end, m.fence = 0, 2
+	m.steps(5)
+	require.Equal(t, rollout.Complete, m.log.phase(t, "s"))
+}
+
 // A version that turns bad while the store is down is reverted at the nodes, and in the store when it
 // is back, also by the next holder.
 func TestRevertWithoutTheStoreOutlivesTheHolder(t *testing.T) {
--- a/edge/rolloutdecider.go
+++ b/edge/rolloutdecider.go
@@ -300,6 +300,10 @@
 		}
 		return func(now time.Time) {
 			d.loaded, d.endKnown, d.end = true, true, newest.End
+			for _, state := range d.rollouts.byService {
+				// The store may have come back from an older copy.
+				state.written = false
+			}
 			for _, record := range newest.Records {
 				d.applyStatus(record, now)
 			}
@@ -335,7 +339,7 @@
 	switch {
 	case status.Phase.Final():
 		r.settle(state, status.Phase, true, "read from the store")
-	case state.phase == "":
+	case !state.phase.Final():
 		state.phase, state.written = rollout.Serving, true
 	}
 }
