edge: records that are written once are written again after a restore

What callers saw: a node whose record was gone was not found by nodes that started later, and a part of prompts that crashes engines reached them again after a restart of all nodes.

Cause: a node announces itself once, and writes a refused part once; the answer to that append counted for good. After a restore of the store the record is gone.

Fix: a node compares the era in which it announced itself with that of the store and announces itself again; in a new era it no longer counts refused parts as recorded.

--- a/edge/control.go
+++ b/edge/control.go
@@ -59,6 +59,8 @@
 	stallTicks = 4
 	// eventQueue is the capacity of the control loop's event queue.
 	eventQueue = 1024
+	// notAnnounced stands for no era.
+	notAnnounced = -1
 )
 
 // control owns the node's state. Only its goroutine changes it, and it publishes an immutable
@@ -73,8 +75,10 @@
 	rawConfig         []byte
 	// configConfirmedAt is when the store last confirmed that the configuration is the newest.
 	configConfirmedAt time.Time
-	// storeEra is the store's era as far as this loop knows; 0 if the store has named none.
+	// storeEra is the store's era as far as this loop knows, as platform.Store.Era returns it.
 	storeEra int64
+	// announcedEra is the era in which this node's record was written; notAnnounced while that is under way.
+	announcedEra int64
 	// newerVersion is the newer version that a peer last announced, at newerVersionAt.
 	newerVersion   int64
 	newerVersionAt time.Time
@@ -150,7 +154,7 @@
 
 func newControl(e *Edge) *control {
 	c := &control{
-		edge: e, events: make(chan event, eventQueue),
+		edge: e, events: make(chan event, eventQueue), storeEra: e.store.Era(), announcedEra: notAnnounced,
 		registry: fleet.NewRegistry(), peers: map[string]*peerState{}, suspectUntil: map[string]time.Time{}, leaving: leavingUpstreams{},
 		trackers: map[string]*routing.Tracker{}, holders: map[string]routing.Holder{}, cacheListsWanted: map[string]bool{}, keyByHash: map[uint32]string{}, nodesChanged: true,
 		gates: map[string]*pacing.Gate{}, removedGates: map[string]removedGate{}, gateClock: time.Now,
@@ -229,6 +233,7 @@
 	c.recentlyStalled(now)
 	c.lastTickAt = now
 	c.observeStoreEra(now)
+	c.renewAnnouncement()
 	c.handleChanges(c.registry.Tick(now))
 	for key, until := range c.suspectUntil {
 		if now.After(until) {
@@ -249,19 +254,30 @@
 	c.publishNow = true
 }
 
-// observeStoreEra takes note of the store's era.
+// observeStoreEra takes note of the store's era. When it rises, records may be gone and are written again.
 func (c *control) observeStoreEra(now time.Time) {
-	era := c.edge.store.Era()
-	if era <= c.storeEra {
+	known, era := c.storeEra, c.edge.store.Era()
+	if era <= known {
 		return
 	}
-	if c.storeEra != 0 {
-		c.edge.logger.Warn().Int64("era", era).Int64("known_era", c.storeEra).Str("dependency", "store").
-			Msg("store came back from an older copy")
-	}
 	c.storeEra = era
 	c.edge.metrics.storeEra.Set(float64(era))
 	c.duties.enterEra(era, now)
+	if known < 0 {
+		return
+	}
+	c.edge.logger.Warn().Int64("era", era).Int64("known_era", known).Str("dependency", "store").
+		Msg("store came back from an older copy")
+	clear(c.recordedTraits)
+}
+
+// renewAnnouncement announces this node again if the store has come back from an older copy since it did.
+func (c *control) renewAnnouncement() {
+	if c.announcedEra == notAnnounced || c.edge.store.Era() <= c.announcedEra {
+		return
+	}
+	c.announcedEra = notAnnounced
+	c.edge.task(c.edge.announce)
 }
 
 // recentlyStalled detects a stall, and reports whether this node was recently suspended or blocked, so
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -127,12 +127,12 @@
 // enterEra gives up the duties when the store has come back from an older copy; the lease is claimed
 // anew.
 func (d *duties) enterEra(era int64, now time.Time) {
-	known := d.holder.Table().Era()
-	if era <= known {
+	table := d.holder.Table()
+	if era <= table.Era() {
 		return
 	}
 	d.eraSeenAt = now
-	if known != 0 {
+	if table.Era() != 0 || table.LastOffset() != lease.NoOffset {
 		d.eraEnteredAt = now
 	}
 	stalled := d.control.recentlyStalled(now)
--- a/edge/feeds.go
+++ b/edge/feeds.go
@@ -230,8 +230,9 @@
 	}
 	record := platform.EncodeKeyed(e.settings.Name, value)
 	for ctx.Err() == nil {
-		_, err := e.store.Append(ctx, topicNodes, [][]byte{record}, -1)
+		position, err := e.store.Append(ctx, topicNodes, [][]byte{record}, -1)
 		if err == nil {
+			e.control.post(ctx, func(time.Time) { e.control.announcedEra = position.Era })
 			return
 		}
 		e.logger.Warn().Err(err).Msg("node record not written, retrying")
--- a/edge/restore_test.go
+++ b/edge/restore_test.go
@@ -19,6 +19,13 @@
 	s.SetFaults(platformtest.Faults{})
 }
 
+// writeAgain writes what the operator and the engines had written, as they do.
+func (s storeServer) writeAgain(lost []platformtest.Lost) {
+	for _, record := range lost {
+		s.Put(record.Topic, record.Key, record.Value)
+	}
+}
+
 // Guards against a position that is kept when its offset is given out again: the topic ends where the node
 // waits, and a record that it skipped revokes a key.
 func TestRevokedKeyIsServedAfterStoreIsRestored(t *testing.T) {
@@ -170,11 +177,7 @@
 	}
 	first := reportNext(t, nodes[0], cloud)
 	for i, away := range []time.Duration{50 * time.Millisecond, 1700 * time.Millisecond, 600 * time.Millisecond} {
-		store.restore(time.Now().Add(-time.Duration(i+1)*1500*time.Millisecond), away, func(lost []platformtest.Lost) {
-			for _, record := range lost {
-				store.Put(record.Topic, record.Key, record.Value)
-			}
-		})
+		store.restore(time.Now().Add(-time.Duration(i+1)*1500*time.Millisecond), away, store.writeAgain)
 		time.Sleep(1200 * time.Millisecond)
 	}
 	last := reportNext(t, nodes[0], cloud)
@@ -205,3 +208,34 @@
 	}
 	require.Empty(t, cloud.Violations())
 }
+
+// Guards against a node that new ones do not find, since its record is gone.
+func TestNodeIsForgottenWhenStoreIsRestored(t *testing.T) {
+	t.Parallel()
+	store := newStore(t)
+	copied := time.Now()
+	store.configure(1, "k")
+	start(t, settings(t, "n1", store.address()))
+	isKnown := func() bool { return store.Newest(topicNodes, "n1") != nil }
+	require.Eventually(t, isKnown, eventually, 5*time.Millisecond)
+	store.restore(copied, 0, func([]platformtest.Lost) {})
+	require.False(t, isKnown())
+	require.Eventually(t, isKnown, eventually, 5*time.Millisecond)
+}
+
+// Guards against a part that crashes engines and reaches them again after a restart of all nodes, since the
+// record of its refusal is gone.
+func TestRefusedPartIsForgottenWhenStoreIsRestored(t *testing.T) {
+	t.Parallel()
+	f := newCrashFleet(t, 3, 6)
+	copied := time.Now()
+	f.crashEngines()
+	time.Sleep(contactBound)
+	f.store.restore(copied, 0, f.store.writeAgain)
+	time.Sleep(time.Second)
+	f.stopNodes()
+	f.startNodes(3)
+	restarted := time.Now()
+	time.Sleep(contactBound)
+	require.LessOrEqual(t, f.badAfter(restarted), 1, "requests with the part reach engines again")
+}
