lease, edge: the last holder of the duties goes on reading them

What callers saw: nothing yet; found by reading. A holder that is no candidate for the duties any more, since nodes of higher rank are back, went on standby as soon as its lease had lapsed. In an outage of the store that ends in a restore it did not see the restore by itself, so that another node took over without knowing the reports, and left windows out.

Cause: standby asked for a lease in force, not for the last holder.

Fix: the last holder reads the topic until another node has claimed the duties, and may claim them after a restore.

--- a/edge/duties.go
+++ b/edge/duties.go
@@ -64,8 +64,9 @@
 	// eraSeenAt is when a node first saw the era of the lease's topic, by the monotonic clock; zero if the
 	// store has no eras.
 	eraSeenAt time.Time
-	// leaseHeld is set while this node holds the lease; the topic's feed reads it.
-	leaseHeld atomic.Bool
+	// leaseHeld is set while this node holds the lease, lastHolder also after the lease has lapsed, until
+	// another node claims it; the topic's feed reads that.
+	leaseHeld, lastHolder atomic.Bool
 }
 
 type orderKey struct {
@@ -104,7 +105,7 @@
 	d.dutiesFeed = &feed{
 		edge: d.edge, topic: topicDuties, bound: func(bounds *platform.Bounds) time.Duration { return bounds.Lease },
 		maxWait: func() time.Duration { return dutiesWait(d.edge.settings.Bounds.Lease) }, interval: func() time.Duration { return dutiesReadInterval },
-		shouldStandBy: func() bool { return !d.edge.dutyCandidate.Load() && !d.leaseHeld.Load() },
+		shouldStandBy: func() bool { return !d.edge.dutyCandidate.Load() && !d.lastHolder.Load() },
 		applyPage: func(page platform.Page) {
 			d.control.post(ctx, func(now time.Time) { d.applyPage(page, now) })
 		},
@@ -212,6 +213,7 @@
 	}
 	grant, held := d.holder.Held(now)[dutyName]
 	d.leaseHeld.Store(held)
+	d.lastHolder.Store(d.holder.IsLast(dutyName))
 	if !held && !d.mayClaim(now) {
 		return
 	}
@@ -236,10 +238,10 @@
 	d.planEngines(now)
 }
 
-// mayClaim reports whether this node is a candidate and its view of the lease is recent enough to
-// claim it.
+// mayClaim reports whether this node is a candidate, or resumes the duties, and its view of the lease is
+// recent enough to claim it.
 func (d *duties) mayClaim(now time.Time) bool {
-	if d.dutiesFeed == nil || !d.edge.dutyCandidate.Load() {
+	if d.dutiesFeed == nil || (!d.edge.dutyCandidate.Load() && !d.holder.Resumes(dutyName)) {
 		return false
 	}
 	answeredAt := d.lastAnswerAt()
--- a/edge/duties_test.go
+++ b/edge/duties_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 )
@@ -35,3 +36,17 @@
 		require.Less(t, e.control.duties.newFeed(t.Context()).maxWait(), leaseLife(bound))
 	}
 }
+
+// Guards against windows that are left out: the last holder, which is no candidate any more, must see by
+// itself that the store came back from an older copy.
+func TestLastHolderStopsReadingTheDuties(t *testing.T) {
+	e := New(settings(t, "n1", "127.0.0.1:1"), zerolog.Nop())
+	d, now := e.control.duties, e.clock.monotonic()
+	f := d.newFeed(t.Context())
+	claims := d.holder.Plan(now, uuid.NewString, func(time.Duration) time.Duration { return 0 })
+	require.Len(t, claims, 1)
+	d.holder.Apply(0, claims[0], now)
+	e.dutyCandidate.Store(false)
+	d.tick(now.Add(leaseLife(e.settings.Bounds.Lease)))
+	require.False(t, f.shouldStandBy())
+}
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -218,6 +218,15 @@
 	return held
 }
 
+// Resumes reports whether this holder, which held a duty when the log came back from an older copy, is to
+// claim it again.
+func (h *Holder) Resumes(name string) bool { return h.duties[name].resumes }
+
+// IsLast reports whether this holder is the last one that is known to have held a duty.
+func (h *Holder) IsLast(name string) bool {
+	return h.Resumes(name) || h.isSelf(h.table.Lease(name))
+}
+
 // GiveUp ends the grant with a fencing token that was refused, and returns the record that releases it;
 // ok is false if no such grant is in force. Other nodes may claim the duty at once, this holder after a TTL:
 // its next claim has a higher token.
