--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -120,6 +120,20 @@
 	}},
 }
 
+// maxCopyAge is the age of the oldest copy from which the store comes back.
+const maxCopyAge = 20 * time.Second
+
+// storeRestored takes the store away and brings it back from a copy; the operator and the engines write
+// again what they had written.
+var storeRestored = fault{"store restored", false, func(ctx context.Context, w *world, random *rand.Rand) {
+	w.store.SetFaults(platformtest.Faults{Down: true})
+	sleep(ctx, randomDuration(random))
+	for _, lost := range w.store.Restore(time.Now().Add(-time.Duration(random.Int64N(int64(maxCopyAge))))) {
+		w.store.Put(lost.Topic, lost.Key, lost.Value)
+	}
+	w.store.SetFaults(platformtest.Faults{})
+}}
+
 // randomDuration returns a random duration of a fault.
 func randomDuration(random *rand.Rand) time.Duration {
 	return 200*time.Millisecond + time.Duration(random.IntN(2500))*time.Millisecond
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -24,7 +24,9 @@
 	nodesPerWorld = flag.Int("soak.nodes", 3, "nodes of a world, at most 250")
 	hedgeShare    = flag.Float64("soak.hedge", 0, "limit of second attempts, as a share of all work")
 	parallel      = flag.Int("soak.parallel", 4, "worlds that run at the same time")
-	keepLogs      = flag.String("soak.logs", "", "directory for the logs of the nodes; they are deleted if it is empty")
+	// restores is the number of times that the store comes back from an older copy.
+	restores = flag.Int("soak.restores", 0, "restores of the store in a world")
+	keepLogs = flag.String("soak.logs", "", "directory for the logs of the nodes; they are deleted if it is empty")
 )
 
 const (
@@ -39,6 +41,8 @@
 	noticesPerWorld = 3
 	noticeStream    = 1 << 32
 	promptStream    = 1 << 33
+	// restoreStream is the random stream of restores of the store.
+	restoreStream = 1 << 34
 	// plannedOnlyEvery selects the seeds with planned work only: one in so many.
 	plannedOnlyEvery = 3
 	// recoveryTime is the time after the last fault after which requests must be served again, and
@@ -141,7 +145,8 @@
 	}
 	go w.probe(traffic, rand.New(rand.NewPCG(seed, workers)))
 	sleep(ctx, warmUp)
-	timeline := w.injectFaults(ctx, random, rand.New(rand.NewPCG(seed, noticeStream)), rand.New(rand.NewPCG(seed, promptStream)), seed%plannedOnlyEvery == 0)
+	timeline := w.injectFaults(ctx, random, rand.New(rand.NewPCG(seed, noticeStream)), rand.New(rand.NewPCG(seed, promptStream)),
+		rand.New(rand.NewPCG(seed, restoreStream)), seed%plannedOnlyEvery == 0)
 	sleep(ctx, recoveryTime)
 	measured := time.Now()
 	sleep(ctx, measureTime)
@@ -165,8 +170,9 @@
 }
 
 // injectFaults injects a series of faults that may overlap, faults that engines announce, and prompts
-// that crash engines, each drawn from a random source of its own, and returns the timeline.
-func (w *world) injectFaults(ctx context.Context, random, notices, prompts *rand.Rand, planned bool) []string {
+// that crash engines and restores of the store, each drawn from a random source of its own, and returns the
+// timeline.
+func (w *world) injectFaults(ctx context.Context, random, notices, prompts, restored *rand.Rand, planned bool) []string {
 	var timeline []string
 	var mu sync.Mutex
 	var running sync.WaitGroup
@@ -194,6 +200,12 @@
 			sleep(ctx, time.Duration(prompts.ExpFloat64()*float64(faultPeriod)/faultsPerWorld))
 			play(badPrompts, prompts)
 		})
+		running.Go(func() {
+			for range *restores {
+				sleep(ctx, time.Duration(restored.ExpFloat64()*float64(faultPeriod)/float64(*restores+1)))
+				play(storeRestored, rand.New(rand.NewPCG(restored.Uint64(), 0)))
+			}
+		})
 	}
 	for range faultsPerWorld {
 		chosen := faults[random.IntN(len(faults))]
