--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -26,6 +26,46 @@
 	// era of the log, answeredAt when each node last read it.
 	era        int64
 	answeredAt []time.Time
+	// inFlight are appends under way.
+	inFlight []api.LeaseRecord
+}
+
+// Steps that a test draws.
+const (
+	planStep = iota
+	readStep
+	waitStep
+	landStep
+	planAndReadStep
+	restoreStep
+	restartStep
+)
+
+// maxWait is the longest time that a step lets pass, in milliseconds.
+const maxWait = 9000
+
+// play takes a step with a node.
+func (c *cluster) play(t *rapid.T, step, node int) {
+	switch step {
+	case planStep:
+		c.inFlight = append(c.inFlight, c.plan(node)...)
+	case readStep:
+		c.readAwake(node, rapid.Bool().Draw(t, "awake"))
+	case waitStep:
+		c.now = c.now.Add(time.Duration(rapid.IntRange(100, maxWait).Draw(t, "ms")) * time.Millisecond)
+	case landStep:
+		if len(c.inFlight) > 0 {
+			i := rapid.IntRange(0, len(c.inFlight)-1).Draw(t, "flying")
+			c.appendRecords(c.inFlight[i : i+1])
+			c.inFlight = slices.Delete(c.inFlight, i, i+1)
+		}
+	case planAndReadStep:
+		c.step(node)
+	case restoreStep:
+		c.restore(rapid.IntRange(0, len(c.log)).Draw(t, "kept"))
+	case restartStep:
+		c.restart(node)
+	}
 }
 
 func newCluster(nodes int) *cluster {
@@ -165,25 +205,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		const nodes = 3
 		c := newCluster(nodes)
-		var inFlight []api.LeaseRecord
 		for range rapid.IntRange(20, 150).Draw(t, "steps") {
 			node := rapid.IntRange(0, nodes-1).Draw(t, "node")
-			switch rapid.IntRange(0, 4).Draw(t, "action") {
-			case 0:
-				inFlight = append(inFlight, c.plan(node)...)
-			case 1:
-				c.readAll(node)
-			case 2:
-				c.now = c.now.Add(time.Duration(rapid.IntRange(100, 6000).Draw(t, "ms")) * time.Millisecond)
-			case 3:
-				if len(inFlight) > 0 {
-					i := rapid.IntRange(0, len(inFlight)-1).Draw(t, "flying")
-					c.appendRecords(inFlight[i : i+1])
-					inFlight = append(inFlight[:i:i], inFlight[i+1:]...)
-				}
-			case 4:
-				c.step(node)
-			}
+			c.play(t, rapid.IntRange(planStep, restoreStep-1).Draw(t, "step"), node)
 			holders := 0
 			for i := range nodes {
 				if _, ok := c.heldFence(i); ok {
@@ -205,29 +229,9 @@
 		c := newCluster(nodes)
 		c.era = int64(rapid.IntRange(0, 1).Draw(t, "first era"))
 		usedBy := map[int64]*lease.Holder{}
-		var inFlight []api.LeaseRecord
 		for range rapid.IntRange(20, 150).Draw(t, "steps") {
 			node := rapid.IntRange(0, nodes-1).Draw(t, "node")
-			switch rapid.IntRange(0, 6).Draw(t, "action") {
-			case 0:
-				inFlight = append(inFlight, c.plan(node)...)
-			case 1:
-				c.readAwake(node, rapid.Bool().Draw(t, "awake"))
-			case 2:
-				c.now = c.now.Add(time.Duration(rapid.IntRange(100, 9000).Draw(t, "ms")) * time.Millisecond)
-			case 3:
-				if len(inFlight) > 0 {
-					i := rapid.IntRange(0, len(inFlight)-1).Draw(t, "flying")
-					c.appendRecords(inFlight[i : i+1])
-					inFlight = append(inFlight[:i:i], inFlight[i+1:]...)
-				}
-			case 4:
-				c.step(node)
-			case 5:
-				c.restore(rapid.IntRange(0, len(c.log)).Draw(t, "kept"))
-			case 6:
-				c.restart(node)
-			}
+			c.play(t, rapid.IntRange(planStep, restartStep).Draw(t, "step"), node)
 			for i, holder := range c.holders {
 				token, ok := c.heldFence(i)
 				if known := usedBy[token]; ok && known != nil && known != holder {
