--- a/lease/holder.go
+++ b/lease/holder.go
@@ -188,13 +188,17 @@
 		return d.claim, !now.Before(d.renewAt)
 	}
 	d.held = false
-	if len(d.pending) > 0 || now.Before(d.claimsFrom) || !(d.resumes || h.table.Claimable(name, now)) {
+	if len(d.pending) > 0 || now.Before(d.claimsFrom) {
 		d.claimAfter = time.Time{}
 		return NoOffset, false
 	}
 	if d.resumes {
 		return NoOffset, true
 	}
+	if !h.table.Claimable(name, now) {
+		d.claimAfter = time.Time{}
+		return NoOffset, false
+	}
 	if d.claimAfter.IsZero() {
 		d.claimAfter = now.Add(jitter(h.timing.ClaimJitter))
 	}
