edge: a test's usage record names the era of the store, as nodes write it

The record now names the era; what is asked (both windows, and no content of records that lag) is the same.

--- a/edge/staleness_test.go
+++ b/edge/staleness_test.go
@@ -198,7 +198,7 @@
 func TestUsageIsNotFixedAgainstReportsThatLag(t *testing.T) {
 	store := newStore(t)
 	fixed := func(windows ...int64) []byte {
-		var usage api.FixedUsage
+		usage := api.FixedUsage{Era: 1}
 		for _, window := range windows {
 			usage.Reports = append(usage.Reports, api.UsageReport{Window: window, Counts: map[string]int64{"w": 1}})
 		}
